Set down the shape: folders, core types, packets and tickets

Cause: the first path needs types that every part agrees on. Ruled out: one module per protocol layer with traits between them; the layout is tables and systems, and what varies is a struct of closures.

--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! A layer-4 load balancer, and the coordination parts it is made of.
+
+pub mod clock;
+pub mod error;
+pub mod id;
+pub mod packet;
+pub mod prelude;
+pub mod snapshot;
+pub mod ticket;
+pub mod wire;
+
+pub use crate::error::{Error, Result};
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `jacinthhinge` program.
+
+fn main() {}
--- /dev/null
+++ b/src/snapshot.rs
@@ -0,0 +1,195 @@
+//! What the control thread publishes to the traffic lanes.
+//!
+//! A [`Snapshot`] is immutable. The control thread builds a new one on each
+//! change and swaps it in; unchanged parts are shared between snapshots.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use smallvec::SmallVec;
+
+use crate::id::{FlowKey, Id, Incarnation, Name, rendezvous};
+use crate::packet::Class;
+use crate::ticket::{Home, Keys};
+
+/// All that a traffic lane needs to decide.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// Revision of the configuration in force.
+    pub revision: u64,
+    /// Services by id.
+    pub services: Arc<HashMap<Id, Arc<Service>>>,
+    /// Service that holds each endpoint address.
+    pub addresses: Arc<HashMap<SocketAddr, Id>>,
+    /// Hosts of the zone that are believed alive, this one included.
+    pub hosts: Arc<[Host]>,
+    /// Time at which `hosts` last changed.
+    pub changed: Duration,
+    /// Sealing keys.
+    pub keys: Keys,
+    /// Right to dispatch once-only work of callers without a ticket.
+    pub lease: Lease,
+    /// True while this host is leaving.
+    pub leaving: bool,
+}
+
+/// A host that is believed alive.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Host {
+    /// Id of its name.
+    pub id: Id,
+    /// Its name.
+    pub name: Name,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Addresses of its traffic lanes.
+    pub lanes: SmallVec<[SocketAddr; 4]>,
+    /// True when it has announced that it leaves; it is home to nothing new.
+    pub leaving: bool,
+}
+
+/// Right to dispatch once-only work of callers without a ticket.
+///
+/// It is held while a majority of the zone's hosts has agreed with this host's
+/// view for long enough that no host of an earlier view can still hold it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Lease {
+    /// Time at which it runs out.
+    pub until: Duration,
+}
+
+impl Lease {
+    /// True while the lease is held.
+    #[must_use]
+    pub fn is_held(&self, now: Duration) -> bool {
+        now < self.until
+    }
+}
+
+/// A service in force.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Service {
+    /// Id of its name.
+    pub id: Id,
+    /// Its name.
+    pub name: Name,
+    /// Its endpoints in the zones this host may use.
+    pub endpoints: Vec<Endpoint>,
+    /// Policy of each class, by [`Class::index`].
+    pub classes: [Policy; Class::ALL.len()],
+    /// Time an established flow may run on after its endpoint starts to leave.
+    pub drain: Duration,
+    /// Time without traffic after which a flow is forgotten.
+    pub idle: Duration,
+    /// Retries allowed, as a share of fresh requests.
+    pub retries: f64,
+    /// Slots of each endpoint that long work may not take.
+    pub reserve: u32,
+}
+
+/// Policy of one class of work.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Policy {
+    /// Rank when there is too much work; the lowest is refused first.
+    pub rank: u32,
+    /// Longest deadline a caller may set.
+    pub deadline: Duration,
+    /// Expected time that the work holds a slot.
+    pub service_time: Duration,
+}
+
+/// An endpoint in force.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Endpoint {
+    /// Id of its name.
+    pub id: Id,
+    /// Its name.
+    pub name: Name,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: Name,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Flows it holds at once.
+    pub conns: u32,
+    /// Share of work against its peers, 1 by default.
+    pub weight: f64,
+    /// True when it is leaving and takes no new work.
+    pub draining: bool,
+    /// False when the platform reports it unhealthy; the report may lag or mislead.
+    pub healthy: bool,
+    /// True when it stands in this host's own zone.
+    pub local: bool,
+}
+
+impl Snapshot {
+    /// A snapshot with no service and no host.
+    #[must_use]
+    pub fn empty(keys: Keys) -> Self {
+        Self {
+            revision: 0,
+            services: Arc::default(),
+            addresses: Arc::default(),
+            hosts: Arc::from([]),
+            changed: Duration::ZERO,
+            keys,
+            lease: Lease::default(),
+            leaving: false,
+        }
+    }
+
+    /// Replaces the services and indexes their addresses.
+    #[must_use]
+    pub fn with_services(mut self, services: impl IntoIterator<Item = Service>) -> Self {
+        let services: HashMap<Id, Arc<Service>> = services
+            .into_iter()
+            .map(|service| (service.id, Arc::new(service)))
+            .collect();
+        let addresses = services
+            .values()
+            .flat_map(|service| service.endpoints.iter().map(|e| (e.addr, service.id)))
+            .collect();
+        self.services = Arc::new(services);
+        self.addresses = Arc::new(addresses);
+        self
+    }
+
+    /// Home of a flow: the host of highest rendezvous weight that is not leaving.
+    ///
+    /// When every host leaves, the leaving ones are used. `None` without hosts.
+    #[must_use]
+    pub fn home(&self, key: &FlowKey) -> Option<Home> {
+        let hash = key.hash();
+        let host = self
+            .hosts
+            .iter()
+            .max_by_key(|host| (!host.leaving, rendezvous(hash, host.id)))?;
+        let count = host.lanes.len();
+        let lane = usize::try_from(hash % u64::try_from(count).ok()?).ok()?;
+        Some(Home {
+            host: host.id,
+            incarnation: host.incarnation,
+            addr: host.lanes[lane],
+        })
+    }
+
+    /// True when `home` still runs in the life it names.
+    #[must_use]
+    pub fn is_live(&self, home: &Home) -> bool {
+        self.hosts
+            .iter()
+            .any(|host| host.id == home.host && host.incarnation == home.incarnation)
+    }
+
+    /// True when `home` runs and is not leaving.
+    #[must_use]
+    pub fn is_staying(&self, home: &Home) -> bool {
+        self.hosts.iter().any(|host| {
+            host.id == home.host && host.incarnation == home.incarnation && !host.leaving
+        })
+    }
+}
