--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -2,8 +2,8 @@
 //!
 //! A ticket states where a flow lives, so that a host with no memory of the flow
 //! can pass its packets on. It is sealed with a keyed hash under the current key;
-//! the previous key still opens it, so that keys can be rotated without breaking
-//! a flow. The bytes mean nothing to callers and endpoints, which only echo them.
+//! the other live key opens it too. A rotation first adds the new key as the other
+//! one everywhere, and then swaps the two, so that it never breaks a flow. The bytes mean nothing to callers and endpoints, which only echo them.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -66,16 +66,16 @@
 #[derive(Clone, Eq, PartialEq)]
 pub struct Keys {
     current: [u8; 32],
-    previous: [u8; 32],
+    other: [u8; 32],
 }
 
 impl Keys {
-    /// Keys derived from two secrets; tickets are sealed with the first.
+    /// Keys derived from two secrets; tickets are sealed with `current` and opened with either.
     #[must_use]
-    pub fn new(current: &str, previous: &str) -> Self {
+    pub fn new(current: &str, other: &str) -> Self {
         Self {
             current: derive(current),
-            previous: derive(previous),
+            other: derive(other),
         }
     }
 
@@ -98,7 +98,7 @@
             return Err(Error::forged());
         };
         let (content, seal) = sealed.split_at(length);
-        if mac(&self.current, content) != seal && mac(&self.previous, content) != seal {
+        if mac(&self.current, content) != seal && mac(&self.other, content) != seal {
             return Err(Error::forged());
         }
         wire::decode_ticket(content)
