--- /dev/null
+++ b/examples/caller/main.rs
@@ -0,0 +1,2 @@
+//! caller
+fn main() {}
--- /dev/null
+++ b/examples/common/content.rs
@@ -0,0 +1,103 @@
+//! Content of requests, answers and streams.
+//!
+//! Both ends compute it from what names it, so that the receiver finds every
+//! answer or line that belongs to something else, is mixed or is cut short.
+
+use jacinthhinge::packet::PART_BYTES;
+use jacinthhinge::prelude::*;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Most bytes of an answer.
+const ANSWER_BYTES: usize = 16 * 1_024;
+
+/// Bytes of one line of a stream.
+const LINE_BYTES: usize = 64;
+
+/// Answer to a request, whose size the first two bytes of the request state.
+pub fn answer(service: Id, key: FlowKey, request: u64, content: &[u8]) -> Bytes {
+    let seed = key.hash() ^ service.0.rotate_left(17) ^ request.rotate_left(34);
+    let size = match content {
+        [low, high, ..] => usize::from(u16::from_le_bytes([*low, *high])),
+        _ => LINE_BYTES,
+    };
+    fill(
+        xxh3_64_with_seed(content, seed),
+        size.clamp(8, ANSWER_BYTES),
+    )
+}
+
+/// Line number `seq` of a stream, in either direction.
+pub fn line(service: Id, key: FlowKey, seq: u64) -> Bytes {
+    fill(
+        key.hash() ^ service.0.rotate_left(17) ^ seq.rotate_left(34),
+        LINE_BYTES,
+    )
+}
+
+/// Bytes that follow from a seed.
+pub fn fill(seed: u64, size: usize) -> Bytes {
+    let mut word = seed;
+    let mut bytes = Vec::with_capacity(size + 8);
+    while bytes.len() < size {
+        word = xxh3_64(&word.to_le_bytes());
+        bytes.extend_from_slice(&word.to_le_bytes());
+    }
+    bytes.truncate(size);
+    bytes.into()
+}
+
+/// Content as parts, at least one.
+pub fn split(content: &Bytes) -> Vec<Part> {
+    let count = content.len().div_ceil(PART_BYTES).max(1);
+    let total = u32::try_from(count).unwrap_or(u32::MAX);
+    (0..total)
+        .zip((0..count).map(|i| i * PART_BYTES))
+        .map(|(index, start)| Part {
+            index,
+            total,
+            data: content.slice(start..content.len().min(start + PART_BYTES)),
+        })
+        .collect()
+}
+
+/// Parts that have come so far.
+pub struct Assembly {
+    parts: Vec<Option<Bytes>>,
+    missing: usize,
+}
+
+impl Assembly {
+    /// Nothing yet of content in `total` parts.
+    pub fn new(total: u32) -> Self {
+        let count = total as usize;
+        Self {
+            parts: vec![None; count],
+            missing: count,
+        }
+    }
+
+    /// Takes a part; false when it does not fit the others.
+    pub fn add(&mut self, part: &Part) -> bool {
+        if part.total as usize != self.parts.len() {
+            return false;
+        }
+        let Some(slot) = self.parts.get_mut(part.index as usize) else {
+            return false;
+        };
+        if let Some(held) = slot {
+            return *held == part.data;
+        }
+        *slot = Some(part.data.clone());
+        self.missing -= 1;
+        true
+    }
+
+    /// The content, when every part is there.
+    pub fn whole(&self) -> Option<Bytes> {
+        if self.missing > 0 {
+            return None;
+        }
+        let parts: Vec<&[u8]> = self.parts.iter().flatten().map(AsRef::as_ref).collect();
+        Some(parts.concat().into())
+    }
+}
--- /dev/null
+++ b/examples/common/link.rs
@@ -0,0 +1,36 @@
+//! Packets over UDP.
+
+use jacinthhinge::packet::PACKET_BYTES;
+use jacinthhinge::prelude::*;
+use jacinthhinge::wire::{decode_packet, encode_packet};
+use tokio::net::UdpSocket;
+
+/// Binds a datagram socket.
+///
+/// # Errors
+///
+/// Fails when the address is taken or not this machine's.
+pub async fn bind(addr: SocketAddr) -> Result<UdpSocket> {
+    UdpSocket::bind(addr)
+        .await
+        .map_err(|source| Error::io("bind the packet socket", source))
+}
+
+/// Sends a packet; one that the system does not take is lost, as on a network.
+pub async fn send(socket: &UdpSocket, to: SocketAddr, packet: &Packet) {
+    let _ = socket.send_to(&encode_packet(packet), to).await;
+}
+
+/// The next datagram that is a packet, with its sender; others are dropped.
+pub async fn receive(socket: &UdpSocket) -> (Packet, SocketAddr) {
+    let mut buffer = vec![0; PACKET_BYTES + 1];
+    loop {
+        // An error here is a refusal that an earlier datagram met elsewhere.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        if let Ok(packet) = decode_packet(Bytes::copy_from_slice(&buffer[..length])) {
+            return (packet, from);
+        }
+    }
+}
