--- a/examples/platform/main.rs
+++ b/examples/platform/main.rs
@@ -253,10 +253,11 @@
     /// Applies a change to the store and wakes the watches.
     fn change(&self, apply: impl FnOnce(&mut Store)) -> u64 {
         let mut world = lock(&self.world);
-        if world.mode != Mode::Stale {
-            world.older = world.store.clone();
-        }
+        let before = world.store.clone();
         apply(&mut world.store);
+        if world.mode != Mode::Stale && world.store.revision != before.revision {
+            world.older = before;
+        }
         self.changed.notify_waiters();
         world.store.revision
     }
