--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod packet;
 pub mod prelude;
 pub mod snapshot;
+pub mod systems;
+pub mod tables;
 pub mod ticket;
 pub mod wire;
 
--- /dev/null
+++ b/src/systems/ask.rs
@@ -0,0 +1,149 @@
+//! Takes requests in at their home.
+//!
+//! Only the home dispatches a request, and its record answers every repeat. A
+//! caller with a ticket has its home named there; for a caller without one, the
+//! home must hold the lease before it takes once-only work.
+
+use std::time::Duration;
+
+use super::{take, verdict};
+use crate::packet::{Body, Class, Packet, Part, Reason, Verdict};
+use crate::tables::{Arrival, Outbox, Request, RequestId, RequestState, Stage, Tables};
+
+/// Deadline of a service that is not configured.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for arrival in take(tables, Stage::Ask) {
+        match arrival.packet.body {
+            Body::Ask { .. } => ask(tables, &arrival, now, out),
+            Body::Cancel { request, .. } => cancel(tables, &arrival.packet, request, out),
+            _ => {}
+        }
+    }
+}
+
+fn ask(tables: &mut Tables, arrival: &Arrival, now: Duration, out: &mut Outbox) {
+    let packet = &arrival.packet;
+    let Body::Ask {
+        request,
+        class,
+        budget,
+        ref part,
+    } = packet.body
+    else {
+        return;
+    };
+    let id = RequestId {
+        flow: packet.key(),
+        number: request,
+    };
+    let slot = match tables.requests.find(&id) {
+        Some(slot) => slot,
+        None => match admit(tables, arrival, request, class, budget, now, out) {
+            Some(slot) => slot,
+            None => return,
+        },
+    };
+    if tables.requests.row(slot).is_over() {
+        tables.counters.repeats += 1;
+        repeat(tables, slot, out);
+        return;
+    }
+    gather(tables, slot, packet, part, out);
+}
+
+/// Makes the record of a new request, or says why it is not taken.
+fn admit(
+    tables: &mut Tables,
+    arrival: &Arrival,
+    number: u64,
+    class: Class,
+    budget: Duration,
+    now: Duration,
+    out: &mut Outbox,
+) -> Option<usize> {
+    let packet = &arrival.packet;
+    let budget = budget.saturating_sub(tables.slept);
+    if budget.is_zero() {
+        return None;
+    }
+    let ticketed = arrival
+        .ticket
+        .is_some_and(|ticket| ticket.home == tables.me);
+    if class.is_once() && !ticketed && !may_dispatch(tables, packet, now) {
+        tables.counters.unknown += 1;
+        out.answer(
+            packet,
+            Body::Ended {
+                request: number,
+                verdict: Verdict::Unknown,
+                reason: Reason::NoLease,
+            },
+        );
+        return None;
+    }
+    let limit = tables
+        .snapshot
+        .services
+        .get(&packet.service)
+        .map_or(DEADLINE, |service| service.classes[class.index()].deadline);
+    let deadline = now + budget.min(limit);
+    let mut request = Request::new(packet, number, class, now, deadline);
+    request.ticketed = ticketed;
+    tables.counters.taken += 1;
+    Some(tables.requests.insert(request))
+}
+
+/// True when this lane may dispatch once-only work of a caller without a ticket.
+fn may_dispatch(tables: &Tables, packet: &Packet, now: Duration) -> bool {
+    tables.snapshot.lease.is_held(now) && tables.is_home(&packet.key())
+}
+
+fn gather(tables: &mut Tables, slot: usize, packet: &Packet, part: &Part, out: &mut Outbox) {
+    let row = tables.requests.row_mut(slot);
+    let fresh = row.parts.insert(part);
+    let whole = row.parts.is_whole();
+    if part.total > 1 {
+        out.answer(
+            packet,
+            Body::PartAck {
+                request: row.id.number,
+                index: part.index,
+            },
+        );
+    }
+    if fresh && whole && row.state == RequestState::Gathering {
+        tables.requests.queue(slot);
+    }
+}
+
+/// Sends what the record holds again.
+fn repeat(tables: &Tables, slot: usize, out: &mut Outbox) {
+    let row = tables.requests.row(slot);
+    match row.state {
+        RequestState::Ended(verdict, reason) => verdict::tell(row, verdict, reason, out),
+        _ => {
+            for part in row.answer.iter() {
+                verdict::pass_answer(row, &part, out);
+            }
+        }
+    }
+}
+
+fn cancel(tables: &mut Tables, packet: &Packet, number: u64, out: &mut Outbox) {
+    let id = RequestId {
+        flow: packet.key(),
+        number,
+    };
+    let Some(slot) = tables.requests.find(&id) else {
+        return;
+    };
+    match tables.requests.row(slot).state {
+        RequestState::Gathering | RequestState::Queued => {
+            verdict::end_unsent(tables, slot, Reason::Cancelled, out);
+        }
+        RequestState::Sent => verdict::cancel_dispatch(tables, slot, out),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/systems/drain.rs
@@ -0,0 +1,46 @@
+//! Ends the flows of leaving endpoints that outlast the drain limit.
+
+use std::time::Duration;
+
+use super::{open, recover};
+use crate::id::FlowKey;
+use crate::packet::{Body, Reason};
+use crate::tables::{Outbox, Tables};
+
+pub(super) fn run(tables: &mut Tables, swept: &[FlowKey], now: Duration, out: &mut Outbox) {
+    if tables.endpoints.iter().all(|row| row.leaving.is_none()) {
+        return;
+    }
+    for key in swept {
+        if is_overdue(tables, key, now) {
+            end(tables, key, out);
+        }
+    }
+}
+
+fn is_overdue(tables: &Tables, key: &FlowKey, now: Duration) -> bool {
+    let Some(flow) = tables.flows.get(key) else {
+        return false;
+    };
+    let leaving = flow
+        .target
+        .and_then(|target| tables.endpoints.get(target.endpoint))
+        .and_then(|row| row.leaving);
+    let limit = tables
+        .snapshot
+        .services
+        .get(&flow.service)
+        .map(|service| service.drain);
+    match (leaving, limit) {
+        (Some(leaving), Some(limit)) => now >= leaving + limit,
+        _ => false,
+    }
+}
+
+fn end(tables: &mut Tables, key: &FlowKey, out: &mut Outbox) {
+    if let Some(flow) = tables.flows.get(key) {
+        let (packet, target) = (open::packet_of(flow), flow.target);
+        open::send_endpoint(tables, &packet, target, Body::Close, out);
+    }
+    recover::lose(tables, key, Reason::Draining, out);
+}
--- /dev/null
+++ b/src/systems/expire.rs
@@ -0,0 +1,35 @@
+//! Ends requests that are past their deadline, and forgets old records.
+
+use std::time::Duration;
+
+use super::verdict;
+use crate::packet::{Reason, Verdict};
+use crate::tables::{Outbox, RequestState, Tables};
+
+/// Time past its deadline for which a request's record answers repeats: the
+/// longest life of a packet and the longest pause of a caller.
+pub const RECORD: Duration = Duration::from_secs(10);
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for slot in tables.requests.slots() {
+        expire_request(tables, slot, now, out);
+    }
+}
+
+fn expire_request(tables: &mut Tables, slot: usize, now: Duration, out: &mut Outbox) {
+    let row = tables.requests.row(slot);
+    if now < row.deadline {
+        return;
+    }
+    match row.state {
+        RequestState::Gathering | RequestState::Queued => {
+            verdict::end_unsent(tables, slot, Reason::Late, out);
+        }
+        RequestState::Sent => {
+            verdict::cancel_dispatch(tables, slot, out);
+            verdict::end(tables, slot, Verdict::Unknown, Reason::Late, out);
+        }
+        _ if now >= row.deadline + RECORD => tables.requests.remove(slot),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/systems/flow.rs
@@ -0,0 +1,89 @@
+//! Callers' packets of flows that have their home here.
+
+use std::time::Duration;
+
+use super::{open, pass, probe, recover, take};
+use crate::packet::{Body, Packet, Reason};
+use crate::tables::{Arrival, Flow, FlowState, Outbox, Stage, Tables};
+use crate::ticket::{Side, Target};
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for arrival in take(tables, Stage::Flow) {
+        step(tables, &arrival, now, out);
+    }
+}
+
+fn step(tables: &mut Tables, arrival: &Arrival, now: Duration, out: &mut Outbox) {
+    let packet = &arrival.packet;
+    let key = packet.key();
+    let target = arrival.ticket.and_then(|ticket| ticket.target);
+    if arrival.ticket.is_some() && target.is_none() {
+        ping_greeting(tables, packet, out);
+        return;
+    }
+    if tables.flows.get(&key).is_none() {
+        adopt(tables, packet, target, now, out);
+    }
+    let Some(flow) = tables.flows.get_mut(&key) else {
+        return;
+    };
+    flow.heard = now;
+    if flow.state != FlowState::Open {
+        flow.hold(packet.clone());
+        return;
+    }
+    serve(tables, packet, now, out);
+}
+
+/// Makes a row for a flow this home has not seen: from its ticket, or by asking.
+fn adopt(
+    tables: &mut Tables,
+    packet: &Packet,
+    target: Option<Target>,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    let flow = Flow::new(packet, FlowState::Recovering, now);
+    let key = flow.key;
+    tables.flows.insert(flow);
+    match target {
+        Some(target) => open::settle(tables, &key, target, now, out),
+        None => recover::start(tables, &key, now, out),
+    }
+}
+
+fn serve(tables: &mut Tables, packet: &Packet, now: Duration, out: &mut Outbox) {
+    let key = packet.key();
+    let Some(target) = tables.flows.get(&key).and_then(|flow| flow.target) else {
+        return;
+    };
+    if pass::is_reassigned(tables, packet, &target, now) {
+        recover::lose(tables, &key, Reason::Reassigned, out);
+        return;
+    }
+    match packet.body {
+        Body::Ping => {
+            let ticket = tables.ticket(Side::Caller, packet, tables.me, Some(target));
+            out.send(packet.caller, packet.reply(ticket, Body::Pong));
+        }
+        Body::Close => close(tables, packet, target, out),
+        _ => open::send_endpoint(tables, packet, Some(target), packet.body.clone(), out),
+    }
+    probe::doubt(tables, &key, now, out);
+}
+
+fn close(tables: &mut Tables, packet: &Packet, target: Target, out: &mut Outbox) {
+    open::send_endpoint(tables, packet, Some(target), Body::Close, out);
+    if let Some(flow) = tables.flows.remove(&packet.key()) {
+        recover::forget(tables, &flow);
+    }
+}
+
+/// A ping with a ticket for requests only: a fresh ticket names the home of now.
+fn ping_greeting(tables: &mut Tables, packet: &Packet, out: &mut Outbox) {
+    if packet.body != Body::Ping {
+        return;
+    }
+    let ticket = tables.ticket(Side::Caller, packet, tables.me, None);
+    out.send(packet.caller, packet.reply(ticket, Body::Pong));
+}
--- /dev/null
+++ b/src/systems/mod.rs
@@ -0,0 +1,95 @@
+//! Systems of a traffic lane.
+//!
+//! Each system has one job and runs over the tables once a tick:
+//! `fn run(&mut Tables, now, &mut Outbox)`. A tick is a batch of packets or a
+//! timer. Packets wait in the inbox; [`route`] decides which system each is for,
+//! and the others deal with theirs. None of them sees a socket, bytes or a clock.
+
+mod ask;
+mod dispatch;
+mod drain;
+mod expire;
+mod flow;
+mod greet;
+mod idle;
+mod open;
+mod pass;
+mod place;
+mod probe;
+mod recover;
+mod retry;
+mod route;
+mod settle;
+mod sync;
+mod verdict;
+mod wake;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::packet::Packet;
+use crate::snapshot::Snapshot;
+use crate::tables::{Arrival, Outbox, Stage, Tables};
+
+/// Longest time between ticks, for a lane without traffic.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// Most packets a tick takes in.
+pub const BATCH: usize = 64;
+
+/// Part of the flow table that one timer tick looks at, as a divisor.
+const SWEEP: usize = 20;
+
+/// Takes over a new snapshot.
+pub fn publish(tables: &mut Tables, snapshot: Arc<Snapshot>, now: Duration, out: &mut Outbox) {
+    sync::run(tables, snapshot, now, out);
+}
+
+/// Runs every system once over the inbox and the tables.
+///
+/// The inbox holds at most [`BATCH`] packets; a shorter one says that nothing
+/// more waits to be read.
+pub fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    wake::run(tables, now);
+    route::run(tables, now, out);
+    greet::run(tables, out);
+    pass::run(tables, now, out);
+    open::run(tables, now, out);
+    flow::run(tables, now, out);
+    ask::run(tables, now, out);
+    settle::run(tables, now, out);
+    dispatch::run(tables, now, out);
+    wake::settle(tables);
+    tables.inbox.clear();
+}
+
+/// Runs the systems that only time drives, at least every [`TICK`].
+pub fn run_timers(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    recover::run(tables, now, out);
+    retry::run(tables, now, out);
+    expire::run(tables, now, out);
+    let swept = tables.flows.sweep(SWEEP);
+    probe::run(tables, &swept, now, out);
+    idle::run(tables, &swept, now, out);
+    drain::run(tables, &swept, now, out);
+}
+
+/// Takes the arrivals of a stage out of the inbox.
+fn take(tables: &mut Tables, stage: Stage) -> Vec<Arrival> {
+    let mut taken = Vec::new();
+    for arrival in &mut tables.inbox {
+        if arrival.stage == stage {
+            arrival.stage = Stage::Spent;
+            taken.push(arrival.clone());
+        }
+    }
+    taken
+}
+
+/// Passes a packet on to another lane.
+fn forward(tables: &mut Tables, to: std::net::SocketAddr, packet: &Packet, out: &mut Outbox) {
+    tables.counters.forwarded += 1;
+    let mut packet = packet.clone();
+    packet.hops += 1;
+    out.send(to, packet);
+}
--- /dev/null
+++ b/src/systems/open.rs
@@ -0,0 +1,186 @@
+//! Opens flows.
+//!
+//! The home chooses the endpoint and asks it to take the flow. While the zone's
+//! hosts have just changed, a flow that looks new may have been opened through an
+//! earlier home, so the endpoints are asked for it first.
+
+use std::time::Duration;
+
+use super::{pass, place, recover, take};
+use crate::id::FlowKey;
+use crate::packet::{Body, Packet, Reason};
+use crate::tables::{Arrival, Flow, FlowState, Outbox, Stage, Tables};
+use crate::ticket::{Side, Target};
+
+/// Time after a change of hosts for which an opened flow may be an earlier home's.
+const UNSETTLED: Duration = Duration::from_secs(5);
+
+/// Most endpoints tried for one flow.
+const TRIES: usize = 4;
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for arrival in take(tables, Stage::Open) {
+        open(tables, &arrival, now, out);
+    }
+}
+
+fn open(tables: &mut Tables, arrival: &Arrival, now: Duration, out: &mut Outbox) {
+    let packet = &arrival.packet;
+    let key = packet.key();
+    match tables.flows.get_mut(&key) {
+        Some(flow) if flow.state == FlowState::Open => {
+            flow.heard = now;
+            confirm(tables, &key, out);
+        }
+        Some(flow) => {
+            flow.heard = now;
+            flow.wanted = true;
+        }
+        None => begin(tables, packet, now, out),
+    }
+}
+
+fn begin(tables: &mut Tables, packet: &Packet, now: Duration, out: &mut Outbox) {
+    let unsettled = now < tables.snapshot.changed + UNSETTLED;
+    let state = if unsettled {
+        FlowState::Recovering
+    } else {
+        FlowState::Opening
+    };
+    let mut flow = Flow::new(packet, state, now);
+    flow.wanted = true;
+    let key = flow.key;
+    tables.flows.insert(flow);
+    if unsettled {
+        recover::start(tables, &key, now, out);
+    } else {
+        place(tables, &key, now, out);
+    }
+}
+
+/// Asks an endpoint with room to take the flow, or turns the caller away.
+pub(super) fn place(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get(key) else {
+        return;
+    };
+    let choice = if flow.refused.len() < TRIES {
+        place::pick_conn(tables, flow.service, &flow.refused, now)
+    } else {
+        None
+    };
+    let Some(row) = choice.and_then(|id| tables.endpoints.get_mut(id)) else {
+        recover::lose(tables, key, Reason::Overload, out);
+        return;
+    };
+    row.fresh += 1;
+    let target = row.target();
+    if let Some(flow) = tables.flows.get_mut(key) {
+        flow.state = FlowState::Opening;
+        flow.since = now;
+        flow.target = Some(target);
+    }
+    ask(tables, key, now, out);
+}
+
+/// Sends the open of a flow to its endpoint, first or again.
+pub(super) fn ask(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get_mut(key) else {
+        return;
+    };
+    flow.sent = now;
+    let target = flow.target;
+    let packet = packet_of(flow);
+    send_endpoint(tables, &packet, target, Body::Open, out);
+}
+
+/// Records that `target` holds the flow, tells the caller and passes held packets on.
+pub(super) fn settle(
+    tables: &mut Tables,
+    key: &FlowKey,
+    target: Target,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    let Some(flow) = tables.flows.get_mut(key) else {
+        return;
+    };
+    let was_open = flow.state == FlowState::Open;
+    flow.state = FlowState::Open;
+    flow.since = now;
+    flow.target = Some(target);
+    flow.asked.clear();
+    let wanted = std::mem::take(&mut flow.wanted);
+    let held = std::mem::take(&mut flow.held);
+    if !was_open && let Some(row) = tables.endpoints.get_mut(target.endpoint) {
+        row.flows += 1;
+    }
+    if wanted {
+        confirm(tables, key, out);
+    }
+    for packet in held {
+        send_endpoint(tables, &packet, Some(target), packet.body.clone(), out);
+    }
+}
+
+/// Tells the caller that its flow is open, with a ticket.
+fn confirm(tables: &Tables, key: &FlowKey, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get(key) else {
+        return;
+    };
+    let packet = packet_of(flow);
+    let load = flow
+        .target
+        .and_then(|target| tables.endpoints.get(target.endpoint))
+        .map(|row| row.load)
+        .unwrap_or_default();
+    let ticket = tables.ticket(Side::Caller, &packet, tables.me, flow.target);
+    out.send(packet.caller, packet.reply(ticket, Body::Opened { load }));
+}
+
+/// Forgets a flow that its endpoint refused to take and tries another.
+pub(super) fn refuse(
+    tables: &mut Tables,
+    key: &FlowKey,
+    target: Target,
+    out: &mut Outbox,
+    now: Duration,
+) {
+    tables.counters.turned_away += 1;
+    let Some(flow) = tables.flows.get_mut(key) else {
+        return;
+    };
+    let asked = flow.target.map(|target| target.endpoint);
+    if flow.state != FlowState::Opening || asked != Some(target.endpoint) {
+        return;
+    }
+    flow.refused.push(target.endpoint);
+    place(tables, key, now, out);
+}
+
+/// Sends `body` to the endpoint `target` with a ticket that names this home.
+pub(super) fn send_endpoint(
+    tables: &mut Tables,
+    packet: &Packet,
+    target: Option<Target>,
+    body: Body,
+    out: &mut Outbox,
+) {
+    let Some(target) = target else {
+        pass::reset(tables, packet, Reason::FlowLost, out);
+        return;
+    };
+    let sealed = tables.ticket(Side::Endpoint, packet, tables.me, Some(target));
+    out.send(target.addr, packet.reply(sealed, body));
+}
+
+/// A packet with the addressing of a flow.
+pub(super) fn packet_of(flow: &Flow) -> Packet {
+    Packet {
+        service: flow.service,
+        caller: flow.key.caller,
+        flow: flow.key.flow,
+        hops: 0,
+        ticket: bytes::Bytes::new(),
+        body: Body::Open,
+    }
+}
--- /dev/null
+++ b/src/systems/pass.rs
@@ -0,0 +1,71 @@
+//! Passes packets on by their ticket alone.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::take;
+use crate::packet::{Body, Packet, Reason};
+use crate::tables::{Arrival, Outbox, Stage, Tables};
+use crate::ticket::{Side, Target, Ticket};
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for arrival in take(tables, Stage::Pass) {
+        let Some(ticket) = arrival.ticket else {
+            continue;
+        };
+        tables.counters.passed += 1;
+        match ticket.side {
+            Side::Caller => pass_up(tables, &arrival, &ticket, now, out),
+            Side::Endpoint => out.send(
+                ticket.flow.caller,
+                arrival
+                    .packet
+                    .reply(Bytes::new(), arrival.packet.body.clone()),
+            ),
+        }
+    }
+}
+
+fn pass_up(
+    tables: &mut Tables,
+    arrival: &Arrival,
+    ticket: &Ticket,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    let packet = &arrival.packet;
+    let Some(target) = ticket.target else {
+        reset(tables, packet, Reason::BadTicket, out);
+        return;
+    };
+    if is_reassigned(tables, packet, &target, now) {
+        reset(tables, packet, Reason::Reassigned, out);
+        return;
+    }
+    let sealed = tables.ticket(Side::Endpoint, packet, ticket.home, Some(target));
+    out.send(target.addr, packet.reply(sealed, packet.body.clone()));
+}
+
+/// True when the target's address now belongs to another service, or the
+/// endpoint itself has said so.
+pub(super) fn is_reassigned(
+    tables: &Tables,
+    packet: &Packet,
+    target: &Target,
+    now: Duration,
+) -> bool {
+    let owner = tables.snapshot.addresses.get(&target.addr);
+    let moved = owner.is_some_and(|owner| *owner != packet.service);
+    let barred = tables
+        .endpoints
+        .get(target.endpoint)
+        .is_some_and(|row| now < row.barred);
+    moved || barred
+}
+
+/// Turns a caller's flow away.
+pub(super) fn reset(tables: &mut Tables, packet: &Packet, reason: Reason, out: &mut Outbox) {
+    tables.counters.resets += 1;
+    out.answer(packet, Body::Reset { reason });
+}
--- /dev/null
+++ b/src/systems/probe.rs
@@ -0,0 +1,98 @@
+//! Finds flows that went silent, and learns endpoints' loads.
+//!
+//! A flow whose caller is active is probed at its endpoint. When the probes get no
+//! answer while the endpoint answers others, or the endpoint answers nobody, the
+//! flow is reset on both ends, so that the caller reopens in seconds.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{open, recover};
+use crate::id::{FlowKey, Id};
+use crate::packet::{Body, Packet, Reason};
+use crate::tables::{FlowState, Outbox, Tables};
+
+/// Shortest time between two probes of a flow.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Time without an answer to probes after which a flow is silent.
+const SILENT: Duration = Duration::from_secs(3);
+
+/// Time without an answer after which an endpoint that answers nobody is lost.
+const LOST: Duration = Duration::from_secs(5);
+
+/// Shortest time between two requests for an endpoint's load.
+const GREET_EVERY: Duration = Duration::from_millis(100);
+
+pub(super) fn run(tables: &mut Tables, swept: &[FlowKey], now: Duration, out: &mut Outbox) {
+    for key in swept {
+        judge(tables, key, now, out);
+    }
+}
+
+/// Probes a flow whose caller is active, unless it was probed just now.
+pub(super) fn doubt(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get_mut(key) else {
+        return;
+    };
+    if flow.state != FlowState::Open || now < flow.sent + PROBE_EVERY {
+        return;
+    }
+    flow.sent = now;
+    flow.probed.get_or_insert(now);
+    let target = flow.target;
+    let packet = open::packet_of(flow);
+    open::send_endpoint(tables, &packet, target, Body::Probe, out);
+}
+
+/// Asks an endpoint for its load and incarnation.
+pub(super) fn greet(tables: &mut Tables, id: Id, now: Duration, out: &mut Outbox) {
+    let Some(row) = tables.endpoints.get_mut(id) else {
+        return;
+    };
+    if row.probed != Duration::ZERO && now < row.probed + GREET_EVERY {
+        return;
+    }
+    row.probed = now;
+    let target = row.target();
+    let packet = packet_of(row.service, tables.me.addr);
+    open::send_endpoint(tables, &packet, Some(target), Body::Probe, out);
+}
+
+/// A packet of no flow, for probes of an endpoint as a whole.
+fn packet_of(service: Id, caller: SocketAddr) -> Packet {
+    Packet {
+        service,
+        caller,
+        flow: 0,
+        hops: 0,
+        ticket: bytes::Bytes::new(),
+        body: Body::Probe,
+    }
+}
+
+fn judge(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get(key) else {
+        return;
+    };
+    let (Some(probed), Some(target)) = (flow.probed, flow.target) else {
+        return;
+    };
+    let mute = now.saturating_sub(probed);
+    if mute < SILENT {
+        return;
+    }
+    let answers_others = tables
+        .endpoints
+        .get(target.endpoint)
+        .is_some_and(|row| row.heard > probed);
+    let reason = match answers_others {
+        true => Reason::Silent,
+        false if mute >= LOST => Reason::EndpointLost,
+        false => return,
+    };
+    tables.counters.silent += 1;
+    let packet = open::packet_of(flow);
+    open::send_endpoint(tables, &packet, Some(target), Body::Close, out);
+    recover::lose(tables, key, reason, out);
+}
--- /dev/null
+++ b/src/systems/recover.rs
@@ -0,0 +1,154 @@
+//! Finds the endpoint of a flow that this home has no row of.
+//!
+//! A home that is new, or has restarted, asks the service's endpoints whether
+//! they hold the flow: an endpoint knows its flows, as any transport does. So no
+//! flow needs a copy on a second host, and flows cost no control traffic.
+
+use std::time::Duration;
+
+use super::{open, place};
+use crate::id::{FlowKey, Id};
+use crate::packet::{Body, Reason};
+use crate::tables::{EndpointRow, Flow, FlowState, Outbox, Tables};
+use crate::ticket::Target;
+
+/// Time after which an endpoint that has not answered is asked again.
+const ASK_EVERY: Duration = Duration::from_millis(100);
+
+/// Time after which endpoints that have not answered count as not holding it.
+const ASK_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// The same for a flow that its caller wants to open, which is likely a new one.
+const NEW_LIMIT: Duration = Duration::from_millis(400);
+
+/// Time after which an endpoint that does not take a flow is given up.
+const OPEN_LIMIT: Duration = Duration::from_millis(600);
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for key in tables.flows.pending() {
+        step(tables, &key, now, out);
+    }
+}
+
+/// Starts to ask every endpoint of the flow's service.
+pub(super) fn start(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(service) = tables.flows.get(key).map(|flow| flow.service) else {
+        return;
+    };
+    let asked: Vec<Id> = tables
+        .endpoints
+        .of(service)
+        .map(|row| row.spec.id)
+        .collect();
+    if let Some(flow) = tables.flows.get_mut(key) {
+        flow.asked = asked;
+    }
+    ask(tables, key, now, out);
+    if tables
+        .flows
+        .get(key)
+        .is_some_and(|flow| flow.asked.is_empty())
+    {
+        give_up(tables, key, now, out);
+    }
+}
+
+/// Takes in an endpoint's answer whether it holds the flow.
+pub(super) fn answer(
+    tables: &mut Tables,
+    key: &FlowKey,
+    target: Target,
+    known: bool,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    let Some(flow) = tables.flows.get_mut(key) else {
+        return;
+    };
+    if flow.state != FlowState::Recovering {
+        return;
+    }
+    if known {
+        tables.counters.recovered += 1;
+        open::settle(tables, key, target, now, out);
+        return;
+    }
+    flow.asked.retain(|id| *id != target.endpoint);
+    if flow.asked.is_empty() {
+        give_up(tables, key, now, out);
+    }
+}
+
+/// Forgets a flow and resets it towards its caller.
+pub(super) fn lose(tables: &mut Tables, key: &FlowKey, reason: Reason, out: &mut Outbox) {
+    let Some(flow) = tables.flows.remove(key) else {
+        return;
+    };
+    tables.counters.resets += 1;
+    forget(tables, &flow);
+    out.answer(&open::packet_of(&flow), Body::Reset { reason });
+}
+
+/// Stops counting a flow on its endpoint.
+pub(super) fn forget(tables: &mut Tables, flow: &Flow) {
+    if flow.state != FlowState::Open {
+        return;
+    }
+    let row = flow
+        .target
+        .and_then(|target| tables.endpoints.get_mut(target.endpoint));
+    if let Some(row) = row {
+        row.flows = row.flows.saturating_sub(1);
+    }
+}
+
+fn step(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get(key) else {
+        return;
+    };
+    let age = now.saturating_sub(flow.since);
+    let due = now >= flow.sent + ASK_EVERY;
+    let limit = if flow.wanted { NEW_LIMIT } else { ASK_LIMIT };
+    match flow.state {
+        FlowState::Recovering if age >= limit => give_up(tables, key, now, out),
+        FlowState::Recovering if due => ask(tables, key, now, out),
+        FlowState::Opening if age >= OPEN_LIMIT => skip(tables, key, now, out),
+        FlowState::Opening if due => open::ask(tables, key, now, out),
+        _ => {}
+    }
+}
+
+fn ask(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get_mut(key) else {
+        return;
+    };
+    flow.sent = now;
+    let packet = open::packet_of(flow);
+    for id in flow.asked.clone() {
+        let target = tables.endpoints.get(id).map(EndpointRow::target);
+        if target.is_some() {
+            open::send_endpoint(tables, &packet, target, Body::Probe, out);
+        }
+    }
+}
+
+/// No endpoint holds the flow: place it if the caller opens it, else it is lost.
+fn give_up(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get(key) else {
+        return;
+    };
+    if flow.wanted {
+        open::place(tables, key, now, out);
+    } else {
+        lose(tables, key, Reason::FlowLost, out);
+    }
+}
+
+/// An endpoint that does not answer an open is passed over.
+fn skip(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(target) = tables.flows.get(key).and_then(|flow| flow.target) else {
+        return;
+    };
+    place::blame(tables, target.endpoint, now);
+    open::refuse(tables, key, target, out, now);
+}
--- /dev/null
+++ b/src/systems/retry.rs
@@ -0,0 +1,98 @@
+//! Repeats what was lost or refused, within the deadline and the retry budget.
+//!
+//! A datagram without an acknowledgement is sent again under the same dispatch
+//! number, which an endpoint takes once. A new dispatch is made only when the last
+//! one is certain not to have run, or the work may be repeated.
+
+use std::time::Duration;
+
+use super::{dispatch, place, verdict};
+use crate::packet::{Reason, Verdict};
+use crate::tables::{Outbox, RequestState, Tables};
+
+/// Time after which something without an acknowledgement is sent again.
+const RESEND: Duration = Duration::from_millis(100);
+
+/// Time without any answer after which repeatable work goes to another endpoint.
+const MUTE: Duration = Duration::from_millis(600);
+
+/// Most dispatches of one request.
+const TRIES: usize = 4;
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for slot in tables.requests.slots() {
+        let row = tables.requests.row(slot);
+        if row.state != RequestState::Sent {
+            continue;
+        }
+        if is_mute(tables, slot, now) {
+            give_up(tables, slot, now, out);
+        } else if now >= row.sent + RESEND {
+            tables.counters.resent += 1;
+            dispatch::transmit(tables, slot, now, out);
+        }
+    }
+}
+
+/// An endpoint refused the last dispatch of a request.
+pub(super) fn refused(
+    tables: &mut Tables,
+    slot: usize,
+    reason: Reason,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    verdict::release(tables, slot);
+    let row = tables.requests.row_mut(slot);
+    let class = row.class;
+    let target = row.target;
+    if reason == Reason::EndpointLost {
+        row.tainted = true;
+    }
+    if let Some(target) = target {
+        place::blame(tables, target.endpoint, now);
+    }
+    let lost = reason == Reason::EndpointLost && class.is_once();
+    if lost {
+        verdict::end(tables, slot, Verdict::Unknown, reason, out);
+    } else if reason == Reason::Cancelled || !may_retry(tables, slot, now) {
+        verdict::end_unsent(tables, slot, reason, out);
+    } else {
+        tables.counters.retries += 1;
+        tables.requests.queue(slot);
+    }
+}
+
+fn may_retry(tables: &mut Tables, slot: usize, now: Duration) -> bool {
+    let row = tables.requests.row(slot);
+    if row.dispatches.len() >= TRIES || now >= row.deadline {
+        return false;
+    }
+    true
+}
+
+/// True for repeatable work whose endpoint says nothing to this lane.
+fn is_mute(tables: &Tables, slot: usize, now: Duration) -> bool {
+    let row = tables.requests.row(slot);
+    let heard = row
+        .target
+        .and_then(|target| tables.endpoints.get(target.endpoint))
+        .map_or(Duration::ZERO, |endpoint| endpoint.heard);
+    let acked = row.acked.iter().any(|acked| *acked);
+    !row.class.is_once() && !acked && now >= row.started.max(heard) + MUTE
+}
+
+fn give_up(tables: &mut Tables, slot: usize, now: Duration, out: &mut Outbox) {
+    verdict::release(tables, slot);
+    let row = tables.requests.row_mut(slot);
+    row.tainted = true;
+    if let Some(target) = row.target {
+        place::blame(tables, target.endpoint, now);
+    }
+    if may_retry(tables, slot, now) {
+        tables.counters.retries += 1;
+        tables.requests.queue(slot);
+    } else {
+        verdict::end(tables, slot, Verdict::Unknown, Reason::EndpointLost, out);
+    }
+}
--- /dev/null
+++ b/src/systems/route.rs
@@ -0,0 +1,266 @@
+//! Decides which system a packet is for, or which host.
+//!
+//! A packet with a ticket goes where the ticket says, whatever the tables say. A
+//! packet without one goes to the rendezvous home of its flow. A ticket that
+//! cannot be trusted gets a typed reset, never a guess.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::forward;
+use crate::packet::{Body, HOP_LIMIT, Packet, Reason, Verdict};
+use crate::tables::{Arrival, Outbox, Stage, Tables};
+use crate::ticket::{Home, Side, Ticket};
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    let mut inbox = std::mem::take(&mut tables.inbox);
+    for arrival in &mut inbox {
+        tables.counters.packets += 1;
+        arrival.stage = route(tables, arrival, now, out);
+    }
+    tables.inbox = inbox;
+}
+
+/// What a packet's ticket is worth.
+enum Proof {
+    None,
+    Held(Ticket),
+    Bad,
+}
+
+fn route(tables: &mut Tables, arrival: &mut Arrival, now: Duration, out: &mut Outbox) -> Stage {
+    let Some(side) = sender(&arrival.packet.body) else {
+        tables.counters.foreign += 1;
+        return Stage::Spent;
+    };
+    let proof = prove(tables, &arrival.packet, side);
+    match (side, proof) {
+        (_, Proof::Held(ticket)) => {
+            arrival.ticket = Some(ticket);
+            match side {
+                Side::Caller => route_ticketed(tables, &arrival.packet, &ticket, out),
+                Side::Endpoint => route_endpoint(tables, &arrival.packet, &ticket, now, out),
+            }
+        }
+        (Side::Caller, Proof::None) => route_plain(tables, &arrival.packet, out),
+        (Side::Caller, Proof::Bad) => refuse_ticket(tables, &arrival.packet, out),
+        (Side::Endpoint, _) => {
+            tables.counters.forged += 1;
+            Stage::Spent
+        }
+    }
+}
+
+/// Who may send such a body to a host; a close or reset may come from either end
+/// and is taken for an endpoint's when its ticket says so.
+fn sender(body: &Body) -> Option<Side> {
+    match body {
+        Body::Greet
+        | Body::Open
+        | Body::Up { .. }
+        | Body::Ping
+        | Body::Close
+        | Body::Ask { .. }
+        | Body::Cancel { .. } => Some(Side::Caller),
+        Body::Opened { .. }
+        | Body::OpenRefused { .. }
+        | Body::Down { .. }
+        | Body::Probed { .. }
+        | Body::Reset { .. }
+        | Body::PartAck { .. }
+        | Body::Refused { .. }
+        | Body::Answer { .. } => Some(Side::Endpoint),
+        Body::Greeted | Body::Pong | Body::Probe | Body::Work { .. } | Body::Ended { .. } => None,
+    }
+}
+
+fn prove(tables: &Tables, packet: &Packet, side: Side) -> Proof {
+    if packet.ticket.is_empty() {
+        return Proof::None;
+    }
+    let Ok(ticket) = tables.snapshot.keys.open(&packet.ticket) else {
+        return Proof::Bad;
+    };
+    let closes = packet.body == Body::Close;
+    let is_own = ticket.service == packet.service && ticket.flow == packet.key();
+    if is_own && (ticket.side == side || closes) {
+        Proof::Held(ticket)
+    } else {
+        Proof::Bad
+    }
+}
+
+#[cold]
+fn refuse_ticket(tables: &mut Tables, packet: &Packet, out: &mut Outbox) -> Stage {
+    tables.counters.forged += 1;
+    let reason = Reason::BadTicket;
+    match packet.body {
+        Body::Ask { request, class, .. } if class.is_once() => {
+            let verdict = Verdict::Unknown;
+            out.answer(
+                packet,
+                Body::Ended {
+                    request,
+                    verdict,
+                    reason,
+                },
+            );
+        }
+        _ => out.answer(packet, Body::Reset { reason }),
+    }
+    Stage::Spent
+}
+
+fn route_plain(tables: &mut Tables, packet: &Packet, out: &mut Outbox) -> Stage {
+    if !tables.snapshot.services.contains_key(&packet.service) {
+        let reason = Reason::NoService;
+        out.answer(packet, Body::Reset { reason });
+        return Stage::Spent;
+    }
+    let stage = match packet.body {
+        Body::Greet => return Stage::Greet,
+        Body::Open => Stage::Open,
+        Body::Ask { .. } | Body::Cancel { .. } => Stage::Ask,
+        _ => Stage::Flow,
+    };
+    let home = tables.snapshot.home(&packet.key());
+    go_home(tables, home, stage, packet, out)
+}
+
+fn route_ticketed(
+    tables: &mut Tables,
+    packet: &Packet,
+    ticket: &Ticket,
+    out: &mut Outbox,
+) -> Stage {
+    match packet.body {
+        Body::Greet | Body::Open => route_plain(tables, packet, out),
+        Body::Up { .. } => Stage::Pass,
+        Body::Close if ticket.side == Side::Endpoint => route_close(tables, packet, ticket, out),
+        Body::Ask { .. } | Body::Cancel { .. } => route_ask(tables, packet, ticket, out),
+        _ => {
+            let home = staying_home(tables, ticket);
+            go_home(tables, home, Stage::Flow, packet, out)
+        }
+    }
+}
+
+/// Home of a ticket, or the flow's new home when that one leaves or is gone.
+fn staying_home(tables: &Tables, ticket: &Ticket) -> Option<Home> {
+    if tables.snapshot.is_staying(&ticket.home) {
+        return Some(ticket.home);
+    }
+    tables.snapshot.home(&ticket.flow)
+}
+
+/// A request stays with the home its ticket names: no other lane may run it.
+/// Work that may be repeated moves on when that home is gone.
+fn route_ask(tables: &mut Tables, packet: &Packet, ticket: &Ticket, out: &mut Outbox) -> Stage {
+    if ticket.home == tables.me {
+        return Stage::Ask;
+    }
+    if tables.snapshot.is_live(&ticket.home) {
+        return go_home(tables, Some(ticket.home), Stage::Ask, packet, out);
+    }
+    match packet.body {
+        Body::Ask { request, class, .. } if class.is_once() => {
+            tables.counters.unknown += 1;
+            let reason = Reason::HomeLost;
+            let verdict = Verdict::Unknown;
+            out.answer(
+                packet,
+                Body::Ended {
+                    request,
+                    verdict,
+                    reason,
+                },
+            );
+            Stage::Spent
+        }
+        _ => {
+            let home = tables.snapshot.home(&ticket.flow);
+            go_home(tables, home, Stage::Ask, packet, out)
+        }
+    }
+}
+
+/// A close from the endpoint goes to the caller, and to the home for its tables.
+fn route_close(tables: &mut Tables, packet: &Packet, ticket: &Ticket, out: &mut Outbox) -> Stage {
+    if ticket.home == tables.me {
+        return Stage::Settle;
+    }
+    if packet.hops < HOP_LIMIT {
+        forward(tables, ticket.home.addr, packet, out);
+    }
+    Stage::Pass
+}
+
+fn route_endpoint(
+    tables: &mut Tables,
+    packet: &Packet,
+    ticket: &Ticket,
+    now: Duration,
+    out: &mut Outbox,
+) -> Stage {
+    if let Body::Reset { reason } = packet.body {
+        bar(tables, ticket, reason, now);
+        return route_close(tables, packet, ticket, out);
+    }
+    match packet.body {
+        Body::Down { .. } => Stage::Pass,
+        _ if ticket.home == tables.me => Stage::Settle,
+        _ if tables.snapshot.is_live(&ticket.home) => {
+            go_home(tables, Some(ticket.home), Stage::Settle, packet, out)
+        }
+        Body::Answer { .. } => {
+            tables.counters.orphans += 1;
+            Stage::Pass
+        }
+        Body::Opened { .. } => Stage::Settle,
+        _ => {
+            tables.counters.orphans += 1;
+            Stage::Spent
+        }
+    }
+}
+
+/// Stops all traffic to an endpoint that says it serves another service.
+fn bar(tables: &mut Tables, ticket: &Ticket, reason: Reason, now: Duration) {
+    const BARRED: Duration = Duration::from_secs(10);
+    let Some(target) = ticket.target else {
+        return;
+    };
+    if reason != Reason::Reassigned {
+        return;
+    }
+    tables.counters.reassigned += 1;
+    if let Some(row) = tables.endpoints.get_mut(target.endpoint) {
+        row.barred = now + BARRED;
+    }
+}
+
+fn go_home(
+    tables: &mut Tables,
+    home: Option<Home>,
+    stage: Stage,
+    packet: &Packet,
+    out: &mut Outbox,
+) -> Stage {
+    let Some(addr) = elsewhere(tables, home) else {
+        return stage;
+    };
+    if packet.hops < HOP_LIMIT {
+        forward(tables, addr, packet, out);
+        return Stage::Spent;
+    }
+    tables.counters.looped += 1;
+    match stage {
+        Stage::Ask | Stage::Settle => Stage::Spent,
+        _ => stage,
+    }
+}
+
+fn elsewhere(tables: &Tables, home: Option<Home>) -> Option<SocketAddr> {
+    home.filter(|home| home.addr != tables.me.addr || home.host != tables.me.host)
+        .map(|home| home.addr)
+}
--- /dev/null
+++ b/src/systems/settle.rs
@@ -0,0 +1,160 @@
+//! Takes in what endpoints say of flows and requests that have their home here.
+
+use std::time::Duration;
+
+use super::{dispatch, open, recover, retry, take, verdict};
+use crate::packet::{Body, Load, Packet, Part, Reason};
+use crate::tables::{Arrival, Flow, FlowState, Outbox, RequestState, Stage, Tables};
+use crate::ticket::Target;
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for arrival in take(tables, Stage::Settle) {
+        step(tables, &arrival, now, out);
+    }
+}
+
+fn step(tables: &mut Tables, arrival: &Arrival, now: Duration, out: &mut Outbox) {
+    let packet = &arrival.packet;
+    let Some(mut target) = arrival.ticket.and_then(|ticket| ticket.target) else {
+        tables.counters.foreign += 1;
+        return;
+    };
+    if let Some(load) = load_of(&packet.body) {
+        tables.endpoints.report(target.endpoint, load, now);
+        target.incarnation = load.incarnation;
+    }
+    match &packet.body {
+        Body::Opened { .. } => opened(tables, packet, target, now, out),
+        Body::OpenRefused { .. } => open::refuse(tables, &packet.key(), target, out, now),
+        Body::Probed { known, .. } => probed(tables, packet, target, *known, now, out),
+        Body::Close => closed(tables, packet, None, out),
+        Body::Reset { reason } => closed(tables, packet, Some(*reason), out),
+        Body::PartAck { request, index } => acked(tables, *request, *index, now, out),
+        Body::Refused {
+            dispatch, reason, ..
+        } => refused(tables, *dispatch, *reason, now, out),
+        Body::Answer { dispatch, part, .. } => answered(tables, *dispatch, part, out),
+        _ => tables.counters.foreign += 1,
+    }
+}
+
+fn load_of(body: &Body) -> Option<Load> {
+    match body {
+        Body::Opened { load }
+        | Body::OpenRefused { load }
+        | Body::Probed { load, .. }
+        | Body::Refused { load, .. }
+        | Body::Answer { load, .. } => Some(*load),
+        _ => None,
+    }
+}
+
+fn opened(tables: &mut Tables, packet: &Packet, target: Target, now: Duration, out: &mut Outbox) {
+    let key = packet.key();
+    match tables.flows.get(&key) {
+        None => {
+            let mut flow = Flow::new(packet, FlowState::Opening, now);
+            flow.wanted = true;
+            tables.flows.insert(flow);
+        }
+        Some(flow) if is_other(flow, &target) => {
+            open::send_endpoint(tables, packet, Some(target), Body::Close, out);
+            return;
+        }
+        Some(flow) if flow.state == FlowState::Open => return,
+        Some(_) => {}
+    }
+    tables.counters.opened += 1;
+    open::settle(tables, &key, target, now, out);
+}
+
+/// True when the flow is with another endpoint, so that this one must drop it.
+fn is_other(flow: &Flow, target: &Target) -> bool {
+    flow.state != FlowState::Recovering
+        && flow
+            .target
+            .is_some_and(|own| own.endpoint != target.endpoint)
+}
+
+fn probed(
+    tables: &mut Tables,
+    packet: &Packet,
+    target: Target,
+    known: bool,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    let key = packet.key();
+    let Some(flow) = tables.flows.get_mut(&key) else {
+        return;
+    };
+    match flow.state {
+        FlowState::Recovering => recover::answer(tables, &key, target, known, now, out),
+        FlowState::Opening => {}
+        FlowState::Open if is_other(flow, &target) => {}
+        FlowState::Open if known => flow.probed = None,
+        FlowState::Open => recover::lose(tables, &key, Reason::FlowLost, out),
+    }
+}
+
+/// The endpoint ended the flow; the caller is told.
+fn closed(tables: &mut Tables, packet: &Packet, reason: Option<Reason>, out: &mut Outbox) {
+    if let Some(flow) = tables.flows.remove(&packet.key()) {
+        recover::forget(tables, &flow);
+    }
+    if packet.hops > 0 {
+        return;
+    }
+    let body = match reason {
+        None => Body::Close,
+        Some(reason) => {
+            tables.counters.resets += 1;
+            Body::Reset { reason }
+        }
+    };
+    out.answer(packet, body);
+}
+
+fn acked(tables: &mut Tables, dispatch: u64, index: u32, now: Duration, out: &mut Outbox) {
+    let Some(slot) = tables.requests.by_dispatch(dispatch) else {
+        return;
+    };
+    if tables.requests.row(slot).dispatch() != dispatch {
+        return;
+    }
+    if let Ok(index) = usize::try_from(index) {
+        dispatch::acknowledge(tables, slot, index, now, out);
+    }
+}
+
+fn refused(tables: &mut Tables, dispatch: u64, reason: Reason, now: Duration, out: &mut Outbox) {
+    let Some(slot) = tables.requests.by_dispatch(dispatch) else {
+        tables.counters.orphans += 1;
+        return;
+    };
+    let row = tables.requests.row(slot);
+    if row.state != RequestState::Sent || row.dispatch() != dispatch {
+        return;
+    }
+    tables.counters.refused += 1;
+    retry::refused(tables, slot, reason, now, out);
+}
+
+fn answered(tables: &mut Tables, dispatch: u64, part: &Part, out: &mut Outbox) {
+    let Some(slot) = tables.requests.by_dispatch(dispatch) else {
+        tables.counters.orphans += 1;
+        return;
+    };
+    verdict::release(tables, slot);
+    let row = tables.requests.row_mut(slot);
+    if row.state == RequestState::Done || !row.answer.insert(part) {
+        return;
+    }
+    verdict::pass_answer(row, part, out);
+    if row.answer.is_whole() {
+        row.state = RequestState::Done;
+        row.parts.clear();
+        tables.counters.done += 1;
+        tables.requests.unqueue(slot);
+    }
+}
--- /dev/null
+++ b/src/systems/sync.rs
@@ -0,0 +1,26 @@
+//! Takes over a new snapshot.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::probe;
+use crate::snapshot::Snapshot;
+use crate::tables::{Outbox, Tables};
+
+pub(super) fn run(tables: &mut Tables, snapshot: Arc<Snapshot>, now: Duration, out: &mut Outbox) {
+    let same = Arc::ptr_eq(&tables.snapshot.services, &snapshot.services);
+    tables.snapshot = snapshot;
+    if same {
+        return;
+    }
+    tables.endpoints.sync(&tables.snapshot, now);
+    let fresh: Vec<_> = tables
+        .endpoints
+        .iter()
+        .filter(|row| row.load.incarnation == 0)
+        .map(|row| row.spec.id)
+        .collect();
+    for id in fresh {
+        probe::greet(tables, id, now, out);
+    }
+}
--- /dev/null
+++ b/src/systems/verdict.rs
@@ -0,0 +1,106 @@
+//! Ends requests, truthfully.
+//!
+//! "Not run" is said only when it is certain: nothing was sent, or every endpoint
+//! that got the work has refused it before it began. All else is "unknown".
+
+use bytes::Bytes;
+
+use super::open;
+use crate::packet::{Body, Load, Packet, Part, Reason, Verdict};
+use crate::tables::{Outbox, Request, RequestState, Tables};
+
+/// Ends a request that is with no endpoint now.
+pub(super) fn end_unsent(tables: &mut Tables, slot: usize, reason: Reason, out: &mut Outbox) {
+    let verdict = if tables.requests.row(slot).tainted {
+        Verdict::Unknown
+    } else {
+        Verdict::NotRun
+    };
+    end(tables, slot, verdict, reason, out);
+}
+
+/// Ends a request and tells its caller.
+pub(super) fn end(
+    tables: &mut Tables,
+    slot: usize,
+    verdict: Verdict,
+    reason: Reason,
+    out: &mut Outbox,
+) {
+    release(tables, slot);
+    tables.requests.unqueue(slot);
+    match verdict {
+        Verdict::NotRun => tables.counters.not_run += 1,
+        Verdict::Unknown => tables.counters.unknown += 1,
+    }
+    let row = tables.requests.row_mut(slot);
+    row.state = RequestState::Ended(verdict, reason);
+    row.parts.clear();
+    tell(row, verdict, reason, out);
+}
+
+/// Tells the caller the verdict.
+pub(super) fn tell(row: &Request, verdict: Verdict, reason: Reason, out: &mut Outbox) {
+    out.answer(
+        &packet_of(row),
+        Body::Ended {
+            request: row.id.number,
+            verdict,
+            reason,
+        },
+    );
+}
+
+/// Passes a part of the answer to the caller.
+pub(super) fn pass_answer(row: &Request, part: &Part, out: &mut Outbox) {
+    out.answer(
+        &packet_of(row),
+        Body::Answer {
+            request: row.id.number,
+            dispatch: 0,
+            load: Load {
+                incarnation: 1,
+                ..Load::default()
+            },
+            part: part.clone(),
+        },
+    );
+}
+
+/// Asks the endpoint not to start the request.
+pub(super) fn cancel_dispatch(tables: &mut Tables, slot: usize, out: &mut Outbox) {
+    let row = tables.requests.row(slot);
+    let packet = packet_of(row);
+    let body = Body::Cancel {
+        request: row.id.number,
+        dispatch: row.dispatch(),
+    };
+    let target = row.target;
+    if target.is_some() {
+        open::send_endpoint(tables, &packet, target, body, out);
+    }
+}
+
+/// Stops counting a request on its endpoint.
+pub(super) fn release(tables: &mut Tables, slot: usize) {
+    let row = tables.requests.row_mut(slot);
+    if !std::mem::take(&mut row.holding) {
+        return;
+    }
+    let class = row.class;
+    if let Some(target) = row.target {
+        tables.endpoints.release(target.endpoint, class);
+    }
+}
+
+/// A packet with the addressing of a request.
+pub(super) fn packet_of(row: &Request) -> Packet {
+    Packet {
+        service: row.service,
+        caller: row.id.flow.caller,
+        flow: row.id.flow.flow,
+        hops: 0,
+        ticket: Bytes::new(),
+        body: Body::Greet,
+    }
+}
--- /dev/null
+++ b/src/tables/counters.rs
@@ -0,0 +1,58 @@
+//! Counters of a lane, in events since the start.
+
+use serde::Serialize;
+
+/// Events counted since the lane started.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Counters {
+    /// Packets received.
+    pub packets: u64,
+    /// Datagrams that could not be read.
+    pub malformed: u64,
+    /// Packets that no sender may send to a host.
+    pub foreign: u64,
+    /// Tickets refused.
+    pub forged: u64,
+    /// Packets passed on by ticket alone.
+    pub passed: u64,
+    /// Packets forwarded to their home.
+    pub forwarded: u64,
+    /// Packets dropped at the hop limit.
+    pub looped: u64,
+    /// Flows opened.
+    pub opened: u64,
+    /// Flows found again by asking endpoints.
+    pub recovered: u64,
+    /// Flows reset.
+    pub resets: u64,
+    /// Flows reset because they were silent.
+    pub silent: u64,
+    /// Flow places refused by endpoints.
+    pub turned_away: u64,
+    /// Requests taken.
+    pub taken: u64,
+    /// Work sent to endpoints, first time or again.
+    pub dispatched: u64,
+    /// Work refused by endpoints.
+    pub refused: u64,
+    /// Dispatches to another endpoint after a refusal.
+    pub retries: u64,
+    /// Retries forgone for want of budget.
+    pub exhausted: u64,
+    /// Datagrams sent again for want of an acknowledgement.
+    pub resent: u64,
+    /// Requests answered.
+    pub done: u64,
+    /// Requests ended as not run.
+    pub not_run: u64,
+    /// Requests ended as unknown.
+    pub unknown: u64,
+    /// Repeats answered from a record.
+    pub repeats: u64,
+    /// Answers that found no request.
+    pub orphans: u64,
+    /// Pauses of this process.
+    pub pauses: u64,
+    /// Endpoints that named another service.
+    pub reassigned: u64,
+}
--- /dev/null
+++ b/src/tables/flows.rs
@@ -0,0 +1,176 @@
+//! Flows that a lane is home to.
+//!
+//! A row is soft state. A flow whose row is lost is found again from its ticket,
+//! or by asking the service's endpoints, which know their flows.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Serialize, Serializer};
+use slab::Slab;
+use smallvec::SmallVec;
+
+use crate::id::{FlowKey, Id};
+use crate::packet::Packet;
+use crate::ticket::Target;
+
+/// Most packets held for a flow that is not open.
+const HELD_PACKETS: usize = 8;
+
+/// How far a flow has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum FlowState {
+    /// Endpoints are being asked whether they hold it.
+    Recovering,
+    /// An endpoint has been asked to take it.
+    Opening,
+    /// An endpoint holds it.
+    Open,
+}
+
+/// A flow.
+#[derive(Clone, Debug, Serialize)]
+pub struct Flow {
+    /// Its key.
+    pub key: FlowKey,
+    /// Its service.
+    pub service: Id,
+    /// How far it has come.
+    pub state: FlowState,
+    /// Endpoint that holds it or has been asked to take it.
+    pub target: Option<Target>,
+    /// Time the state began.
+    pub since: Duration,
+    /// Time its caller was last heard.
+    pub heard: Duration,
+    /// Time of the last packet to its endpoint that wants an answer.
+    pub sent: Duration,
+    /// Time of the first probe that has no answer.
+    pub probed: Option<Duration>,
+    /// Endpoints that have not answered whether they hold it.
+    #[serde(skip)]
+    pub asked: Vec<Id>,
+    /// Endpoints that refused it.
+    pub refused: SmallVec<[Id; 4]>,
+    /// True when an `Open` of the caller waits for an answer.
+    pub wanted: bool,
+    /// Packets to pass on once it is open.
+    #[serde(skip)]
+    pub held: Vec<Packet>,
+}
+
+impl Flow {
+    /// A flow of `packet` without an endpoint.
+    #[must_use]
+    pub fn new(packet: &Packet, state: FlowState, now: Duration) -> Self {
+        Self {
+            key: packet.key(),
+            service: packet.service,
+            state,
+            target: None,
+            since: now,
+            heard: now,
+            sent: now,
+            probed: None,
+            asked: Vec::new(),
+            refused: SmallVec::new(),
+            wanted: false,
+            held: Vec::new(),
+        }
+    }
+
+    /// Holds a packet until the flow is open; the newest are dropped when full.
+    pub fn hold(&mut self, packet: Packet) {
+        if self.held.len() < HELD_PACKETS {
+            self.held.push(packet);
+        }
+    }
+}
+
+/// Flows by key.
+#[derive(Debug, Default)]
+pub struct Flows {
+    rows: Slab<Flow>,
+    index: HashMap<FlowKey, usize>,
+    pending: Vec<FlowKey>,
+    cursor: usize,
+}
+
+impl Flows {
+    /// Number of flows.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// True without flows.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Flow of `key`.
+    #[must_use]
+    pub fn get(&self, key: &FlowKey) -> Option<&Flow> {
+        self.index.get(key).map(|slot| &self.rows[*slot])
+    }
+
+    /// Flow of `key`, to change.
+    pub fn get_mut(&mut self, key: &FlowKey) -> Option<&mut Flow> {
+        self.index.get(key).map(|slot| &mut self.rows[*slot])
+    }
+
+    /// Adds or replaces a flow.
+    pub fn insert(&mut self, flow: Flow) {
+        self.remove(&flow.key);
+        let key = flow.key;
+        if flow.state != FlowState::Open {
+            self.pending.push(key);
+        }
+        let slot = self.rows.insert(flow);
+        self.index.insert(key, slot);
+    }
+
+    /// Takes a flow out.
+    pub fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
+        let slot = self.index.remove(key)?;
+        Some(self.rows.remove(slot))
+    }
+
+    /// Number of flows that are not open yet.
+    #[must_use]
+    pub fn opening(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Keys of the flows that are not open yet.
+    pub fn pending(&mut self) -> Vec<FlowKey> {
+        let (rows, index) = (&self.rows, &self.index);
+        let is_pending = |key: &FlowKey| {
+            let slot = index.get(key);
+            slot.is_some_and(|slot| rows[*slot].state != FlowState::Open)
+        };
+        self.pending.retain(is_pending);
+        self.pending.clone()
+    }
+
+    /// Keys of the next `share` of the table, going round it.
+    pub fn sweep(&mut self, share: usize) -> Vec<FlowKey> {
+        let size = self.rows.capacity();
+        let count = (size / share.max(1)).max(64).min(size);
+        let keys = (0..count)
+            .filter_map(|step| self.rows.get((self.cursor + step) % size))
+            .map(|flow| flow.key)
+            .collect();
+        if size > 0 {
+            self.cursor = (self.cursor + count) % size;
+        }
+        keys
+    }
+}
+
+impl Serialize for Flows {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.rows.iter().map(|(_, flow)| flow))
+    }
+}
--- /dev/null
+++ b/src/tables/mod.rs
@@ -0,0 +1,162 @@
+//! Entities of one traffic lane.
+//!
+//! A lane is a traffic thread with its own address and its own tables; no table
+//! is shared between threads. Systems in [`systems`](crate::systems) run over
+//! them. Rows are plain structs, keyed by small ids.
+
+mod counters;
+mod endpoints;
+mod flows;
+mod inbox;
+mod requests;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::{Value, json};
+
+pub use self::counters::Counters;
+pub use self::endpoints::{EndpointRow, Endpoints};
+pub use self::flows::{Flow, FlowState, Flows};
+pub use self::inbox::{Arrival, Stage};
+pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
+
+use crate::id::FlowKey;
+use crate::packet::{Body, Packet};
+use crate::snapshot::Snapshot;
+use crate::ticket::{Home, Side, Target, Ticket};
+
+/// All tables of a lane.
+#[derive(Debug)]
+pub struct Tables {
+    /// This lane.
+    pub me: Home,
+    /// What the control thread last published.
+    pub snapshot: Arc<Snapshot>,
+    /// Packets of this tick.
+    pub inbox: Vec<Arrival>,
+    /// Flows this lane is home to.
+    pub flows: Flows,
+    /// Requests this lane is home to.
+    pub requests: Requests,
+    /// Endpoints, with this lane's own observations of them.
+    pub endpoints: Endpoints,
+    /// Counters since the start.
+    pub counters: Counters,
+    /// Seeded source of random choices.
+    pub rng: SmallRng,
+    /// Time of the last tick.
+    pub ticked: Duration,
+    /// Longest time that a packet of this tick may have waited unread.
+    pub slept: Duration,
+}
+
+impl Tables {
+    /// Empty tables for the lane `me`.
+    #[must_use]
+    pub fn new(me: Home, snapshot: Arc<Snapshot>, seed: u64) -> Self {
+        Self {
+            me,
+            snapshot,
+            inbox: Vec::new(),
+            flows: Flows::default(),
+            requests: Requests::new(me.incarnation),
+            endpoints: Endpoints::default(),
+            counters: Counters::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            ticked: Duration::ZERO,
+            slept: Duration::ZERO,
+        }
+    }
+
+    /// True when this lane is the rendezvous home of `key`.
+    #[must_use]
+    pub fn is_home(&self, key: &FlowKey) -> bool {
+        self.snapshot.home(key).is_none_or(|home| home == self.me)
+    }
+
+    /// Seals a ticket of `packet`'s flow for `side`.
+    #[must_use]
+    pub fn ticket(
+        &self,
+        side: Side,
+        packet: &Packet,
+        home: Home,
+        target: Option<Target>,
+    ) -> bytes::Bytes {
+        self.snapshot.keys.seal(&Ticket {
+            side,
+            service: packet.service,
+            flow: packet.key(),
+            home,
+            target,
+        })
+    }
+
+    /// Requests that still run and flows that still open.
+    #[must_use]
+    pub fn in_flight(&self, now: Duration) -> usize {
+        self.requests.in_flight(now) + self.flows.opening()
+    }
+
+    /// One table, or all of them, as JSON; `None` for an unknown name.
+    #[must_use]
+    pub fn dump(&self, name: Option<&str>) -> Option<Value> {
+        match name {
+            None => Some(json!({
+                "lane": self.me,
+                "counters": self.counters,
+                "endpoints": self.endpoints,
+                "flows": self.flows,
+                "requests": self.requests,
+                "snapshot": self.dump_snapshot(),
+            })),
+            Some("counters") => Some(json!(self.counters)),
+            Some("endpoints") => Some(json!(self.endpoints)),
+            Some("flows") => Some(json!(self.flows)),
+            Some("requests") => Some(json!(self.requests)),
+            Some("snapshot") => Some(self.dump_snapshot()),
+            Some(_) => None,
+        }
+    }
+
+    fn dump_snapshot(&self) -> Value {
+        json!({
+            "revision": self.snapshot.revision,
+            "hosts": self.snapshot.hosts,
+            "lease": self.snapshot.lease,
+            "leaving": self.snapshot.leaving,
+            "services": self.snapshot.services.values().collect::<Vec<_>>(),
+        })
+    }
+}
+
+/// A datagram to send.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Send {
+    /// Where to.
+    pub to: std::net::SocketAddr,
+    /// What.
+    pub packet: Packet,
+}
+
+/// Actions of a tick, in order.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Datagrams to send.
+    pub sends: Vec<Send>,
+}
+
+impl Outbox {
+    /// Sends `packet` to `to`.
+    pub fn send(&mut self, to: std::net::SocketAddr, packet: Packet) {
+        self.sends.push(Send { to, packet });
+    }
+
+    /// Answers the caller of `packet` without a ticket.
+    pub fn answer(&mut self, packet: &Packet, body: Body) {
+        self.send(packet.caller, packet.reply(bytes::Bytes::new(), body));
+    }
+}
--- /dev/null
+++ b/src/tables/requests.rs
@@ -0,0 +1,335 @@
+//! Requests that a lane is home to.
+//!
+//! A row outlives its request: until long past the deadline it answers repeats,
+//! so that once-only work is never dispatched a second time.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Serialize, Serializer};
+use slab::Slab;
+use smallvec::SmallVec;
+
+use crate::id::{FlowKey, Id, Incarnation};
+use crate::packet::{Class, Packet, Part, Reason, Verdict};
+use crate::ticket::Target;
+
+/// A request as its caller names it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct RequestId {
+    /// Flow it came on.
+    pub flow: FlowKey,
+    /// Number that the caller gave it.
+    pub number: u64,
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum RequestState {
+    /// Parts are missing.
+    Gathering,
+    /// Whole, and waiting for a slot.
+    Queued,
+    /// With an endpoint.
+    Sent,
+    /// Answered in whole.
+    Done,
+    /// Ended without an answer.
+    Ended(Verdict, Reason),
+}
+
+/// Content in parts.
+#[derive(Clone, Debug, Default)]
+pub struct Parts {
+    slots: Vec<Option<Bytes>>,
+    held: usize,
+}
+
+impl Parts {
+    /// Stores a part; false when it was there or does not fit the others.
+    pub fn insert(&mut self, part: &Part) -> bool {
+        let Ok(total) = usize::try_from(part.total) else {
+            return false;
+        };
+        if self.slots.is_empty() {
+            self.slots = vec![None; total];
+        }
+        let Ok(index) = usize::try_from(part.index) else {
+            return false;
+        };
+        if self.slots.len() != total || index >= total || self.slots[index].is_some() {
+            return false;
+        }
+        self.slots[index] = Some(part.data.clone());
+        self.held += 1;
+        true
+    }
+
+    /// True when every part is held.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        !self.slots.is_empty() && self.held == self.slots.len()
+    }
+
+    /// True without any part.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.held == 0
+    }
+
+    /// Number of parts in all.
+    #[must_use]
+    pub fn total(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// The parts held, in order.
+    pub fn iter(&self) -> impl Iterator<Item = Part> + '_ {
+        let total = u32::try_from(self.slots.len()).unwrap_or(u32::MAX);
+        self.slots
+            .iter()
+            .zip(0_u32..)
+            .filter_map(move |(slot, index)| {
+                slot.as_ref().map(|data| Part {
+                    index,
+                    total,
+                    data: data.clone(),
+                })
+            })
+    }
+
+    /// Forgets the content.
+    pub fn clear(&mut self) {
+        self.slots = Vec::new();
+        self.held = 0;
+    }
+}
+
+/// A request.
+#[derive(Clone, Debug, Serialize)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Its service.
+    pub service: Id,
+    /// Kind of work.
+    pub class: Class,
+    /// True when its caller echoed a ticket that names this lane.
+    pub ticketed: bool,
+    /// How far it has come.
+    pub state: RequestState,
+    /// Time it was taken.
+    pub taken: Duration,
+    /// Time after which nobody wants the answer.
+    pub deadline: Duration,
+    /// Content of the request.
+    #[serde(skip)]
+    pub parts: Parts,
+    /// Content of the answer.
+    #[serde(skip)]
+    pub answer: Parts,
+    /// Its dispatches, the last one at the end.
+    pub dispatches: SmallVec<[u64; 2]>,
+    /// Endpoint of the last dispatch.
+    pub target: Option<Target>,
+    /// True while it holds a slot of that endpoint in this lane's count.
+    pub holding: bool,
+    /// Parts that the endpoint acknowledged.
+    #[serde(skip)]
+    pub acked: Vec<bool>,
+    /// Time the last dispatch began.
+    pub started: Duration,
+    /// Time something was last sent to the endpoint.
+    pub sent: Duration,
+    /// True when an earlier dispatch may have run.
+    pub tainted: bool,
+}
+
+impl Request {
+    /// A request of `packet` with no part yet.
+    #[must_use]
+    pub fn new(
+        packet: &Packet,
+        number: u64,
+        class: Class,
+        now: Duration,
+        deadline: Duration,
+    ) -> Self {
+        Self {
+            id: RequestId {
+                flow: packet.key(),
+                number,
+            },
+            service: packet.service,
+            class,
+            ticketed: false,
+            state: RequestState::Gathering,
+            taken: now,
+            deadline,
+            parts: Parts::default(),
+            answer: Parts::default(),
+            dispatches: SmallVec::new(),
+            target: None,
+            holding: false,
+            acked: Vec::new(),
+            started: Duration::ZERO,
+            sent: Duration::ZERO,
+            tainted: false,
+        }
+    }
+
+    /// Last dispatch, zero before the first.
+    #[must_use]
+    pub fn dispatch(&self) -> u64 {
+        self.dispatches.last().copied().unwrap_or(0)
+    }
+
+    /// True when it has an answer or a verdict.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        matches!(self.state, RequestState::Done | RequestState::Ended(..))
+    }
+}
+
+/// Requests by id and by dispatch, with the queues of each service.
+#[derive(Debug)]
+pub struct Requests {
+    rows: Slab<Request>,
+    index: HashMap<RequestId, usize>,
+    dispatches: HashMap<u64, usize>,
+    queues: HashMap<Id, [BTreeSet<(Duration, usize)>; Class::ALL.len()]>,
+    next: u64,
+}
+
+impl Requests {
+    /// No requests; dispatches are numbered from the incarnation on, so that no
+    /// number is used in two lives of a host.
+    #[must_use]
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            rows: Slab::new(),
+            index: HashMap::new(),
+            dispatches: HashMap::new(),
+            queues: HashMap::new(),
+            next: incarnation,
+        }
+    }
+
+    /// Slot of a request.
+    #[must_use]
+    pub fn find(&self, id: &RequestId) -> Option<usize> {
+        self.index.get(id).copied()
+    }
+
+    /// Slot of the request that a dispatch was made for.
+    #[must_use]
+    pub fn by_dispatch(&self, dispatch: u64) -> Option<usize> {
+        self.dispatches.get(&dispatch).copied()
+    }
+
+    /// Row of a slot.
+    #[must_use]
+    pub fn row(&self, slot: usize) -> &Request {
+        &self.rows[slot]
+    }
+
+    /// Row of a slot, to change.
+    pub fn row_mut(&mut self, slot: usize) -> &mut Request {
+        &mut self.rows[slot]
+    }
+
+    /// Adds a request.
+    pub fn insert(&mut self, request: Request) -> usize {
+        let id = request.id;
+        let slot = self.rows.insert(request);
+        self.index.insert(id, slot);
+        slot
+    }
+
+    /// Forgets a request and its dispatches.
+    pub fn remove(&mut self, slot: usize) {
+        self.unqueue(slot);
+        let request = self.rows.remove(slot);
+        self.index.remove(&request.id);
+        for dispatch in &request.dispatches {
+            self.dispatches.remove(dispatch);
+        }
+    }
+
+    /// Numbers a new dispatch of a request.
+    pub fn number(&mut self, slot: usize) -> u64 {
+        self.next += 1;
+        self.dispatches.insert(self.next, slot);
+        self.rows[slot].dispatches.push(self.next);
+        self.next
+    }
+
+    /// Puts a request into its queue, ordered by deadline.
+    pub fn queue(&mut self, slot: usize) {
+        let row = &mut self.rows[slot];
+        row.state = RequestState::Queued;
+        let queues = self.queues.entry(row.service).or_default();
+        queues[row.class.index()].insert((row.deadline, slot));
+    }
+
+    /// Takes a request out of its queue.
+    pub fn unqueue(&mut self, slot: usize) {
+        let row = &self.rows[slot];
+        if let Some(queues) = self.queues.get_mut(&row.service) {
+            queues[row.class.index()].remove(&(row.deadline, slot));
+        }
+    }
+
+    /// Services with queued requests.
+    #[must_use]
+    pub fn waiting(&self) -> Vec<Id> {
+        let mut ids: Vec<Id> = self
+            .queues
+            .iter()
+            .filter(|(_, queues)| queues.iter().any(|queue| !queue.is_empty()))
+            .map(|(id, _)| *id)
+            .collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Queued requests of a class, shortest deadline first.
+    pub fn queued(&self, service: Id, class: Class) -> impl Iterator<Item = usize> + '_ {
+        self.queues
+            .get(&service)
+            .into_iter()
+            .flat_map(move |queues| queues[class.index()].iter().map(|(_, slot)| *slot))
+    }
+
+    /// Slots of all requests.
+    #[must_use]
+    pub fn slots(&self) -> Vec<usize> {
+        self.rows.iter().map(|(slot, _)| slot).collect()
+    }
+
+    /// Requests that a caller may still wait for.
+    #[must_use]
+    pub fn in_flight(&self, now: Duration) -> usize {
+        let waits = |row: &Request| !row.is_over() || now < row.deadline;
+        self.rows.iter().filter(|(_, row)| waits(row)).count()
+    }
+
+    /// Number of requests and records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// True without requests and records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+impl Serialize for Requests {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.rows.iter().map(|(_, row)| row))
+    }
+}
