Run lanes on threads that block until there is work

Cause: the systems need sockets and timers around them. Change: front/lane.rs with one current-thread runtime a lane, and front/metrics.rs for statsd.

--- /dev/null
+++ b/src/front/lane.rs
@@ -0,0 +1,245 @@
+//! Traffic threads.
+//!
+//! A lane is a thread with one UDP socket and one set of tables. It blocks until a
+//! packet, a command or a timer comes, reads a batch, runs the systems over it and
+//! sends what they put into the outbox. It shares nothing with other threads but
+//! the [`Board`].
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use serde_json::Value;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Interval, MissedTickBehavior, interval};
+
+use crate::clock::Clock;
+use crate::error::{Error, Result};
+use crate::id::Name;
+use crate::packet::PACKET_BYTES;
+use crate::snapshot::Snapshot;
+use crate::systems::{self, BATCH, TICK};
+use crate::tables::{Arrival, Counters, Outbox, Tables};
+use crate::ticket::Home;
+use crate::wire;
+
+/// What the control thread and the lanes show each other.
+#[derive(Debug)]
+pub struct Board {
+    /// Snapshot in force.
+    pub snapshot: ArcSwap<Snapshot>,
+}
+
+/// What a lane shows of itself.
+#[derive(Debug, Default)]
+pub struct Gauge {
+    /// Requests and openings in progress.
+    pub in_flight: AtomicUsize,
+    /// Open flows.
+    pub flows: AtomicUsize,
+    /// Counters since the start, renewed every second.
+    pub counters: ArcSwap<Counters>,
+}
+
+/// A running lane.
+#[derive(Debug)]
+pub struct Lane {
+    /// The lane as tickets name it.
+    pub home: Home,
+    /// What it shows of itself.
+    pub gauge: Arc<Gauge>,
+    commands: mpsc::Sender<Command>,
+    thread: JoinHandle<()>,
+}
+
+enum Command {
+    Dump(Option<Name>, oneshot::Sender<Option<Value>>),
+    Stop,
+}
+
+/// Time between two renewals of a lane's gauge.
+const GAUGE_EVERY: Duration = Duration::from_secs(1);
+
+/// Commands that may wait for a lane.
+const COMMAND_QUEUE: usize = 16;
+
+impl Lane {
+    /// Starts a lane on its own thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound or the thread cannot be started.
+    pub fn start(home: Home, board: Arc<Board>, clock: Clock, seed: u64) -> Result<Self> {
+        let socket =
+            std::net::UdpSocket::bind(home.addr).map_err(|e| Error::io("bind a lane", e))?;
+        socket
+            .set_nonblocking(true)
+            .map_err(|e| Error::io("set up a lane", e))?;
+        let gauge = Arc::new(Gauge::default());
+        let (commands, inbox) = mpsc::channel(COMMAND_QUEUE);
+        let tables = Tables::new(home, board.snapshot.load_full(), seed);
+        let shown = Arc::clone(&gauge);
+        let thread = std::thread::Builder::new()
+            .name(format!("lane-{}", home.addr.port()))
+            .spawn(move || run(tables, &board, &clock, &shown, socket, inbox))
+            .map_err(|e| Error::io("start a lane", e))?;
+        Ok(Self {
+            home,
+            gauge,
+            commands,
+            thread,
+        })
+    }
+
+    /// One table of the lane, or all of them; `None` for an unknown name.
+    pub async fn dump(&self, name: Option<Name>) -> Option<Value> {
+        let (answer, answered) = oneshot::channel();
+        self.commands.send(Command::Dump(name, answer)).await.ok()?;
+        answered.await.ok()?
+    }
+
+    /// Stops the lane and waits for its thread.
+    pub async fn stop(self) {
+        let _ = self.commands.send(Command::Stop).await;
+        let _ = self.thread.join();
+    }
+}
+
+struct Driver<'a> {
+    tables: Tables,
+    out: Outbox,
+    board: &'a Board,
+    clock: &'a Clock,
+    gauge: &'a Gauge,
+    socket: UdpSocket,
+    buffer: Box<[u8]>,
+    gauged: Duration,
+}
+
+fn run(
+    tables: Tables,
+    board: &Board,
+    clock: &Clock,
+    gauge: &Gauge,
+    socket: std::net::UdpSocket,
+    commands: mpsc::Receiver<Command>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else {
+        log::error!("lane={} state=failed cause=runtime", tables.me.addr);
+        return;
+    };
+    runtime.block_on(async {
+        let Ok(socket) = UdpSocket::from_std(socket) else {
+            log::error!("lane={} state=failed cause=socket", tables.me.addr);
+            return;
+        };
+        let driver = Driver {
+            tables,
+            out: Outbox::default(),
+            board,
+            clock,
+            gauge,
+            socket,
+            buffer: vec![0; PACKET_BYTES + 1].into(),
+            gauged: Duration::ZERO,
+        };
+        driver.run(commands).await;
+    });
+}
+
+impl Driver<'_> {
+    async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
+        let mut timer = timer();
+        loop {
+            let due = tokio::select! {
+                _ = self.socket.readable() => false,
+                _ = timer.tick() => true,
+                command = commands.recv() => match command {
+                    None | Some(Command::Stop) => return,
+                    Some(Command::Dump(name, answer)) => {
+                        let _ = answer.send(self.tables.dump(name.as_deref()));
+                        false
+                    }
+                },
+            };
+            self.step(due);
+        }
+    }
+
+    /// One tick: reads a batch, runs the systems, sends the outbox.
+    fn step(&mut self, due: bool) {
+        let now = self.clock.now();
+        self.refresh(now);
+        self.read();
+        systems::run(&mut self.tables, now, &mut self.out);
+        if due {
+            systems::run_timers(&mut self.tables, now, &mut self.out);
+            self.show(now);
+        }
+        self.flush();
+    }
+
+    fn refresh(&mut self, now: Duration) {
+        let snapshot = self.board.snapshot.load();
+        if !Arc::ptr_eq(&snapshot, &self.tables.snapshot) {
+            let snapshot = Arc::clone(&snapshot);
+            systems::publish(&mut self.tables, snapshot, now, &mut self.out);
+        }
+    }
+
+    fn read(&mut self) {
+        while self.tables.inbox.len() < BATCH {
+            let (size, from) = match self.socket.try_recv_from(&mut self.buffer) {
+                Ok(received) => received,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // An unreachable peer is reported here; its packets are lost like others.
+                Err(_) => continue,
+            };
+            self.take(size, from);
+        }
+    }
+
+    fn take(&mut self, size: usize, from: SocketAddr) {
+        let bytes = Bytes::copy_from_slice(&self.buffer[..size]);
+        match wire::decode_packet(bytes) {
+            Ok(packet) => self.tables.inbox.push(Arrival::new(from, packet)),
+            Err(_) => self.tables.counters.malformed += 1,
+        }
+    }
+
+    fn flush(&mut self) {
+        for send in self.out.sends.drain(..) {
+            let bytes = wire::encode_packet(&send.packet);
+            if self.socket.try_send_to(&bytes, send.to).is_err() {
+                self.tables.counters.unsent += 1;
+            }
+        }
+    }
+
+    fn show(&mut self, now: Duration) {
+        let in_flight = self.tables.in_flight(now);
+        self.gauge.in_flight.store(in_flight, Ordering::Relaxed);
+        if now < self.gauged + GAUGE_EVERY {
+            return;
+        }
+        self.gauged = now;
+        let flows = self.tables.flows.len();
+        self.gauge.flows.store(flows, Ordering::Relaxed);
+        self.gauge.counters.store(Arc::new(self.tables.counters));
+    }
+}
+
+fn timer() -> Interval {
+    let mut timer = interval(TICK);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    timer
+}
--- /dev/null
+++ b/src/front/metrics.rs
@@ -0,0 +1,65 @@
+//! Metrics by statsd.
+//!
+//! Each counter of the lanes is sent as the increase since the last report, under
+//! `jacinthhinge.NAME`, and the open flows and work in flight as gauges.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use cadence::{Counted, Gauged, NopMetricSink, StatsdClient, UdpMetricSink};
+use serde_json::Value;
+
+use crate::error::{Error, Result};
+
+const PREFIX: &str = "jacinthhinge";
+
+/// Sends counters and gauges to a statsd address.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+    last: Value,
+}
+
+impl Metrics {
+    /// Metrics to `addr`, or to nowhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no socket can be bound.
+    pub fn new(addr: Option<SocketAddr>) -> Result<Self> {
+        let client = match addr {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(addr) => {
+                let socket = UdpSocket::bind(("0.0.0.0", 0))
+                    .map_err(|e| Error::io("bind the statsd socket", e))?;
+                let sink = UdpMetricSink::from(addr, socket)
+                    .map_err(|e| Error::setting("--statsd", e.to_string(), "give IP:PORT"))?;
+                StatsdClient::from_sink(PREFIX, sink)
+            }
+        };
+        Ok(Self {
+            client,
+            last: Value::Null,
+        })
+    }
+
+    /// Reports `counters`, a flat JSON object of totals since the start.
+    pub fn count(&mut self, counters: Value) {
+        if let Some(fields) = counters.as_object() {
+            for (name, total) in fields {
+                let before = self.last.get(name).and_then(Value::as_u64).unwrap_or(0);
+                let total = total.as_u64().unwrap_or(0);
+                let increase = i64::try_from(total.saturating_sub(before)).unwrap_or(i64::MAX);
+                if increase > 0 {
+                    let _ = self.client.count(name, increase);
+                }
+            }
+        }
+        self.last = counters;
+    }
+
+    /// Reports a gauge.
+    pub fn gauge(&self, name: &str, value: usize) {
+        let value = u64::try_from(value).unwrap_or(u64::MAX);
+        let _ = self.client.gauge(name, value);
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,7 @@
+//! Sockets, threads, timers and settings.
+//!
+//! The front end turns datagrams into typed packets, runs the systems and sends
+//! what they decide. It decides nothing itself.
+
+pub mod lane;
+pub mod metrics;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod error;
+pub mod front;
 pub mod id;
 pub mod packet;
 pub mod prelude;
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -53,6 +53,8 @@
     pub orphans: u64,
     /// Pauses of this process.
     pub pauses: u64,
+    /// Datagrams that the operating system did not take.
+    pub unsent: u64,
     /// Endpoints that named another service.
     pub reassigned: u64,
 }
