--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -126,6 +126,68 @@
     pub local: bool,
 }
 
+impl Service {
+    /// A service with the fleet's built-in defaults and no endpoint.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            id: Id::of(name),
+            name: name.into(),
+            endpoints: Vec::new(),
+            classes: Class::ALL.map(Policy::of),
+            drain: Duration::from_mins(10),
+            idle: Duration::from_mins(5),
+            retries: 0.1,
+            reserve: 1,
+        }
+    }
+
+    /// Adds an endpoint.
+    #[must_use]
+    pub fn with_endpoint(mut self, endpoint: Endpoint) -> Self {
+        self.endpoints.push(endpoint);
+        self
+    }
+}
+
+impl Policy {
+    /// Built-in default of a class.
+    #[must_use]
+    pub fn of(class: Class) -> Self {
+        let (rank, deadline, service_time) = match class {
+            Class::Confirm | Class::Order => (50, 2_000, 10),
+            Class::Lookup => (40, 2_000, 10),
+            Class::Stream => (30, 5_000, 10),
+            Class::Upload => (20, 30_000, 500),
+            Class::Photo => (10, 30_000, 500),
+        };
+        Self {
+            rank,
+            deadline: Duration::from_millis(deadline),
+            service_time: Duration::from_millis(service_time),
+        }
+    }
+}
+
+impl Endpoint {
+    /// A live endpoint of 3 slots and 2,000 connections in this host's zone.
+    #[must_use]
+    pub fn new(name: &str, addr: SocketAddr) -> Self {
+        Self {
+            id: Id::of(name),
+            name: name.into(),
+            addr,
+            zone: "".into(),
+            slots: 3,
+            conns: 2_000,
+            weight: 1.0,
+            draining: false,
+            healthy: true,
+            local: true,
+        }
+    }
+}
+
 impl Snapshot {
     /// A snapshot with no service and no host.
     #[must_use]
