--- a/examples/caller/tally.rs
+++ b/examples/caller/tally.rs
@@ -63,7 +63,7 @@
 
 type RequestKey = (SocketAddr, u64, u64);
 
-/// Prints the comparison and fails when a promise was broken.
+/// Prints the comparison and ends the process when a promise was broken or nothing was done.
 ///
 /// # Errors
 ///
@@ -127,7 +127,8 @@
         p99_short(reports.iter().flat_map(|report| &report.outcomes)),
         imbalance(&loads),
     );
-    if drained + doubled + lost > 0 || misrouted > 0 {
+    let nothing = total(|report| report.counts.done) == 0;
+    if drained + doubled + lost > 0 || misrouted > 0 || nothing {
         std::process::exit(1);
     }
     Ok(())
