--- a/examples/caller/tables.rs
+++ b/examples/caller/tables.rs
@@ -45,6 +45,9 @@
     /// Share of requests that are long
     #[bpaf(fallback(0.03))]
     pub long: f64,
+    /// Share of requests that ask the service of long work for short work
+    #[bpaf(fallback(0.0))]
+    pub side: f64,
     /// Share of long requests that are cancelled
     #[bpaf(fallback(0.1))]
     pub cancel: f64,
