Read and check the operators' configuration

Cause: hosts need one source for defaults, services and exceptions, and operators need every fault of a file at once, with place and remedy. Ruled out: deriving serde for the file, which stops at the first fault and cannot name the nearest known field. Change: TOML and the platform's values become the same plain values, are read into tables, checked as a whole, and resolved for a host.

--- /dev/null
+++ b/src/config/change.rs
@@ -0,0 +1,170 @@
+//! Compares two configurations, and checks the step from one to the next.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use super::explain::plain;
+use super::fault::Faults;
+use super::model::{EndpointRow, Secrets, ServiceRow, State};
+use super::source::field_path;
+use super::{Config, KEYS, check};
+use crate::error::Result;
+use crate::id::Name;
+
+/// Name that faults of a step are told under.
+const PLACE: &str = "change";
+
+/// What stands in place of a secret.
+const HIDDEN: &str = "(hidden)";
+
+/// A value that differs between two configurations.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Difference {
+    /// Path of the value.
+    pub place: String,
+    /// Value in the first configuration, if it is there.
+    pub old: Option<String>,
+    /// Value in the second configuration, if it is there.
+    pub new: Option<String>,
+}
+
+type Flat = BTreeMap<String, Value>;
+
+/// Differences of values, by path.
+pub(super) fn diff(old: &Config, new: &Config) -> Vec<Difference> {
+    let old = flatten(old);
+    let new = flatten(new);
+    let places: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    places
+        .into_iter()
+        .filter(|place| old.get(*place) != new.get(*place))
+        .map(|place| difference(place, &old, &new))
+        .collect()
+}
+
+/// Notes every part of the step that would break flows or mix services.
+pub(super) fn check_change(old: &Config, new: &Config) -> Result<()> {
+    let mut faults = Faults::new(PLACE, HashMap::new());
+    if let (Some(old), Some(new)) = (&old.secrets, &new.secrets) {
+        check_rotation(old, new, &mut faults);
+    }
+    if old.secrets.is_some() && new.secrets.is_none() {
+        let remedy = "keep both keys in the file";
+        faults.add(KEYS, "the ticket keys are gone", remedy);
+    }
+    check_addresses(old, new, &mut faults);
+    check_endpoints(old, new, &mut faults);
+    faults.finish()
+}
+
+fn check_rotation(old: &Secrets, new: &Secrets, faults: &mut Faults<'_>) {
+    if new.current != old.current && new.current != old.other {
+        let fault =
+            "the new current key was not live before, so other hosts would refuse its tickets";
+        let remedy = "first publish it as `other`, and swap the two when every host has it";
+        faults.add("keys.current", fault, remedy);
+    } else if old.current != new.current && old.current != new.other {
+        let fault = "the key that live tickets are sealed with is dropped";
+        let remedy = "swap the two keys first, and replace `other` later";
+        faults.add("keys.other", fault, remedy);
+    }
+}
+
+fn check_addresses(old: &Config, new: &Config, faults: &mut Faults<'_>) {
+    let before: HashMap<SocketAddr, &Name> = check::endpoints(old)
+        .map(|(row, endpoint)| (endpoint.addr, &row.name))
+        .collect();
+    for (row, endpoint) in check::endpoints(new) {
+        let Some(service) = before.get(&endpoint.addr) else {
+            continue;
+        };
+        if **service != row.name {
+            let fault = format!(
+                "address {} moves from service `{service}` at once",
+                endpoint.addr
+            );
+            let remedy = "publish a configuration without it, and add it after the drain limit";
+            faults.add(&field_path(&endpoint.path, "addr"), fault, remedy);
+        }
+    }
+}
+
+fn check_endpoints(old: &Config, new: &Config, faults: &mut Faults<'_>) {
+    let after: HashMap<&Name, (&ServiceRow, &EndpointRow)> = check::endpoints(new)
+        .map(|(row, endpoint)| (&endpoint.name, (row, endpoint)))
+        .collect();
+    for (row, endpoint) in check::endpoints(old) {
+        match after.get(&endpoint.name) {
+            None if endpoint.state == State::Live => {
+                let fault = format!("live endpoint `{}` is removed", endpoint.name);
+                let remedy = "set its state to \"leaving\", and remove it after the drain limit";
+                faults.add(&check::service_path(row), fault, remedy);
+            }
+            Some((_, moved)) if moved.addr != endpoint.addr => {
+                let fault = format!(
+                    "endpoint `{}` moves from {} to {}",
+                    endpoint.name, endpoint.addr, moved.addr
+                );
+                let remedy = "add an endpoint of another name, and let the old one leave";
+                faults.add(&field_path(&moved.path, "addr"), fault, remedy);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn difference(place: &str, old: &Flat, new: &Flat) -> Difference {
+    let show = |values: &Flat| {
+        let value = values.get(place)?;
+        if place.starts_with(KEYS) {
+            return Some(HIDDEN.to_owned());
+        }
+        Some(plain(value))
+    };
+    Difference {
+        place: place.to_owned(),
+        old: show(old),
+        new: show(new),
+    }
+}
+
+fn flatten(config: &Config) -> Flat {
+    let mut flat = Flat::new();
+    for (key, value) in config.values() {
+        flatten_value(&key, value, &mut flat);
+    }
+    flat
+}
+
+fn flatten_value(path: &str, value: Value, flat: &mut Flat) {
+    match value {
+        Value::Object(map) => {
+            for (name, value) in map {
+                flatten_value(&field_path(path, &name), value, flat);
+            }
+        }
+        Value::Array(list) => {
+            let mut seen: HashMap<String, usize> = HashMap::new();
+            for value in list {
+                let name = label(&value);
+                let count = seen.entry(name.clone()).or_default();
+                *count += 1;
+                let inner = match count {
+                    1 => format!("{path}[{name}]"),
+                    _ => format!("{path}[{name} #{count}]"),
+                };
+                flatten_value(&inner, value, flat);
+            }
+        }
+        value => drop(flat.insert(path.to_owned(), value)),
+    }
+}
+
+/// What an item of a list is known by: its name, its scope or itself.
+fn label(value: &Value) -> String {
+    let own = value.get("name").or_else(|| value.get("scope"));
+    plain(own.unwrap_or(value))
+}
--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,200 @@
+//! Checks that look at the whole configuration at once.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use super::fault::{Faults, suggest};
+use super::model::{EndpointRow, Scope, ServiceRow, class_name};
+use super::source::field_path;
+use super::{Config, KEYS, SERVICE, resolve};
+use crate::id::{Id, Name};
+use crate::packet::Class;
+use crate::snapshot::Service;
+
+/// Notes every fault that single fields do not show.
+pub(super) fn check_config(config: &Config, faults: &mut Faults<'_>) {
+    check_ids(config, faults);
+    check_addresses(config, faults);
+    check_zones(config, faults);
+    check_scopes(config, faults);
+    check_secrets(config, faults);
+    if faults.is_empty() {
+        check_effective(config, faults);
+    }
+}
+
+/// Path of a service.
+pub(super) fn service_path(row: &ServiceRow) -> String {
+    field_path(SERVICE, &row.name)
+}
+
+/// Every endpoint with its service.
+pub(super) fn endpoints(config: &Config) -> impl Iterator<Item = (&ServiceRow, &EndpointRow)> {
+    config
+        .services
+        .iter()
+        .flat_map(|row| row.endpoint.iter().map(move |endpoint| (row, endpoint)))
+}
+
+fn check_ids(config: &Config, faults: &mut Faults<'_>) {
+    let mut services = HashMap::new();
+    for row in &config.services {
+        check_id(&row.name, &service_path(row), &mut services, faults);
+    }
+    let mut names = HashMap::new();
+    for (_, endpoint) in endpoints(config) {
+        let path = field_path(&endpoint.path, "name");
+        check_id(&endpoint.name, &path, &mut names, faults);
+    }
+}
+
+fn check_id<'a>(
+    name: &'a Name,
+    path: &str,
+    seen: &mut HashMap<Id, &'a Name>,
+    faults: &mut Faults<'_>,
+) {
+    let Some(first) = seen.insert(Id::of(name), name) else {
+        return;
+    };
+    let fault = if first == name {
+        format!("the name `{name}` stands twice")
+    } else {
+        format!("`{name}` and `{first}` have the same id")
+    };
+    faults.add(path, fault, "give one of them another name");
+}
+
+fn check_addresses(config: &Config, faults: &mut Faults<'_>) {
+    let mut seen: HashMap<SocketAddr, (&ServiceRow, &EndpointRow)> = HashMap::new();
+    for (row, endpoint) in endpoints(config) {
+        let Some((first, other)) = seen.insert(endpoint.addr, (row, endpoint)) else {
+            continue;
+        };
+        let fault = format!(
+            "address {} already belongs to endpoint `{}` of service `{}`",
+            endpoint.addr, other.name, first.name
+        );
+        let remedy = "give each endpoint its own address";
+        faults.add(&field_path(&endpoint.path, "addr"), fault, remedy);
+    }
+}
+
+fn check_zones(config: &Config, faults: &mut Faults<'_>) {
+    for row in &config.services {
+        if row.zones.is_empty() {
+            let path = field_path(&service_path(row), "zones");
+            faults.add(&path, "no zone is named", "name the zones that serve it");
+        }
+    }
+    for (row, endpoint) in endpoints(config) {
+        if !row.zones.contains(&endpoint.zone) {
+            let fault = format!("`{}` is none of the service's zones", endpoint.zone);
+            let remedy = suggest(&endpoint.zone, row.zones.iter().map(|zone| &**zone));
+            faults.add(&field_path(&endpoint.path, "zone"), fault, remedy);
+        }
+    }
+}
+
+fn check_scopes(config: &Config, faults: &mut Faults<'_>) {
+    for row in &config.exceptions {
+        let path = field_path(&row.path, "scope");
+        check_scope(config, &row.scope, &path, faults);
+    }
+}
+
+/// Notes names of a scope that the configuration does not hold.
+pub(super) fn check_scope(config: &Config, scope: &Scope, path: &str, faults: &mut Faults<'_>) {
+    let services: BTreeSet<&str> = config.services.iter().map(|row| &*row.name).collect();
+    let zones: BTreeSet<&str> = config.zones().map(|zone| &**zone).collect();
+    let within: BTreeSet<&str> = endpoints(config)
+        .filter(|(row, endpoint)| is_within(scope, row, endpoint))
+        .map(|(_, endpoint)| &*endpoint.name)
+        .collect();
+    check_known("zone", scope.zone.as_ref(), &zones, path, faults);
+    check_known("service", scope.service.as_ref(), &services, path, faults);
+    check_known("endpoint", scope.endpoint.as_ref(), &within, path, faults);
+    if scope.endpoint.is_some() && scope.class.is_some() {
+        let remedy = "name the service in place of the endpoint";
+        faults.add(path, "an endpoint has no values by class", remedy);
+    }
+}
+
+fn is_within(scope: &Scope, row: &ServiceRow, endpoint: &EndpointRow) -> bool {
+    let service = scope.service.as_ref().is_none_or(|name| *name == row.name);
+    let zone = scope
+        .zone
+        .as_ref()
+        .is_none_or(|name| *name == endpoint.zone);
+    service && zone
+}
+
+fn check_known(
+    kind: &str,
+    name: Option<&Name>,
+    known: &BTreeSet<&str>,
+    path: &str,
+    faults: &mut Faults<'_>,
+) {
+    let Some(name) = name else {
+        return;
+    };
+    if !known.contains(&**name) {
+        let fault = format!("no {kind} `{name}` is in scope");
+        faults.add(path, fault, suggest(name, known.iter().copied()));
+    }
+}
+
+fn check_secrets(config: &Config, faults: &mut Faults<'_>) {
+    let same = config
+        .secrets
+        .as_ref()
+        .is_some_and(|secrets| secrets.current == secrets.other);
+    if same {
+        let remedy = "make a second secret for `other`";
+        faults.add(KEYS, "both secrets are the same", remedy);
+    }
+}
+
+/// Checks the values in effect on every zone and named host.
+fn check_effective(config: &Config, faults: &mut Faults<'_>) {
+    let zones: BTreeSet<&Name> = config.zones().collect();
+    let hosts: BTreeSet<&str> = config
+        .exceptions
+        .iter()
+        .filter_map(|row| row.scope.host.as_deref())
+        .chain([""])
+        .collect();
+    let mut seen = BTreeSet::new();
+    for zone in zones {
+        for host in &hosts {
+            for service in resolve::services(config, host, zone) {
+                check_service(&service, &mut seen, faults);
+            }
+        }
+    }
+}
+
+fn check_service(service: &Service, seen: &mut BTreeSet<String>, faults: &mut Faults<'_>) {
+    let path = field_path(SERVICE, &service.name);
+    let slots = service
+        .endpoints
+        .iter()
+        .map(|endpoint| endpoint.slots)
+        .min();
+    let reserve = field_path(&path, "reserve");
+    if slots.is_some_and(|slots| service.reserve >= slots) && seen.insert(reserve.clone()) {
+        let fault = format!("reserve {} leaves long work no slot", service.reserve);
+        let remedy = "set `reserve` below the slots of every endpoint";
+        faults.add(&reserve, fault, remedy);
+    }
+    for class in Class::ALL {
+        let policy = service.classes[class.index()];
+        let name = class_name(class);
+        let time = format!("{path}.class.{name}.service_time");
+        if policy.service_time > policy.deadline && seen.insert(time.clone()) {
+            let fault = "service time is over the deadline";
+            faults.add(&time, fault, "raise `deadline` or lower `service_time`");
+        }
+    }
+}
--- /dev/null
+++ b/src/config/fault.rs
@@ -0,0 +1,108 @@
+//! The faults found in one configuration.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+
+use crate::error::{Error, Result};
+
+/// Least likeness, from zero to one, at which a known name is suggested.
+const LIKENESS: f64 = 0.6;
+
+/// Collector of faults, each with its place and remedy.
+pub(super) struct Faults<'a> {
+    file: &'a str,
+    lines: HashMap<String, usize>,
+    list: Vec<Fault>,
+}
+
+struct Fault {
+    place: String,
+    what: String,
+    remedy: String,
+}
+
+impl<'a> Faults<'a> {
+    /// A collector for `file`, with the line of each path where it is known.
+    pub fn new(file: &'a str, lines: HashMap<String, usize>) -> Self {
+        Self {
+            file,
+            lines,
+            list: Vec::new(),
+        }
+    }
+
+    /// Notes a fault at the field path `path`.
+    pub fn add(&mut self, path: &str, fault: impl Into<String>, remedy: impl Into<String>) {
+        let place = self.place(path);
+        self.list.push(Fault {
+            place,
+            what: fault.into(),
+            remedy: remedy.into(),
+        });
+    }
+
+    /// Notes a fault at a line, before paths are known.
+    pub fn add_line(&mut self, line: Option<usize>, fault: &str, remedy: &str) {
+        let place = match line {
+            Some(line) => format!("{}:{line}", self.file),
+            None => self.file.to_owned(),
+        };
+        self.list.push(Fault {
+            place,
+            what: fault.to_owned(),
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    /// True when no fault was noted.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// One error that tells all faults, a line each.
+    pub fn finish(self) -> Result<()> {
+        let mut rest = self.list.into_iter();
+        let Some(first) = rest.next() else {
+            return Ok(());
+        };
+        let mut remedy = first.remedy;
+        for next in rest {
+            let _ = write!(remedy, "\n{}: {}; {}", next.place, next.what, next.remedy);
+        }
+        Err(Error::config(first.place, first.what, remedy))
+    }
+
+    fn place(&self, path: &str) -> String {
+        match self.line(path) {
+            Some(line) => format!("{}:{line}: {path}", self.file),
+            None => format!("{}: {path}", self.file),
+        }
+    }
+
+    /// Line of the path, or of the nearest table around it.
+    fn line(&self, path: &str) -> Option<usize> {
+        let mut path = path;
+        loop {
+            if let Some(line) = self.lines.get(path) {
+                return Some(*line);
+            }
+            let end = path.rfind(['.', '['])?;
+            path = &path[..end];
+        }
+    }
+}
+
+/// Remedy for an unknown name: the nearest known one, or all of them.
+pub(super) fn suggest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> String {
+    let known: Vec<&str> = known.into_iter().collect();
+    let nearest = known
+        .iter()
+        .map(|other| (strsim::jaro_winkler(name, other), *other))
+        .filter(|(likeness, _)| *likeness >= LIKENESS)
+        .max_by(|a, b| a.0.total_cmp(&b.0));
+    match nearest {
+        Some((_, other)) => format!("did you mean `{other}`?"),
+        None if known.is_empty() => "none is known; add it first".to_owned(),
+        None => format!("known are {}", known.join(", ")),
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,231 @@
+//! The operators' configuration: defaults of the fleet, services and exceptions.
+//!
+//! Operators write one TOML file for a region. The platform serves it as JSON
+//! values, a key each, which [`Config::values`] makes and [`Config::from_values`]
+//! reads back with the same checks. [`Config::services`] gives what is in effect
+//! on one host.
+//!
+//! A value is looked up in the exceptions that cover the place, the narrowest
+//! first and of two alike the later one, then in the service, then in the fleet.
+//! An endpoint is narrower than a host, a host than a service, and a service
+//! than a zone. A zone in a scope means the endpoints of that zone for `slots`,
+//! `conns` and `weight`, and the hosts of that zone for all other fields.
+
+mod change;
+mod check;
+mod explain;
+mod fault;
+mod model;
+mod read;
+mod resolve;
+mod source;
+mod units;
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde_json::{Map, Value};
+
+pub use self::change::Difference;
+pub use self::explain::Explained;
+use self::fault::{Faults, suggest};
+use self::model::{ExceptionRow, Secrets, ServiceRow, Values};
+use crate::error::Result;
+use crate::id::Name;
+use crate::snapshot::Service;
+use crate::ticket::Keys;
+
+const FLEET: &str = "fleet";
+const SERVICE: &str = "service";
+const EXCEPTION: &str = "exception";
+const KEYS: &str = "keys";
+
+/// Keys of the platform's values.
+const VALUE_KEYS: [&str; 5] = ["fleet", "service/NAME", "exceptions", "keys", "health/NAME"];
+
+/// Name that faults of the platform's values are told under.
+const PLATFORM: &str = "platform";
+
+/// A configuration that passed every check.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Config {
+    fleet: Values,
+    services: Vec<ServiceRow>,
+    exceptions: Vec<ExceptionRow>,
+    secrets: Option<Secrets>,
+    health: BTreeMap<Name, Vec<Name>>,
+}
+
+impl Config {
+    /// Reads the text of an operators' file; `file` is its name in messages.
+    ///
+    /// ```
+    /// # use jacinthhinge::config::Config;
+    /// let text = r#"
+    ///     [service.adserve]
+    ///     zones = ["sv-a"]
+    ///     slots = 3
+    ///
+    ///     [[service.adserve.endpoint]]
+    ///     name = "a-1"
+    ///     addr = "127.0.0.1:21001"
+    ///     zone = "sv-a"
+    /// "#;
+    /// let config = Config::parse("hraunvik.toml", text)?;
+    /// let services = config.services("sv-a-1", "sv-a");
+    /// assert_eq!(services[0].endpoints[0].slots, 3);
+    /// # Ok::<(), jacinthhinge::Error>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Fails with one error that tells every fault, its place and its remedy.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let source = source::read_toml(file, text)?;
+        let faults = Faults::new(file, source.lines);
+        Self::from_root(&source.root, faults)
+    }
+
+    /// Reads the platform's values, each as JSON text under its key.
+    ///
+    /// Values under `health/NAME` only mark endpoints as unhealthy. Such a report
+    /// may be wrong, so one that is malformed or names strangers is passed over.
+    ///
+    /// ```
+    /// # use jacinthhinge::config::Config;
+    /// let values = [("service/bestel", r#"{"zones":["gent"]}"#)];
+    /// let config = Config::from_values(values)?;
+    /// assert_eq!(config.services("gent-1", "gent").len(), 1);
+    /// # Ok::<(), jacinthhinge::Error>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Config::parse`] does, and for keys it does not know.
+    pub fn from_values<'a>(values: impl IntoIterator<Item = (&'a str, &'a str)>) -> Result<Self> {
+        let mut faults = Faults::new(PLATFORM, HashMap::new());
+        let mut root = Map::new();
+        let mut services = Map::new();
+        let mut health = BTreeMap::new();
+        for (key, text) in values {
+            let value = serde_json::from_str(text);
+            if let Some(name) = key.strip_prefix("health/") {
+                let report = value.unwrap_or_default();
+                health.insert(Name::from(name), read::read_health(&report));
+                continue;
+            }
+            let Ok(value) = value else {
+                let remedy = "publish what `jacinthhinge check` accepts";
+                faults.add(key, "the value is no JSON", remedy);
+                continue;
+            };
+            match section(key) {
+                Some(Section::Whole(name)) => drop(root.insert(name.to_owned(), value)),
+                Some(Section::Service(name)) => drop(services.insert(name.to_owned(), value)),
+                None => faults.add(key, "unknown key", suggest(key, VALUE_KEYS)),
+            }
+        }
+        root.insert(SERVICE.to_owned(), Value::Object(services));
+        let mut config = Self::from_root(&Value::Object(root), faults)?;
+        config.health = health;
+        Ok(config)
+    }
+
+    /// The platform's values, a key and JSON value each; the secrets are among them.
+    #[must_use]
+    pub fn values(&self) -> Vec<(String, Value)> {
+        let mut values = vec![(FLEET.to_owned(), json(&self.fleet))];
+        for row in &self.services {
+            values.push((format!("{SERVICE}/{}", row.name), json(row)));
+        }
+        values.push(("exceptions".to_owned(), json(&self.exceptions)));
+        if let Some(secrets) = &self.secrets {
+            values.push((KEYS.to_owned(), json(secrets)));
+        }
+        values
+    }
+
+    /// Services in effect on `host`, which stands in `zone`.
+    ///
+    /// Endpoints of the other zones are among them, with `local` false, for work
+    /// that the own zone cannot take. Services of other zones only are left out.
+    #[must_use]
+    pub fn services(&self, host: &str, zone: &str) -> Vec<Service> {
+        resolve::services(self, host, zone)
+    }
+
+    /// Ticket keys, when the configuration sets them.
+    #[must_use]
+    pub fn keys(&self) -> Option<Keys> {
+        let secrets = self.secrets.as_ref()?;
+        Some(Keys::new(&secrets.current, &secrets.other))
+    }
+
+    /// Zones that any service names; a zone may come more than once.
+    pub fn zones(&self) -> impl Iterator<Item = &Name> {
+        self.services.iter().flat_map(|row| &row.zones)
+    }
+
+    /// Says where each value in effect at a scope comes from, as in `endpoint/a-3`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the scope cannot be read or names something unknown.
+    pub fn explain(&self, scope: &str) -> Result<Vec<Explained>> {
+        explain::explain(self, scope)
+    }
+
+    /// Differences between the values of `self` and of `other`.
+    ///
+    /// A changed secret is named and never shown.
+    #[must_use]
+    pub fn diff(&self, other: &Self) -> Vec<Difference> {
+        change::diff(self, other)
+    }
+
+    /// Checks that the step from `old` to `new` is safe in one go.
+    ///
+    /// It is meant for two revisions that follow each other, before the newer is
+    /// published. A host that was cut off may have missed the steps between two
+    /// revisions, and must accept what was safe step by step.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a key rotation would turn live tickets away, when an address or
+    /// an endpoint moves at once, and when a live endpoint goes without leaving.
+    pub fn check_change(old: &Self, new: &Self) -> Result<()> {
+        change::check_change(old, new)
+    }
+
+    fn from_root(root: &Value, mut faults: Faults<'_>) -> Result<Self> {
+        let config = read::read_config(root, &mut faults);
+        check::check_config(&config, &mut faults);
+        faults.finish()?;
+        Ok(config)
+    }
+
+    fn is_unhealthy(&self, service: &Name, endpoint: &Name) -> bool {
+        self.health
+            .get(service)
+            .is_some_and(|names| names.contains(endpoint))
+    }
+}
+
+/// Part of a configuration that a platform's key holds.
+enum Section<'a> {
+    Whole(&'static str),
+    Service(&'a str),
+}
+
+fn section(key: &str) -> Option<Section<'_>> {
+    match key {
+        "fleet" => Some(Section::Whole(FLEET)),
+        "exceptions" => Some(Section::Whole(EXCEPTION)),
+        "keys" => Some(Section::Whole(KEYS)),
+        _ => key.strip_prefix("service/").map(Section::Service),
+    }
+}
+
+/// JSON of a table row; rows hold nothing that JSON cannot.
+fn json(row: &impl serde::Serialize) -> Value {
+    serde_json::to_value(row).unwrap_or_default()
+}
--- /dev/null
+++ b/src/config/model.rs
@@ -0,0 +1,230 @@
+//! The tables of a configuration, as operators write them.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize, Serializer};
+use serde_with::{serde_as, skip_serializing_none};
+
+use super::units::Text;
+use crate::id::Name;
+use crate::packet::Class;
+
+/// Defaults that a fleet, a service or an exception sets.
+#[serde_as]
+#[skip_serializing_none]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub(super) struct Values {
+    #[serde_as(as = "Option<Text>")]
+    pub drain_limit: Option<Duration>,
+    #[serde_as(as = "Option<Text>")]
+    pub idle_limit: Option<Duration>,
+    pub retry_share: Option<f64>,
+    pub slots: Option<u32>,
+    pub conns: Option<u32>,
+    pub reserve: Option<u32>,
+    pub weight: Option<f64>,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub class: BTreeMap<Class, ClassValues>,
+}
+
+impl Values {
+    pub const FIELDS: [&'static str; 8] = [
+        "drain_limit",
+        "idle_limit",
+        "retry_share",
+        "slots",
+        "conns",
+        "reserve",
+        "weight",
+        "class",
+    ];
+
+    /// Value that one class sets.
+    pub fn of_class<T>(&self, class: Class, get: impl Fn(&ClassValues) -> Option<T>) -> Option<T> {
+        self.class.get(&class).and_then(get)
+    }
+}
+
+/// Defaults of one class of work.
+#[serde_as]
+#[skip_serializing_none]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub(super) struct ClassValues {
+    pub rank: Option<u32>,
+    #[serde_as(as = "Option<Text>")]
+    pub deadline: Option<Duration>,
+    #[serde_as(as = "Option<Text>")]
+    pub service_time: Option<Duration>,
+}
+
+impl ClassValues {
+    pub const FIELDS: [&'static str; 3] = ["rank", "deadline", "service_time"];
+}
+
+/// A row of the services' table.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(super) struct ServiceRow {
+    #[serde(skip)]
+    pub name: Name,
+    pub zones: Vec<Name>,
+    #[serde(flatten)]
+    pub values: Values,
+    pub endpoint: Vec<EndpointRow>,
+}
+
+/// A row of the endpoints' table.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(super) struct EndpointRow {
+    #[serde(skip)]
+    pub path: String,
+    pub name: Name,
+    pub addr: SocketAddr,
+    pub zone: Name,
+    pub state: State,
+}
+
+impl EndpointRow {
+    pub const FIELDS: [&'static str; 4] = ["name", "addr", "zone", "state"];
+}
+
+/// Whether an endpoint takes new work.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(super) enum State {
+    #[default]
+    Live,
+    Leaving,
+}
+
+/// A row of the exceptions' table.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct ExceptionRow {
+    pub path: String,
+    pub scope: Scope,
+    pub set: Values,
+    pub reason: String,
+    pub author: String,
+    pub date: String,
+}
+
+impl ExceptionRow {
+    pub const FIELDS: [&'static str; 5] = ["scope", "set", "reason", "author", "date"];
+}
+
+impl Serialize for ExceptionRow {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let set = match self.scope.class {
+            Some(class) => serde_json::to_value(self.set.class.get(&class)),
+            None => serde_json::to_value(&self.set),
+        };
+        let row = WrittenException {
+            scope: self.scope.to_string(),
+            set: set.map_err(serde::ser::Error::custom)?,
+            reason: &self.reason,
+            author: &self.author,
+            date: &self.date,
+        };
+        row.serialize(serializer)
+    }
+}
+
+#[derive(Serialize)]
+struct WrittenException<'a> {
+    scope: String,
+    set: serde_json::Value,
+    reason: &'a str,
+    author: &'a str,
+    date: &'a str,
+}
+
+/// What an exception or a question is about; parts left out match everything.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) struct Scope {
+    pub zone: Option<Name>,
+    pub service: Option<Name>,
+    pub host: Option<Name>,
+    pub endpoint: Option<Name>,
+    pub class: Option<Class>,
+}
+
+impl Scope {
+    pub const KINDS: [&'static str; 5] = ["zone", "service", "host", "endpoint", "class"];
+
+    /// True when every part that `self` names is the same in `at`.
+    pub fn covers(&self, at: &Self) -> bool {
+        fn part<T: PartialEq>(own: Option<&T>, other: Option<&T>) -> bool {
+            own.is_none() || own == other
+        }
+        part(self.zone.as_ref(), at.zone.as_ref())
+            && part(self.service.as_ref(), at.service.as_ref())
+            && part(self.host.as_ref(), at.host.as_ref())
+            && part(self.endpoint.as_ref(), at.endpoint.as_ref())
+            && part(self.class.as_ref(), at.class.as_ref())
+    }
+
+    /// How narrow the scope is: endpoint before host before service before zone.
+    pub fn narrowness(&self) -> (bool, bool, bool, bool) {
+        (
+            self.endpoint.is_some(),
+            self.host.is_some(),
+            self.service.is_some(),
+            self.zone.is_some(),
+        )
+    }
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut gap = "";
+        let names = [&self.zone, &self.service, &self.host, &self.endpoint];
+        for (kind, name) in Self::KINDS.iter().zip(names) {
+            if let Some(name) = name {
+                write!(f, "{gap}{kind}/{name}")?;
+                gap = " ";
+            }
+        }
+        if let Some(class) = self.class {
+            write!(f, "{gap}class/{}", class_name(class))?;
+        }
+        Ok(())
+    }
+}
+
+/// The two live secrets that tickets are sealed with.
+#[derive(Clone, Eq, PartialEq, Serialize)]
+pub(super) struct Secrets {
+    pub current: String,
+    pub other: String,
+}
+
+impl Secrets {
+    pub const FIELDS: [&'static str; 2] = ["current", "other"];
+}
+
+impl fmt::Debug for Secrets {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secrets(..)")
+    }
+}
+
+/// Name of a class in files and scopes.
+pub(super) fn class_name(class: Class) -> &'static str {
+    match class {
+        Class::Confirm => "confirm",
+        Class::Order => "order",
+        Class::Lookup => "lookup",
+        Class::Stream => "stream",
+        Class::Upload => "upload",
+        Class::Photo => "photo",
+    }
+}
+
+/// Class of that name.
+pub(super) fn class_named(name: &str) -> Option<Class> {
+    Class::ALL
+        .into_iter()
+        .find(|class| class_name(*class) == name)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! A layer-4 load balancer, and the coordination parts it is made of.
 
 pub mod clock;
+pub mod config;
 pub mod error;
 pub mod id;
 pub mod packet;
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -7,6 +7,7 @@
 pub use bytes::Bytes;
 
 pub use crate::clock::Clock;
+pub use crate::config::Config;
 pub use crate::error::{Category, Error, Result};
 pub use crate::id::{FlowKey, Id, Incarnation, Name};
 pub use crate::packet::{Body, Class, Load, Packet, Part, Reason, Verdict};
