Test refusals, exceptions, steps and values of the configuration

Ruled out: the TOML side, which reads the digit right. Conclusion: files and platform values give the same services in all drawn cases, and no drawn text or spoiled value panics.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -2,7 +2,7 @@
 
 use jacinthhinge::prelude::*;
 use proptest::prelude::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 const HRAUNVIK: &str = include_str!("../config/hraunvik.toml");
 const VERHAEGHE: &str = include_str!("../config/verhaeghe.toml");
@@ -125,7 +125,7 @@
 
 /// Each wrong file, and all that it is told.
 #[test]
-fn refusals_name_place_and_remedy() {
+fn wrong_fields_are_told_with_place_and_remedy() {
     let cases = [
         with("[fleet2]\n"),
         replaced("drain_limit", "drain_limt"),
@@ -154,23 +154,6 @@
         with("[fleet.class.photo]\ndeadline = \"1s\"\nservice_time = \"2s\"\n"),
         with("[keys]\ncurrent = \"hunter2\"\nother = 7\n"),
         with("[keys]\ncurrent = \"0123456789abcdef\"\nother = \"0123456789abcdef\"\n"),
-        with(&exception("endpoint/a-9", "slots = 1")),
-        with(&exception("service/adsrv", "slots = 1")),
-        with(&exception("zone/sv-c", "slots = 1")),
-        with(&exception("service/kleurmatch endpoint/a-1", "slots = 1")),
-        with(&exception("endpoint/a-1", "drain_limit = \"1s\"")),
-        with(&exception("class/photo", "slots = 1")),
-        with(&exception("class/photo endpoint/a-1", "rank = 1")),
-        with(&exception("rack/7", "slots = 1")),
-        with(&exception("adserve", "slots = 1")),
-        with(&exception("zone/sv-a zone/sv-b", "slots = 1")),
-        with(&exception("", "slots = 1")),
-        with(&exception("service/adserve", "")),
-        with(&exception("endpoint/a-1", "slots = 1").replace("tried in a test", "because")),
-        with(&exception("endpoint/a-1", "slots = 1").replace("reason", "#")),
-        with(&exception("endpoint/a-1", "slots = 1").replace("author", "#")),
-        with(&exception("endpoint/a-1", "slots = 1").replace("date", "#")),
-        with(&exception("endpoint/a-1", "slots = 1").replace("2026-11-03", "\"2026-02-30\"")),
     ];
     let refusals: Vec<String> = cases.iter().map(|text| refusal(text)).collect();
     insta::assert_snapshot!(refusals.join("\n---\n"), @r#"
@@ -230,7 +213,32 @@
     t.toml:29: keys.other: the secret is no text of 16 characters or more; make one with `openssl rand -hex 32`
     ---
     t.toml:27: keys: both secrets are the same; make a second secret for `other`
-    ---
+    "#);
+}
+
+#[test]
+fn wrong_exceptions_are_told_with_place_and_remedy() {
+    let cases = [
+        with(&exception("endpoint/a-9", "slots = 1")),
+        with(&exception("service/adsrv", "slots = 1")),
+        with(&exception("zone/sv-c", "slots = 1")),
+        with(&exception("service/kleurmatch endpoint/a-1", "slots = 1")),
+        with(&exception("endpoint/a-1", "drain_limit = \"1s\"")),
+        with(&exception("class/photo", "slots = 1")),
+        with(&exception("class/photo endpoint/a-1", "rank = 1")),
+        with(&exception("rack/7", "slots = 1")),
+        with(&exception("adserve", "slots = 1")),
+        with(&exception("zone/sv-a zone/sv-b", "slots = 1")),
+        with(&exception("", "slots = 1")),
+        with(&exception("service/adserve", "")),
+        with(&exception("endpoint/a-1", "slots = 1").replace("tried in a test", "because")),
+        with(&exception("endpoint/a-1", "slots = 1").replace("reason", "#")),
+        with(&exception("endpoint/a-1", "slots = 1").replace("author", "#")),
+        with(&exception("endpoint/a-1", "slots = 1").replace("date", "#")),
+        with(&exception("endpoint/a-1", "slots = 1").replace("2026-11-03", "\"2026-02-30\"")),
+    ];
+    let refusals: Vec<String> = cases.iter().map(|text| refusal(text)).collect();
+    insta::assert_snapshot!(refusals.join("\n---\n"), @r#"
     t.toml:29: exception[0].scope: no endpoint `a-9` is in scope; did you mean `a-2`?
     ---
     t.toml:29: exception[0].scope: no service `adsrv` is in scope; did you mean `adserve`?
@@ -266,3 +274,379 @@
     t.toml:33: exception[0].date: "2026-02-30" is no date; write YEAR-MONTH-DAY, as in 2026-11-03
     "#);
 }
+
+#[test]
+fn values_of_the_platform_are_refused_alike() {
+    let cases: [&[(&str, &str)]; 6] = [
+        &[("flet", "{}")],
+        &[("fleet", "{")],
+        &[("fleet", "[]")],
+        &[("fleet", r#"{"slots":0}"#)],
+        &[("service/a.b", r#"{"zones":["gent"]}"#)],
+        &[("keys", r#""0123456789abcdef""#)],
+    ];
+    let refusals = cases.map(|values| {
+        let error = Config::from_values(values.iter().copied()).unwrap_err();
+        assert!(error.is_config());
+        error.to_string()
+    });
+    insta::assert_snapshot!(refusals.join("\n---\n"), @r#"
+    platform: flet: unknown key; did you mean `fleet`?
+    ---
+    platform: fleet: the value is no JSON; publish what `jacinthhinge check` accepts
+    ---
+    platform: fleet: a list stands where a table belongs; write a table here
+    ---
+    platform: fleet.slots: 0 is out of range; write a whole number from 1 to 100000
+    ---
+    platform: service.a.b: `a.b` is no name; use 1 to 64 letters, digits, `-` and `_`
+    ---
+    platform: keys: a text stands where a table belongs; write a table here
+    "#);
+}
+
+#[test]
+fn a_weight_is_the_same_to_the_last_digit_on_the_platform() {
+    let text = replaced("slots = 3", "weight = 99.29641593204848");
+    let config = parse(&text);
+    assert_eq!(through_values(&config), config);
+}
+
+#[test]
+fn narrower_exceptions_win_and_of_two_alike_the_later() {
+    let text = with(
+        &[
+            exception("endpoint/a-1", "slots = 9"),
+            exception("host/sv-a-1", "slots = 8"),
+            exception("service/adserve", "slots = 7"),
+            exception("zone/sv-b", "slots = 6, drain_limit = \"7m\""),
+            exception("service/adserve class/photo", "rank = 1"),
+            exception("class/photo", "rank = 2"),
+            exception("service/adserve class/photo", "rank = 3"),
+        ]
+        .concat(),
+    );
+    let config = parse(&text);
+    let slots = |host, zone| {
+        let service = service(&config, "adserve", host, zone);
+        [service.endpoints[0].slots, service.endpoints[1].slots]
+    };
+    assert_eq!(slots("sv-a-1", "sv-a"), [9, 8]);
+    assert_eq!(slots("sv-a-2", "sv-a"), [9, 7]);
+    let drain = |zone| service(&config, "adserve", "h", zone).drain.as_secs();
+    assert_eq!([drain("sv-a"), drain("sv-b")], [300, 420]);
+    let rank = |name| service(&config, name, "h", "sv-a").classes[Class::Photo.index()].rank;
+    assert_eq!([rank("adserve"), rank("kleurmatch")], [3, 2]);
+}
+
+#[test]
+fn explain_names_where_a_value_was_written() {
+    let config = parse(&with(&exception("endpoint/a-1", "slots = 9")));
+    let told = |scope: &str| {
+        let list = config.explain(scope).unwrap();
+        let lines = list
+            .iter()
+            .map(|e| format!("{} = {} ({})", e.field, e.value, e.from));
+        lines.collect::<Vec<_>>().join("\n")
+    };
+    insta::assert_snapshot!(told("endpoint/a-1"), @r#"
+    service = adserve (service/adserve)
+    addr = 127.0.0.1:21001 (service/adserve)
+    zone = sv-a (service/adserve)
+    state = live (service/adserve)
+    slots = 9 (exception endpoint/a-1 by tester, 2026-11-03: tried in a test)
+    conns = 2000 (built in)
+    weight = 1.0 (built in)
+    "#);
+    insta::assert_snapshot!(told("service/adserve class/photo"), @r#"
+    class.photo.rank = 10 (built in)
+    class.photo.deadline = 30s (built in)
+    class.photo.service_time = 1s (built in)
+    "#);
+    insta::assert_snapshot!(config.explain("endpoint/a-7").unwrap_err(), @"scope: endpoint/a-7: no endpoint `a-7` is in scope; did you mean `a-2`?");
+    assert!(told("zone/sv-a").contains("drain_limit = 5m (fleet)"));
+}
+
+#[test]
+fn health_reports_only_mark_endpoints() {
+    let values = texts(&parse(SMALL));
+    let report = r#"{"unhealthy":["a-1","stranger"]}"#;
+    let all = pairs(&values).chain([("health/adserve", report), ("health/none", "nonsense")]);
+    let config = Config::from_values(all).unwrap();
+    let service = service(&config, "adserve", "h", "sv-a");
+    let healthy: Vec<bool> = service.endpoints.iter().map(|e| e.healthy).collect();
+    assert_eq!(healthy, [false, true]);
+    assert!(
+        config
+            .values()
+            .iter()
+            .all(|(key, _)| !key.starts_with("health/"))
+    );
+}
+
+fn keyed(current: char, other: char) -> String {
+    let secret = |letter: char| letter.to_string().repeat(16);
+    with(&format!(
+        "[keys]\ncurrent = \"{}\"\nother = \"{}\"\n",
+        secret(current),
+        secret(other)
+    ))
+}
+
+#[test]
+fn keys_come_from_both_secrets() {
+    let keys = parse(&keyed('A', 'B')).keys().unwrap();
+    assert!(keys == Keys::new(&"A".repeat(16), &"B".repeat(16)));
+    assert!(parse(SMALL).keys().is_none());
+}
+
+#[test]
+fn secrets_are_never_shown() {
+    let first = parse(&keyed('Q', 'Z'));
+    let second = parse(&keyed('Z', 'Q'));
+    let shown = format!(
+        "{first:?} {:?} {:?} {:?}",
+        first.diff(&second),
+        first.explain("service/adserve"),
+        Config::check_change(&first, &parse(&keyed('X', 'Y'))),
+    );
+    assert!(shown.contains("keys.current"));
+    for letter in ["Q", "Z", "X", "Y"] {
+        assert!(!shown.contains(&letter.repeat(8)), "{shown}");
+    }
+}
+
+#[test]
+fn steps_that_break_flows_are_refused() {
+    let step = |old: &str, new: &str| match Config::check_change(&parse(old), &parse(new)) {
+        Ok(()) => "accepted".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    let (a, b) = ("127.0.0.1:22101", "127.0.0.1:29999");
+    let leaving = replaced(
+        "zone = \"sv-a\"\n\n[[",
+        "zone = \"sv-a\"\nstate = \"leaving\"\n\n[[",
+    );
+    let without = leaving.replacen("\nname = \"a-1\"", "\nname = \"a-3\"", 1);
+    let without = without.replacen("127.0.0.1:21001", "127.0.0.1:21003", 1);
+    let steps = [
+        step(SMALL, SMALL),
+        step(&keyed('A', 'B'), &keyed('B', 'A')),
+        step(&keyed('A', 'B'), &keyed('A', 'C')),
+        step(&keyed('A', 'B'), &keyed('C', 'A')),
+        step(&keyed('A', 'B'), &keyed('B', 'C')),
+        step(&keyed('A', 'B'), SMALL),
+        step(
+            SMALL,
+            &SMALL
+                .replace("127.0.0.1:21002", b)
+                .replace(a, "127.0.0.1:21002"),
+        ),
+        step(SMALL, &without),
+        step(SMALL, &leaving),
+        step(&leaving, &without),
+    ];
+    insta::assert_snapshot!(steps.join("\n---\n"), @r#"
+    accepted
+    ---
+    accepted
+    ---
+    accepted
+    ---
+    change: keys.current: the new current key was not live before, so other hosts would refuse its tickets; first publish it as `other`, and swap the two when every host has it
+    ---
+    change: keys.other: the key that live tickets are sealed with is dropped; swap the two keys first, and replace `other` later
+    ---
+    change: keys: the ticket keys are gone; keep both keys in the file
+    ---
+    change: service.kleurmatch.endpoint[0].addr: address 127.0.0.1:21002 moves from service `adserve` at once; publish a configuration without it, and add it after the drain limit
+    change: service.adserve.endpoint[1].addr: endpoint `a-2` moves from 127.0.0.1:21002 to 127.0.0.1:29999; add an endpoint of another name, and let the old one leave
+    change: service.kleurmatch.endpoint[0].addr: endpoint `k-1` moves from 127.0.0.1:22101 to 127.0.0.1:21002; add an endpoint of another name, and let the old one leave
+    ---
+    change: service.adserve: live endpoint `a-1` is removed; set its state to "leaving", and remove it after the drain limit
+    ---
+    accepted
+    ---
+    accepted
+    "#);
+}
+
+#[test]
+fn differences_are_told_by_path() {
+    let old = parse(&keyed('A', 'B'));
+    let new = parse(&keyed('B', 'A').replace("slots = 3", "slots = 4"));
+    let lines: Vec<String> = old
+        .diff(&new)
+        .iter()
+        .map(|d| format!("{}: {:?} -> {:?}", d.place, d.old, d.new))
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    keys.current: Some("(hidden)") -> Some("(hidden)")
+    keys.other: Some("(hidden)") -> Some("(hidden)")
+    service/adserve.slots: Some("3") -> Some("4")
+    "#);
+    assert_eq!(old.diff(&old), []);
+}
+
+/// Values of a fleet or a service, as the platform serves them.
+fn any_values() -> impl Strategy<Value = Value> {
+    let times = (1..600_000_u64, 5_000..600_000_u64);
+    let counts = (2..9_u32, 1..5_000_u32, 0..2_u32);
+    let shares = (0.0..=1.0, 0.01..=100.0);
+    let class = (0..100_u32, 100..500_u64, 1..100_u64);
+    (times, counts, shares, class).prop_map(|(times, counts, shares, class)| {
+        json!({
+            "drain_limit": format!("{}ms", times.0),
+            "idle_limit": format!("{}ms", times.1),
+            "slots": counts.0, "conns": counts.1, "reserve": counts.2,
+            "retry_share": shares.0, "weight": shares.1,
+            "class": {"photo": {
+                "rank": class.0,
+                "deadline": format!("{}ms", class.1),
+                "service_time": format!("{}ms", class.2),
+            }},
+        })
+    })
+}
+
+fn any_exception() -> impl Strategy<Value = Value> {
+    let scope = prop_oneof![
+        (0..3_u32).prop_map(|n| format!("endpoint/s0-{n}")),
+        (0..3_u32).prop_map(|n| format!("service/s{n}")),
+        (0..2_u32).prop_map(|n| format!("zone/z{n}")),
+        (0..2_u32, 0..3_u32).prop_map(|(n, m)| format!("host/h{n} service/s{m}")),
+    ];
+    (scope, 2..9_u32, 0.01..=100.0).prop_map(|(scope, slots, weight)| {
+        json!({
+            "scope": scope, "set": {"slots": slots, "weight": weight},
+            "reason": "drawn by a test", "author": "tester", "date": "2026-11-03",
+        })
+    })
+}
+
+/// A whole configuration as one JSON value in the form of the operators' file.
+fn any_root() -> impl Strategy<Value = Value> {
+    let services = prop::collection::vec((any_values(), any::<[bool; 3]>()), 3);
+    let exceptions = prop::collection::vec(any_exception(), 0..5);
+    (any_values(), services, exceptions).prop_map(|(fleet, services, exceptions)| {
+        let services: serde_json::Map<String, Value> = services
+            .into_iter()
+            .enumerate()
+            .map(|(index, (values, leaving))| (format!("s{index}"), full(index, values, leaving)))
+            .collect();
+        json!({"fleet": fleet, "service": services, "exception": exceptions})
+    })
+}
+
+fn full(service: usize, mut values: Value, leaving: [bool; 3]) -> Value {
+    let endpoints = leaving.iter().enumerate().map(|(index, leaving)| {
+        json!({
+            "name": format!("s{service}-{index}"),
+            "addr": format!("127.0.0.1:{}", 20_000 + service * 10 + index),
+            "zone": format!("z{}", index % 2),
+            "state": if *leaving { "leaving" } else { "live" },
+        })
+    });
+    values["endpoint"] = endpoints.collect();
+    values["zones"] = json!(["z0", "z1"]);
+    values
+}
+
+fn root_values(root: &Value) -> Vec<(String, String)> {
+    let services = root["service"].as_object().unwrap();
+    let services = services
+        .iter()
+        .map(|(name, value)| (format!("service/{name}"), value));
+    let others = [
+        ("fleet", &root["fleet"]),
+        ("exceptions", &root["exception"]),
+    ];
+    let others = others.map(|(key, value)| (key.to_owned(), value));
+    let all = services.chain(others);
+    all.map(|(key, value)| (key, value.to_string())).collect()
+}
+
+/// The value with the item that `pick` falls on replaced.
+fn spoil(value: &mut Value, pick: &mut usize, with: &Value) {
+    if *pick == 0 {
+        value.clone_from(with);
+    }
+    *pick = pick.wrapping_sub(1);
+    match value {
+        Value::Array(list) => list.iter_mut().for_each(|item| spoil(item, pick, with)),
+        Value::Object(map) => map.values_mut().for_each(|item| spoil(item, pick, with)),
+        _ => {}
+    }
+}
+
+fn any_json() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,12}".prop_map(Value::from),
+        Just(json!([])),
+        Just(json!({})),
+        Just(json!({"class": {"photo": []}})),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn file_and_platform_give_the_same_services(root in any_root()) {
+        let text = toml::to_string(&root).unwrap();
+        let config = parse(&text);
+        let values = root_values(&root);
+        let served = Config::from_values(pairs(&values)).unwrap();
+        let again = through_values(&config);
+        for host in ["h0", "h1", "h2"] {
+            for zone in ["z0", "z1"] {
+                let expected = config.services(host, zone);
+                prop_assert_eq!(&served.services(host, zone), &expected);
+                prop_assert_eq!(&again.services(host, zone), &expected);
+            }
+        }
+    }
+
+    #[test]
+    fn explain_agrees_with_the_services(root in any_root()) {
+        let config = parse(&toml::to_string(&root).unwrap());
+        for endpoint in config.services("h1", "z0").iter().flat_map(|s| &s.endpoints) {
+            let told = config.explain(&format!("host/h1 endpoint/{}", endpoint.name)).unwrap();
+            let value = |field: &str| told.iter().find(|e| e.field == field).unwrap().value.clone();
+            prop_assert_eq!(value("slots"), endpoint.slots.to_string());
+            prop_assert_eq!(value("conns"), endpoint.conns.to_string());
+            prop_assert_eq!(value("weight"), Value::from(endpoint.weight).to_string());
+        }
+    }
+
+    #[test]
+    fn no_text_panics(text in "\\PC{0,200}") {
+        let _ = Config::parse("t.toml", &text);
+    }
+
+    #[test]
+    fn no_cut_or_patched_file_panics(from in 0..3_000_usize, to in 0..3_000_usize, patch in "\\PC{0,8}") {
+        let count = HRAUNVIK.chars().count();
+        let head = HRAUNVIK.chars().take(from % count);
+        let tail = HRAUNVIK.chars().skip(to % count);
+        let text: String = head.chain(patch.chars()).chain(tail).collect();
+        let _ = Config::parse("t.toml", &text);
+    }
+
+    #[test]
+    fn no_malformed_value_panics(mut root in any_root(), pick in 1..60_usize, with in any_json()) {
+        let mut left = pick;
+        spoil(&mut root, &mut left, &with);
+        if root["service"].is_object() {
+            let values = root_values(&root);
+            let _ = Config::from_values(pairs(&values));
+        }
+    }
+
+    #[test]
+    fn no_key_or_json_text_panics(key in "(fleet|keys|exceptions|service/|health/)?\\PC{0,12}", text in "\\PC{0,40}") {
+        let _ = Config::from_values([(key.as_str(), text.as_str())]);
+    }
+}
