Add the program's commands, settings and operators' server

Cause: operators need to check files, start hosts and see their state. Ruled out: the command line's own environment support, which prints the value of a variable, and so a secret, in its help; the logger's own reading of levels, which takes a misspelt level for a module. Change: serve, check and dump; settings checked one by one, each refusal with flag and remedy; an operators' server with limits on time, body and requests. serve stops with an error until the traffic lanes are in. Conclusion: exit status 0, 1 or 2 as documented; malformed requests get a typed answer and the server goes on.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -39,6 +39,9 @@
 const EXCEPTION: &str = "exception";
 const KEYS: &str = "keys";
 
+/// Most characters of a name.
+const NAME_LENGTH: usize = 64;
+
 /// Keys of the platform's values.
 const VALUE_KEYS: [&str; 5] = ["fleet", "service/NAME", "exceptions", "keys", "health/NAME"];
 
@@ -210,6 +213,13 @@
     }
 }
 
+/// True when `text` can name a service, endpoint, zone or host.
+#[must_use]
+pub fn is_name(text: &str) -> bool {
+    let fits = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    (1..=NAME_LENGTH).contains(&text.len()) && text.bytes().all(fits)
+}
+
 /// Part of a configuration that a platform's key holds.
 enum Section<'a> {
     Whole(&'static str),
--- a/src/config/read.rs
+++ b/src/config/read.rs
@@ -16,13 +16,12 @@
 };
 use super::source::{field_path, item_path};
 use super::units::Text;
-use super::{Config, EXCEPTION, FLEET, KEYS, SERVICE};
+use super::{Config, EXCEPTION, FLEET, KEYS, NAME_LENGTH, SERVICE, is_name};
 use crate::id::Name;
 use crate::packet::Class;
 
 const SECTIONS: [&str; 4] = [FLEET, SERVICE, EXCEPTION, KEYS];
 
-const NAME_LENGTH: usize = 64;
 const SECRET_LENGTH: usize = 16;
 const REASON_WORDS: usize = 3;
 
@@ -381,8 +380,7 @@
 }
 
 fn check_name(name: &str, path: &str, faults: &mut Faults<'_>) -> Option<Name> {
-    let fits = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
-    if name.is_empty() || name.len() > NAME_LENGTH || !name.bytes().all(fits) {
+    if !is_name(name) {
         let fault = format!("`{name}` is no name");
         let remedy = format!("use 1 to {NAME_LENGTH} letters, digits, `-` and `_`");
         faults.add(path, fault, remedy);
--- /dev/null
+++ b/src/front/command.rs
@@ -0,0 +1,247 @@
+//! The commands of the program.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use axum::body::Bytes;
+use axum::http::{StatusCode, Uri};
+use bpaf::{Args, Bpaf, ParseFailure};
+use error_stack::{Report, ResultExt};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Map, Value};
+
+use super::settings::{Flags, Settings, flags};
+use crate::config::{Config, Difference};
+use crate::error::{Error, Result};
+
+/// Exit status when a command failed.
+const FAILED: u8 = 1;
+
+/// Exit status when a file, a flag or a variable was refused.
+const REFUSED: u8 = 2;
+
+/// Longest time that a dump may take.
+const DUMP_LIMIT: Duration = Duration::from_secs(10);
+
+/// Most bytes of a dump.
+const DUMP_BYTES: usize = 256 << 20;
+
+/// Widest help text, in characters.
+const HELP_WIDTH: usize = 100;
+
+/// A layer-4 load balancer.
+#[derive(Bpaf, Clone)]
+#[bpaf(options, version, footer(EXAMPLES))]
+enum Command {
+    /// Carry traffic as a host of the system.
+    #[bpaf(command, usage(SERVE_USAGE), footer(SERVE_NOTES))]
+    Serve(#[bpaf(external(flags), map(Box::new))] Box<Flags>),
+
+    /// Check a configuration file, and exit with status 2 if it is refused.
+    #[bpaf(command)]
+    Check(#[bpaf(external(check))] Check),
+
+    /// Print the tables of a running process as JSON.
+    #[bpaf(command)]
+    Dump(#[bpaf(external(dump))] Dump),
+}
+
+#[derive(Bpaf, Clone)]
+struct Check {
+    /// Say where each value in effect comes from, at a scope such as
+    /// `endpoint/a-3` or `service/adserve class/photo`
+    #[bpaf(argument("SCOPE"))]
+    explain: Option<String>,
+    /// Show what changes from OTHER to FILE, and refuse an unsafe step
+    #[bpaf(argument("OTHER"))]
+    diff: Option<PathBuf>,
+    /// Print the values to publish on the platform, with the secrets in them
+    values: bool,
+    /// Configuration file
+    #[bpaf(positional("FILE"))]
+    file: PathBuf,
+}
+
+#[derive(Bpaf, Clone)]
+struct Dump {
+    /// Print this table only
+    #[bpaf(argument("NAME"))]
+    table: Option<String>,
+    /// The process's --ops address
+    #[bpaf(positional("ADDR"))]
+    addr: String,
+}
+
+const EXAMPLES: &str = "Examples:
+  jacinthhinge check config/hraunvik.toml
+  jacinthhinge check config/hraunvik.toml --explain endpoint/a-3
+  jacinthhinge check new.toml --diff published.toml
+  jacinthhinge dump 127.0.0.1:9080 --table flows
+  jacinthhinge serve --help";
+
+const SERVE_USAGE: &str = "Usage: jacinthhinge serve --name=NAME --zone=ZONE --region=REGION \
+    --peer-addr=IP:PORT --lane=IP:PORT --platform=http://IP:PORT --key=SECRET [OPTIONS]";
+
+const SERVE_NOTES: &str = "A flag that is left out comes from the environment: --peer-addr from \
+    JACINTHHINGE_PEER_ADDR, and so on; a list has commas in it. Give secrets that way, since \
+    other users of the machine can read flags.
+ Example:
+ JACINTHHINGE_KEY=... jacinthhinge serve --name sv-a-1 --zone sv-a
+      --region is-sudvestur --peer-addr 10.1.0.3:9000 --lane 10.1.0.3:9100
+      --platform http://10.1.0.9:8500 --peer 10.1.0.4:9000";
+
+/// Runs the program with its arguments, and gives its exit status.
+#[must_use]
+pub fn run() -> ExitCode {
+    let command = match command().run_inner(Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return show_failure(&failure),
+    };
+    let result = match command {
+        Command::Serve(flags) => run_serve(*flags),
+        Command::Check(check) => run_check(&check),
+        Command::Dump(dump) => run_dump(&dump),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("error: {report:#}");
+            exit_code(report.current_context())
+        }
+    }
+}
+
+fn show_failure(failure: &ParseFailure) -> ExitCode {
+    failure.print_message(HELP_WIDTH);
+    match failure {
+        ParseFailure::Stderr(_) => ExitCode::from(REFUSED),
+        _ => ExitCode::SUCCESS,
+    }
+}
+
+fn exit_code(error: &Error) -> ExitCode {
+    use crate::error::Category::{Config, Setting};
+    match error.classify() {
+        Config | Setting => ExitCode::from(REFUSED),
+        _ => ExitCode::from(FAILED),
+    }
+}
+
+fn run_serve(flags: Flags) -> Result<(), Report<Error>> {
+    let settings = Settings::new(flags, |name| std::env::var(name).ok())?;
+    Ok(serve(&settings)?)
+}
+
+/// Stands in for the server until the traffic lanes are in.
+fn serve(settings: &Settings) -> Result<()> {
+    let fault = format!("host {} cannot start", settings.name);
+    let remedy = "use a build with traffic lanes";
+    Err(Error::setting("serve", fault, remedy))
+}
+
+fn run_check(check: &Check) -> Result<(), Report<Error>> {
+    let config = read_file(&check.file)?;
+    if let Some(scope) = &check.explain {
+        for value in config.explain(scope)? {
+            println!("{} = {}  ({})", value.field, value.value, value.from);
+        }
+    }
+    if let Some(other) = &check.diff {
+        let other = read_file(other)?;
+        other.diff(&config).iter().for_each(show_difference);
+        Config::check_change(&other, &config)?;
+    }
+    if check.values {
+        let values: Map<String, Value> = config.values().into_iter().collect();
+        println!("{:#}", Value::Object(values));
+    }
+    eprintln!("{}: accepted", check.file.display());
+    Ok(())
+}
+
+fn show_difference(difference: &Difference) {
+    let none = "(none)";
+    let old = difference.old.as_deref().unwrap_or(none);
+    let new = difference.new.as_deref().unwrap_or(none);
+    println!("{}: {old} -> {new}", difference.place);
+}
+
+fn read_file(path: &PathBuf) -> Result<Config, Report<Error>> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).change_context_lazy(|| unreadable(&name))?;
+    Ok(Config::parse(&name, &text)?)
+}
+
+#[cold]
+fn unreadable(name: &str) -> Error {
+    Error::config(name, "it cannot be read", "check the path and permissions")
+}
+
+fn run_dump(dump: &Dump) -> Result<(), Report<Error>> {
+    let addr: SocketAddr = dump.addr.parse().map_err(|_| wrong_addr(&dump.addr))?;
+    let path = match &dump.table {
+        Some(table) => format!("/dump/{table}"),
+        None => "/dump".to_owned(),
+    };
+    let uri: Uri = format!("http://{addr}{path}")
+        .parse()
+        .map_err(|_| wrong_table())?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| Error::io("start a runtime", source))?;
+    let text = runtime.block_on(fetch(addr, uri))?;
+    println!("{text}");
+    Ok(())
+}
+
+#[cold]
+fn wrong_addr(text: &str) -> Error {
+    let remedy = "write the process's --ops address, as in 127.0.0.1:9080";
+    Error::setting("ADDR", format!("`{text}` is no address"), remedy)
+}
+
+#[cold]
+fn wrong_table() -> Error {
+    let remedy = "leave --table out to see all tables";
+    Error::setting("--table", "no table has such a name", remedy)
+}
+
+async fn fetch(addr: SocketAddr, uri: Uri) -> Result<String> {
+    let answer = tokio::time::timeout(DUMP_LIMIT, get(addr, uri)).await;
+    let (status, body) = answer.map_err(|_| Error::peer(addr, "no answer in time"))??;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let value: Value =
+        serde_json::from_slice(&body).map_err(|_| Error::peer(addr, "the answer is no JSON"))?;
+    match status {
+        StatusCode::OK => Ok(format!("{value:#}")),
+        StatusCode::NOT_FOUND => Err(wrong_table()),
+        _ => Err(Error::peer(addr, text)),
+    }
+}
+
+async fn get(addr: SocketAddr, uri: Uri) -> Result<(StatusCode, Bytes)> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let answer = client
+        .get(uri)
+        .await
+        .map_err(|error| Error::peer(addr, root_cause(&error)))?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), DUMP_BYTES)
+        .collect()
+        .await
+        .map_err(|error| Error::peer(addr, error.to_string()))?;
+    Ok((status, body.to_bytes()))
+}
+
+/// What the innermost error says.
+fn root_cause(error: &dyn std::error::Error) -> String {
+    match error.source() {
+        Some(source) => root_cause(source),
+        None => error.to_string(),
+    }
+}
--- /dev/null
+++ b/src/front/ops.rs
@@ -0,0 +1,207 @@
+//! The operators' server: dumps of the process's state, and probes.
+//!
+//! | path | answer |
+//! | --- | --- |
+//! | `/dump` | all tables, as JSON |
+//! | `/dump/NAME` | one table, as JSON |
+//! | `/live` | 200 while the process runs |
+//! | `/ready` | 200 while it takes traffic, else 503 |
+
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::{Body, to_bytes};
+use axum::error_handling::HandleErrorLayer;
+use axum::extract::rejection::PathRejection;
+use axum::extract::{Path, Request, State};
+use axum::http::StatusCode;
+use axum::middleware::{Next, from_fn};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{BoxError, Json, Router};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use serde::Serialize;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tower::ServiceBuilder;
+
+use crate::error::{Error, Result};
+use crate::id::Name;
+
+/// Longest time that an answer may take.
+const TIME_LIMIT: Duration = Duration::from_secs(5);
+
+/// Longest time that open connections may go on after the stop.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
+/// Most bytes of a request's body.
+const BODY_BYTES: usize = 1_024;
+
+/// Most requests served at once.
+const REQUEST_COUNT: usize = 8;
+
+/// What the operators' server shows.
+#[derive(Clone)]
+pub struct Ops {
+    /// Gives one table, or all without a name; `None` when there is no such table.
+    pub dump: Arc<dyn Fn(Option<Name>) -> BoxFuture<'static, Option<Value>> + Send + Sync>,
+    /// True while the process takes traffic.
+    pub ready: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl fmt::Debug for Ops {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Ops(..)")
+    }
+}
+
+/// Answer to a request that was refused.
+#[derive(Debug, Serialize)]
+struct Refusal {
+    error: String,
+    remedy: &'static str,
+}
+
+/// Serves operators on `addr` until `stop` completes.
+///
+/// # Errors
+///
+/// Fails when the address cannot be listened on.
+pub async fn run(
+    addr: SocketAddr,
+    ops: Ops,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<()> {
+    let listener = TcpListener::bind(addr)
+        .await
+        .map_err(|source| Error::io("listen for operators", source))?;
+    serve(listener, ops, stop).await
+}
+
+/// Serves operators on a listening socket until `stop` completes.
+///
+/// # Errors
+///
+/// Fails when the socket does.
+pub async fn serve(
+    listener: TcpListener,
+    ops: Ops,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<()> {
+    let stop = stop.shared();
+    let served = axum::serve(listener, router(ops)).with_graceful_shutdown(stop.clone());
+    let overdue = async {
+        stop.await;
+        tokio::time::sleep(STOP_LIMIT).await;
+    };
+    tokio::select! {
+        result = served => result.map_err(|source| Error::io("serve operators", source)),
+        () = overdue => Ok(()),
+    }
+}
+
+fn router(ops: Ops) -> Router {
+    let limits = ServiceBuilder::new()
+        .layer(HandleErrorLayer::new(on_late))
+        .concurrency_limit(REQUEST_COUNT)
+        .timeout(TIME_LIMIT);
+    Router::new()
+        .route("/dump", get(dump_all))
+        .route("/dump/{name}", get(dump_one))
+        .route("/live", get(live))
+        .route("/ready", get(ready))
+        .fallback(no_path)
+        .method_not_allowed_fallback(no_method)
+        .layer(from_fn(limit_body))
+        .layer(limits)
+        .with_state(ops)
+}
+
+async fn dump_all(State(ops): State<Ops>) -> Response {
+    match (ops.dump)(None).await {
+        Some(tables) => Json(tables).into_response(),
+        None => refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the process does not answer",
+            "try again, and restart the process if it stays so",
+        ),
+    }
+}
+
+async fn dump_one(State(ops): State<Ops>, path: Result<Path<String>, PathRejection>) -> Response {
+    let Ok(Path(name)) = path else {
+        return no_path().await;
+    };
+    match (ops.dump)(Some(Name::from(&*name))).await {
+        Some(table) => Json(table).into_response(),
+        None => refuse(
+            StatusCode::NOT_FOUND,
+            format!("there is no table `{name}`"),
+            "see /dump for all tables",
+        ),
+    }
+}
+
+async fn live() -> &'static str {
+    "live\n"
+}
+
+async fn ready(State(ops): State<Ops>) -> Response {
+    if (ops.ready)() {
+        return "ready\n".into_response();
+    }
+    refuse(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "the process takes no traffic yet, or no more",
+        "see /dump for the reason",
+    )
+}
+
+async fn no_path() -> Response {
+    refuse(
+        StatusCode::NOT_FOUND,
+        "there is no such path",
+        "use /dump, /dump/NAME, /live or /ready",
+    )
+}
+
+async fn no_method() -> Response {
+    refuse(
+        StatusCode::METHOD_NOT_ALLOWED,
+        "nothing can be changed here",
+        "use GET",
+    )
+}
+
+async fn on_late(_error: BoxError) -> Response {
+    refuse(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "the answer took too long",
+        "try again, or ask for one table",
+    )
+}
+
+/// Refuses requests with a large body; the body is not used.
+async fn limit_body(request: Request, next: Next) -> Response {
+    let (parts, body) = request.into_parts();
+    if to_bytes(body, BODY_BYTES).await.is_err() {
+        return refuse(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the request's body is too large",
+            "send none",
+        );
+    }
+    next.run(Request::from_parts(parts, Body::empty())).await
+}
+
+fn refuse(status: StatusCode, error: impl Into<String>, remedy: &'static str) -> Response {
+    let refusal = Refusal {
+        error: error.into(),
+        remedy,
+    };
+    (status, Json(refusal)).into_response()
+}
--- /dev/null
+++ b/src/front/settings.rs
@@ -0,0 +1,291 @@
+//! Settings of a process, from flags and environment variables.
+
+use std::net::SocketAddr;
+
+use axum::http::Uri;
+use bpaf::Bpaf;
+use log::LevelFilter;
+use smallvec::SmallVec;
+
+use crate::error::{Error, Result};
+use crate::id::Name;
+use crate::ticket::Keys;
+
+/// Prefix of the environment variables.
+const PREFIX: &str = "JACINTHHINGE_";
+
+/// Fewest characters of a secret.
+const SECRET_LENGTH: usize = 16;
+
+const DEFAULT_OPS: &str = "127.0.0.1:9080";
+const DEFAULT_LOG: &str = "info";
+
+/// Flags of `serve`, as they were written.
+#[derive(Bpaf, Clone, Default)]
+#[bpaf(ignore_rustdoc)]
+pub struct Flags {
+    /// Name of this host
+    #[bpaf(long, argument("NAME"))]
+    pub name: Option<String>,
+    /// Availability zone that it stands in
+    #[bpaf(long, argument("ZONE"))]
+    pub zone: Option<String>,
+    /// Region of the zone
+    #[bpaf(long, argument("REGION"))]
+    pub region: Option<String>,
+    /// Address that other hosts reach it on, for control
+    #[bpaf(long, argument("IP:PORT"))]
+    pub peer_addr: Option<String>,
+    /// Address of a traffic lane; repeat it for more lanes
+    #[bpaf(long, argument("IP:PORT"))]
+    pub lane: Vec<String>,
+    /// Address for dumps and probes, 127.0.0.1:9080 by default
+    #[bpaf(long, argument("IP:PORT"))]
+    pub ops: Option<String>,
+    /// Address of the platform
+    #[bpaf(long, argument("http://IP:PORT"))]
+    pub platform: Option<String>,
+    /// Control address of another host to start from; repeat it for more
+    #[bpaf(long, argument("IP:PORT"))]
+    pub peer: Vec<String>,
+    /// Secret that tickets are sealed with until the platform gives others
+    #[bpaf(long, argument("SECRET"))]
+    pub key: Option<String>,
+    /// Second secret whose tickets are accepted
+    #[bpaf(long, argument("SECRET"))]
+    pub other_key: Option<String>,
+    /// Address of the statsd server; without it no metrics are sent
+    #[bpaf(long, argument("IP:PORT"))]
+    pub statsd: Option<String>,
+    /// Log level, or levels by module; info by default
+    #[bpaf(long, argument("LEVEL"))]
+    pub log: Option<String>,
+}
+
+/// Settings of `serve` that passed every check.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this host.
+    pub name: Name,
+    /// Zone that it stands in.
+    pub zone: Name,
+    /// Region of the zone.
+    pub region: Name,
+    /// Address that other hosts reach it on, for control.
+    pub peer_addr: SocketAddr,
+    /// Addresses of its traffic lanes.
+    pub lanes: SmallVec<[SocketAddr; 4]>,
+    /// Address for dumps and probes.
+    pub ops: SocketAddr,
+    /// Address of the platform, without a path.
+    pub platform: Uri,
+    /// Control addresses of other hosts to start from.
+    pub peers: Vec<SocketAddr>,
+    /// Ticket keys until the platform gives others.
+    pub keys: Keys,
+    /// Address of the statsd server.
+    pub statsd: Option<SocketAddr>,
+    /// Log level, or levels by module.
+    pub log: String,
+}
+
+impl Settings {
+    /// Checks flags, and takes those left out from the environment.
+    ///
+    /// `env` reads an environment variable; a list has commas in it.
+    ///
+    /// ```
+    /// # use jacinthhinge::front::settings::{Flags, Settings};
+    /// let flags = Flags::default();
+    /// let error = Settings::new(flags, |_| None).unwrap_err();
+    /// assert_eq!(
+    ///     error.to_string(),
+    ///     "--name: it is missing; pass --name sv-a-1 or set JACINTHHINGE_NAME"
+    /// );
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first setting that is missing or wrong, and names its flag.
+    pub fn new(flags: Flags, env: impl Fn(&str) -> Option<String>) -> Result<Self> {
+        let one = |flag: &str, given: Option<String>| given.or_else(|| env(&variable(flag)));
+        let many = |flag: &str, given: Vec<String>| split(given, env(&variable(flag)));
+
+        let name = name("--name", one("--name", flags.name), "sv-a-1")?;
+        let zone = self::name("--zone", one("--zone", flags.zone), "sv-a")?;
+        let region = self::name("--region", one("--region", flags.region), "is-sudvestur")?;
+        let peer_addr = own_addr(
+            "--peer-addr",
+            &required(
+                "--peer-addr",
+                one("--peer-addr", flags.peer_addr),
+                "10.1.0.3:9000",
+            )?,
+        )?;
+        let lanes = lanes(&many("--lane", flags.lane))?;
+        let ops = one("--ops", flags.ops).unwrap_or_else(|| DEFAULT_OPS.to_owned());
+        let ops = addr("--ops", &ops)?;
+        let platform = platform(&required(
+            "--platform",
+            one("--platform", flags.platform),
+            "http://10.1.0.9:8500",
+        )?)?;
+        let peers = peers(&many("--peer", flags.peer), peer_addr)?;
+        let key = required("--key", one("--key", flags.key), "SECRET")?;
+        let other = one("--other-key", flags.other_key);
+        let statsd = one("--statsd", flags.statsd);
+        let log = one("--log", flags.log).unwrap_or_else(|| DEFAULT_LOG.to_owned());
+        check_distinct(peer_addr, &lanes, ops)?;
+        check_log(&log)?;
+        Ok(Self {
+            name,
+            zone,
+            region,
+            peer_addr,
+            lanes,
+            ops,
+            platform,
+            peers,
+            keys: keys(&key, other.as_deref())?,
+            statsd: statsd.map(|text| addr("--statsd", &text)).transpose()?,
+            log,
+        })
+    }
+}
+
+/// Environment variable of a flag.
+fn variable(flag: &str) -> String {
+    let name = flag.trim_start_matches('-').replace('-', "_");
+    format!("{PREFIX}{}", name.to_uppercase())
+}
+
+fn split(given: Vec<String>, env: Option<String>) -> Vec<String> {
+    if !given.is_empty() {
+        return given;
+    }
+    let text = env.unwrap_or_default();
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+        .map(str::to_owned)
+        .collect()
+}
+
+fn required(flag: &'static str, value: Option<String>, example: &str) -> Result<String> {
+    value.ok_or_else(|| missing(flag, example))
+}
+
+#[cold]
+fn missing(flag: &'static str, example: &str) -> Error {
+    let remedy = format!("pass {flag} {example} or set {}", variable(flag));
+    Error::setting(flag, "it is missing", remedy)
+}
+
+fn name(flag: &'static str, value: Option<String>, example: &str) -> Result<Name> {
+    let name = required(flag, value, example)?;
+    if !crate::config::is_name(&name) {
+        let remedy = format!("use letters, digits, `-` and `_`, as in {example}");
+        return Err(Error::setting(flag, format!("`{name}` is no name"), remedy));
+    }
+    Ok(Name::from(name))
+}
+
+fn addr(flag: &'static str, text: &str) -> Result<SocketAddr> {
+    let remedy = "write an IP number and a port, as in 127.0.0.1:9000";
+    let Ok(addr) = text.parse::<SocketAddr>() else {
+        let fault = format!("`{text}` is no address");
+        return Err(Error::setting(flag, fault, remedy));
+    };
+    if addr.port() == 0 {
+        let fault = format!("`{text}` has no port");
+        return Err(Error::setting(flag, fault, remedy));
+    }
+    Ok(addr)
+}
+
+/// An address of this host that others are told.
+fn own_addr(flag: &'static str, text: &str) -> Result<SocketAddr> {
+    let addr = addr(flag, text)?;
+    let ip = addr.ip();
+    if ip.is_unspecified() || ip.is_multicast() {
+        let fault = format!("other hosts cannot reach `{text}`");
+        let remedy = "write the IP number of this host";
+        return Err(Error::setting(flag, fault, remedy));
+    }
+    Ok(addr)
+}
+
+fn lanes(texts: &[String]) -> Result<SmallVec<[SocketAddr; 4]>> {
+    if texts.is_empty() {
+        return Err(missing("--lane", "10.1.0.3:9100"));
+    }
+    texts.iter().map(|text| own_addr("--lane", text)).collect()
+}
+
+/// Seeds; one list may serve all hosts, so the host's own address is left out.
+fn peers(texts: &[String], own: SocketAddr) -> Result<Vec<SocketAddr>> {
+    let peers: Result<Vec<SocketAddr>> =
+        texts.iter().map(|text| own_addr("--peer", text)).collect();
+    Ok(peers?.into_iter().filter(|peer| *peer != own).collect())
+}
+
+fn platform(text: &str) -> Result<Uri> {
+    let remedy = "write it as http://IP:PORT, without a path";
+    let fault = format!("`{text}` is no address of a platform");
+    let refused = || Error::setting("--platform", fault.clone(), remedy);
+    let uri: Uri = text.parse().map_err(|_| refused())?;
+    let plain = uri.scheme_str() == Some("http") && uri.path() == "/" && uri.query().is_none();
+    let placed = uri
+        .authority()
+        .is_some_and(|place| place.as_str().parse::<SocketAddr>().is_ok());
+    if !plain || !placed {
+        return Err(refused());
+    }
+    Ok(uri)
+}
+
+fn keys(key: &str, other: Option<&str>) -> Result<Keys> {
+    check_secret("--key", key)?;
+    let other = other.unwrap_or(key);
+    check_secret("--other-key", other)?;
+    Ok(Keys::new(key, other))
+}
+
+/// Checks a secret; the message does not repeat it.
+fn check_secret(flag: &'static str, secret: &str) -> Result<()> {
+    if secret.len() < SECRET_LENGTH {
+        let fault = format!("the secret has fewer than {SECRET_LENGTH} characters");
+        let remedy = "make one with `openssl rand -hex 32`, the same for all hosts";
+        return Err(Error::setting(flag, fault, remedy));
+    }
+    Ok(())
+}
+
+fn check_distinct(peer: SocketAddr, lanes: &[SocketAddr], ops: SocketAddr) -> Result<()> {
+    let remedy = "give each its own port";
+    for (index, lane) in lanes.iter().enumerate() {
+        if lanes[..index].contains(lane) || *lane == peer || *lane == ops {
+            let fault = format!("{lane} is used twice");
+            return Err(Error::setting("--lane", fault, remedy));
+        }
+    }
+    if peer == ops {
+        let fault = format!("{ops} is the --peer-addr too");
+        return Err(Error::setting("--ops", fault, remedy));
+    }
+    Ok(())
+}
+
+/// Checks that each part, such as `info` or `control=debug`, ends in a level.
+fn check_log(text: &str) -> Result<()> {
+    let is_level = |part: &str| {
+        let level = part.rsplit('=').next().unwrap_or_default();
+        level.trim().parse::<LevelFilter>().is_ok()
+    };
+    if !text.split(',').all(is_level) {
+        let fault = format!("`{text}` is no log level");
+        let remedy = "write error, warn, info, debug or trace";
+        return Err(Error::setting("--log", fault, remedy));
+    }
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod config;
 pub mod error;
+pub mod front;
 pub mod id;
 pub mod packet;
 pub mod prelude;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `jacinthhinge` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jacinthhinge::front::command::run()
+}
