--- /dev/null
+++ b/src/control/beat.rs
@@ -0,0 +1,220 @@
+//! Heartbeats: a fixed number of them each period, whatever the zone's size.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use smallvec::SmallVec;
+
+use super::message::{Beat, News, Stamp, Status};
+use super::tables::{Member, Tables};
+use super::{Action, Outbox, lease, members};
+use crate::id::Id;
+
+/// Time between two rounds of heartbeats.
+pub const BEAT_PERIOD: Duration = Duration::from_millis(500);
+
+/// Most members that get a heartbeat in one round.
+pub const FANOUT: usize = 36;
+
+/// Hosts contacted in one round that are not known to be alive.
+const CONTACTS: usize = 3;
+
+/// Most news in one heartbeat.
+const NEWS_LIMIT: usize = 5;
+
+/// Most bytes of news in one heartbeat.
+const NEWS_BYTES: usize = 700;
+
+/// Most bytes of a piece of news without names and lanes.
+const NEWS_BASE: usize = 64;
+
+/// Most bytes of an encoded address.
+const ADDR_BYTES: usize = 20;
+
+/// Time in which every member gets a heartbeat.
+pub(super) fn cycle(tables: &Tables) -> Duration {
+    let count = tables.live().count().max(1);
+    let rounds = u32::try_from(count.div_ceil(FANOUT)).unwrap_or(u32::MAX);
+    BEAT_PERIOD * rounds
+}
+
+/// Sends the heartbeats that are due.
+pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    if now < tables.pulse.due {
+        return;
+    }
+    tables.pulse.due = now + BEAT_PERIOD;
+    members::expire(tables, now);
+    for id in next_members(tables) {
+        send(tables, now, id, false, outbox);
+    }
+    for to in contacts(tables) {
+        let beat = Box::new(compose(tables, now, None));
+        push(tables, to, beat, outbox);
+    }
+}
+
+/// Sends a heartbeat to one member.
+pub(super) fn send(tables: &mut Tables, now: Duration, id: Id, ping: bool, outbox: &mut Outbox) {
+    let mut beat = Box::new(compose(tables, now, Some(id)));
+    beat.ping = ping;
+    if let Some(member) = tables.members.get(&id) {
+        let to = member.card.peer;
+        push(tables, to, beat, outbox);
+    }
+}
+
+/// Takes in a heartbeat.
+pub(super) fn receive(tables: &mut Tables, now: Duration, beat: &Beat, outbox: &mut Outbox) {
+    if beat.from == tables.me.id {
+        return;
+    }
+    tables.counters.beats_in += 1;
+    members::apply(tables, now, &sender_news(beat));
+    if note(tables, now, beat) {
+        for news in &beat.news {
+            members::apply(tables, now, news);
+        }
+    }
+    if wants_answer(tables, beat) {
+        send(tables, now, beat.from, false, outbox);
+    }
+}
+
+fn push(tables: &mut Tables, to: SocketAddr, beat: Box<Beat>, outbox: &mut Outbox) {
+    tables.counters.beats_out += 1;
+    outbox.push(Action::Send { to, beat });
+}
+
+fn sender_news(beat: &Beat) -> News {
+    News {
+        id: beat.from,
+        incarnation: beat.incarnation,
+        version: beat.version,
+        status: Status::Alive,
+        leaving: beat.leaving,
+        card: beat.card.clone(),
+    }
+}
+
+/// Notes what a heartbeat says of its sender; false if that life is unknown.
+fn note(tables: &mut Tables, now: Duration, beat: &Beat) -> bool {
+    let life = tables.me.incarnation;
+    let Some(member) = tables.members.get_mut(&beat.from) else {
+        return false;
+    };
+    if member.incarnation != beat.incarnation {
+        return false;
+    }
+    member.heard = now;
+    if member.sent.is_none_or(|sent| beat.sent > sent) {
+        member.sent = Some(beat.sent);
+        member.vote = beat.vote;
+        member.revision = beat.revision;
+        member.roster = beat.roster;
+        member.acked = beat.echo.and_then(|echo| echo.time(life));
+    }
+    true
+}
+
+/// True for a ping, and for a sender that has something to refute.
+fn wants_answer(tables: &Tables, beat: &Beat) -> bool {
+    let known = tables.members.get(&beat.from);
+    beat.ping || known.is_some_and(|member| member.status != Status::Alive)
+}
+
+/// The members that are next in turn.
+fn next_members(tables: &mut Tables) -> Vec<Id> {
+    let after = tables.pulse.cursor;
+    let live: Vec<Id> = tables.live().map(|member| member.id).collect();
+    let split = live.partition_point(|id| *id <= after);
+    let turn = live[split..].iter().chain(&live[..split]);
+    let next: Vec<Id> = turn.take(FANOUT).copied().collect();
+    if let Some(last) = next.last() {
+        tables.pulse.cursor = *last;
+    }
+    next
+}
+
+/// Listed or once known hosts that are not known to be alive.
+fn contacts(tables: &mut Tables) -> Vec<SocketAddr> {
+    let own = tables.me.card.peer;
+    let listed = tables.rosters.addrs();
+    let dead = tables.members.values().filter(|member| !member.is_live());
+    let mut addrs: Vec<SocketAddr> = listed
+        .chain(dead.map(|member| member.card.peer))
+        .chain(tables.settings.seeds.iter().copied())
+        .filter(|addr| *addr != own && !tables.live().any(|member| member.card.peer == *addr))
+        .collect();
+    addrs.sort_unstable();
+    addrs.dedup();
+    addrs.sample(&mut tables.rng, CONTACTS).copied().collect()
+}
+
+fn compose(tables: &mut Tables, now: Duration, to: Option<Id>) -> Beat {
+    let news = pick_news(tables, to);
+    let target = to.and_then(|id| tables.members.get(&id));
+    let known = target.is_some_and(|member| member.acked.is_some());
+    Beat {
+        from: tables.me.id,
+        incarnation: tables.me.incarnation,
+        version: tables.me.version,
+        leaving: tables.me.leaving.is_some(),
+        card: (!known).then(|| tables.me.card.clone()),
+        revision: tables.values.revision,
+        roster: tables.rosters.pending.revision,
+        sent: Stamp::new(tables.me.incarnation, now),
+        echo: target.and_then(|member| member.sent),
+        ping: false,
+        vote: lease::vote(tables, now),
+        news,
+    }
+}
+
+/// What the receiver has to refute, then the least told news.
+fn pick_news(tables: &mut Tables, to: Option<Id>) -> SmallVec<[News; 2]> {
+    let mut picked = SmallVec::new();
+    if tables.me.gone {
+        picked.push(farewell(tables));
+    }
+    let accused = to.and_then(|id| tables.members.get(&id));
+    picked.extend(
+        accused
+            .filter(|m| m.status != Status::Alive)
+            .map(Member::news),
+    );
+    let mut fresh: SmallVec<[&mut Member; 8]> = tables
+        .members
+        .values_mut()
+        .filter(|member| member.rumor > 0 && Some(member.id) != to)
+        .collect();
+    fresh.sort_unstable_by_key(|member| std::cmp::Reverse(member.rumor));
+    let mut room = NEWS_BYTES;
+    for member in fresh.into_iter().take(NEWS_LIMIT) {
+        let Some(left) = room.checked_sub(weight(member)) else {
+            break;
+        };
+        room = left;
+        member.rumor -= 1;
+        picked.push(member.news());
+    }
+    picked
+}
+
+/// Most bytes that news of a member takes.
+fn weight(member: &Member) -> usize {
+    let card = &member.card;
+    NEWS_BASE + card.name.len() + card.zone.len() + card.lanes.len() * ADDR_BYTES
+}
+
+fn farewell(tables: &Tables) -> News {
+    News {
+        id: tables.me.id,
+        incarnation: tables.me.incarnation,
+        version: tables.me.version,
+        status: Status::Dead,
+        leaving: true,
+        card: None,
+    }
+}
--- /dev/null
+++ b/src/control/leave.rs
@@ -0,0 +1,51 @@
+//! A planned stop: announce, wait for work in flight, say farewell, exit.
+
+use std::time::Duration;
+
+use super::tables::Tables;
+use super::{Action, Outbox, beat};
+use crate::id::Id;
+
+/// Shortest time between the announcement and the farewell.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Announces that this host leaves.
+pub(super) fn start(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    if tables.me.leaving.is_some() {
+        return;
+    }
+    tables.me.leaving = Some(now);
+    tables.me.version += 1;
+    tables.pulse.due = now;
+    beat::run(tables, now, outbox);
+    log::info!("leaving");
+}
+
+/// Notes that nothing is in flight.
+pub(super) fn drained(tables: &mut Tables) {
+    tables.output.drained = true;
+}
+
+/// Ends once nothing is in flight or the drain limit has passed.
+pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    let Some(since) = tables.me.leaving else {
+        return;
+    };
+    let waited = now.saturating_sub(since);
+    let drained = tables.output.drained && waited >= LINGER;
+    if tables.me.gone || !(drained || waited >= tables.settings.drain) {
+        return;
+    }
+    say_farewell(tables, now, outbox);
+    log::info!("left after {waited:?}");
+    outbox.push(Action::Exit);
+}
+
+fn say_farewell(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    tables.me.gone = true;
+    tables.me.version += 1;
+    let live: Vec<Id> = tables.live().map(|member| member.id).collect();
+    for id in live {
+        beat::send(tables, now, id, false, outbox);
+    }
+}
--- /dev/null
+++ b/src/control/members.rs
@@ -0,0 +1,123 @@
+//! Table of the zone's hosts: applies news and forgets the dead.
+
+use std::time::Duration;
+
+use super::message::{News, Status, Vote};
+use super::tables::{Member, Tables};
+
+/// Time for which a dead host is remembered, so that old news cannot revive it.
+const TOMBSTONE: Duration = Duration::from_mins(1);
+
+/// Heartbeats that carry a piece of news, for each doubling of the zone.
+const RUMOR_FACTOR: u32 = 4;
+
+/// Most that own failures lengthen the patience with others, in steps.
+pub(super) const PENALTY_LIMIT: u32 = 8;
+
+/// Takes in news if it outranks what is known.
+pub(super) fn apply(tables: &mut Tables, now: Duration, news: &News) {
+    if news.id == tables.me.id {
+        refute(tables, now, news);
+    } else if outranks(tables, news) {
+        adopt(tables, now, news);
+    }
+}
+
+/// Changes what is believed of a member, and tells others.
+pub(super) fn mark(member: &mut Member, now: Duration, status: Status, rumor: u32) {
+    member.status = status;
+    member.since = now;
+    member.rumor = rumor;
+}
+
+/// Heartbeats that a new piece of news is carried by.
+pub(super) fn rumor(tables: &Tables) -> u32 {
+    let count = tables.members.len() + 2;
+    RUMOR_FACTOR * count.ilog2()
+}
+
+/// Forgets hosts that have been dead for long.
+pub(super) fn expire(tables: &mut Tables, now: Duration) {
+    tables
+        .members
+        .retain(|_, member| member.is_live() || now < member.since + TOMBSTONE);
+}
+
+fn outranks(tables: &Tables, news: &News) -> bool {
+    let rank = (news.incarnation, news.version, news.status);
+    tables
+        .members
+        .get(&news.id)
+        .is_none_or(|member| rank > (member.incarnation, member.version, member.status))
+}
+
+fn adopt(tables: &mut Tables, now: Duration, news: &News) {
+    if let Some(card) = &news.card
+        && card.zone != tables.me.card.zone
+    {
+        tables.counters.rejected += 1;
+        return;
+    }
+    let rumor = rumor(tables);
+    let known = tables.members.get_mut(&news.id);
+    match known.filter(|member| member.incarnation == news.incarnation) {
+        Some(member) => {
+            let died = member.is_live() && news.status == Status::Dead;
+            tables.counters.deaths += u64::from(died);
+            update(member, now, news, rumor);
+        }
+        None => join(tables, now, news, rumor),
+    }
+}
+
+fn update(member: &mut Member, now: Duration, news: &News, rumor: u32) {
+    if news.status == Status::Alive {
+        member.heard = now;
+    }
+    member.version = news.version;
+    member.leaving |= news.leaving;
+    mark(member, now, news.status, rumor);
+}
+
+fn join(tables: &mut Tables, now: Duration, news: &News, rumor: u32) {
+    let Some(card) = &news.card else { return };
+    if news.status == Status::Dead {
+        return;
+    }
+    log::info!(
+        "host {} joined, incarnation {}",
+        card.name,
+        news.incarnation
+    );
+    let member = Member {
+        id: news.id,
+        incarnation: news.incarnation,
+        version: news.version,
+        status: Status::Alive,
+        since: now,
+        leaving: news.leaving,
+        card: card.clone(),
+        heard: now,
+        pinged: now,
+        sent: None,
+        vote: Vote::default(),
+        acked: None,
+        revision: 0,
+        roster: 0,
+        rumor,
+    };
+    tables.members.insert(news.id, member);
+}
+
+/// Answers what others wrongly believe of this host by raising its version.
+fn refute(tables: &mut Tables, now: Duration, news: &News) {
+    let me = &mut tables.me;
+    let accused = news.incarnation == me.incarnation && news.version >= me.version;
+    if !accused || news.status == Status::Alive || me.gone {
+        return;
+    }
+    me.version = news.version.saturating_add(1);
+    tables.pulse.due = now;
+    tables.counters.refutations += 1;
+    tables.pulse.penalty = (tables.pulse.penalty + 1).min(PENALTY_LIMIT);
+}
--- /dev/null
+++ b/src/control/message.rs
@@ -0,0 +1,173 @@
+//! Typed messages between hosts, and the platform's answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use smallvec::SmallVec;
+
+use super::values::Change;
+use crate::id::{Id, Incarnation, Name};
+
+/// Heartbeat of a host. It acknowledges the receiver's last one and carries news.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Beat {
+    /// Sender.
+    pub from: Id,
+    /// Sender's life.
+    pub incarnation: Incarnation,
+    /// Sender's version within its life.
+    pub version: u32,
+    /// Sender's state.
+    pub leaving: bool,
+    /// Who the sender is, until the receiver is known to know.
+    pub card: Option<Card>,
+    /// Configuration revision that the sender has in force.
+    pub revision: u64,
+    /// Revision of the host list that the sender holds.
+    pub roster: u64,
+    /// Sender's stamp of this message.
+    pub sent: Stamp,
+    /// Newest stamp that the sender has received from the receiver.
+    pub echo: Option<Stamp>,
+    /// True if the receiver should answer at once.
+    pub ping: bool,
+    /// Sender's view of the zone.
+    pub vote: Vote,
+    /// Changes of other hosts.
+    pub news: SmallVec<[News; 2]>,
+}
+
+/// Time of sending in microseconds, counted from the sender's incarnation.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Stamp(pub u64);
+
+impl Stamp {
+    /// Stamp of `now` in the life `incarnation`.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, now: Duration) -> Self {
+        let micros = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
+        Self(incarnation.saturating_add(micros))
+    }
+
+    /// Time of the stamp, if it was given in the life `incarnation`.
+    #[must_use]
+    pub fn time(self, incarnation: Incarnation) -> Option<Duration> {
+        self.0.checked_sub(incarnation).map(Duration::from_micros)
+    }
+}
+
+/// A host's view of its zone, as the lease compares it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Vote {
+    /// Digest of live hosts and of the newest roster.
+    pub view: u64,
+    /// True if the sender has held this view for the hold time.
+    pub settled: bool,
+    /// Digest of the roster that was last agreed on, zero if none.
+    pub base: u64,
+}
+
+/// What a host is and where it is reached; constant in one life.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Card {
+    /// Name.
+    pub name: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Address for control messages.
+    pub peer: SocketAddr,
+    /// Addresses of the traffic lanes.
+    pub lanes: SmallVec<[SocketAddr; 4]>,
+}
+
+/// What is believed of a host; later ones outrank earlier ones of one version.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Status {
+    /// It is heard from.
+    #[default]
+    Alive,
+    /// It was not heard from in time.
+    Suspect,
+    /// It is gone.
+    Dead,
+}
+
+/// News of one host.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct News {
+    /// Host it is about.
+    pub id: Id,
+    /// Life it is about.
+    pub incarnation: Incarnation,
+    /// Version it is about.
+    pub version: u32,
+    /// What is believed.
+    pub status: Status,
+    /// True if the host is leaving.
+    pub leaving: bool,
+    /// Who it is, where the receiver may not know.
+    pub card: Option<Card>,
+}
+
+/// Asks a host for what the sender lacks.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Fetch {
+    /// Revision that the sender has in force.
+    pub after: u64,
+    /// True to get the rosters.
+    pub rosters: bool,
+    /// True to get all members.
+    pub members: bool,
+}
+
+/// Answer to a [`Fetch`].
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Fetched {
+    /// Changed values, as the answering host has them in force.
+    pub update: Update,
+    /// Newest roster.
+    pub pending: Option<Roster>,
+    /// Roster that was last agreed on.
+    pub base: Option<Roster>,
+    /// All members the answering host knows, itself included.
+    pub members: Vec<News>,
+}
+
+/// Values above some revision.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Update {
+    /// Revision up to which the values are complete.
+    pub revision: u64,
+    /// Changed values.
+    pub values: Vec<Change>,
+}
+
+/// The platform's host list of all zones.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Hosts {
+    /// Revision of the list.
+    pub revision: u64,
+    /// Hosts with their zones.
+    pub hosts: Vec<(Name, Listed)>,
+}
+
+/// A host on a list.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Listed {
+    /// Name, empty for a seed.
+    pub name: Name,
+    /// Address for control messages.
+    pub peer: SocketAddr,
+    /// True if the list marks it as leaving.
+    pub leaving: bool,
+}
+
+/// The hosts of the zone that have a vote, by their control addresses.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Roster {
+    /// Revision of the platform's list, zero if made from seeds.
+    pub revision: u64,
+    /// Hosts in order of their addresses.
+    pub hosts: Vec<Listed>,
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,148 @@
+//! Control state of one host: members of its zone, configuration and lease.
+//!
+//! [`Control`] owns the tables. It takes a typed [`Event`] and the time, runs the
+//! systems concerned and returns typed [`Action`]s. It sees no socket, no bytes
+//! and no wall clock.
+
+pub mod beat;
+pub mod lease;
+mod leave;
+mod members;
+pub mod message;
+mod publish;
+mod roster;
+mod spread;
+pub mod suspect;
+mod tables;
+mod values;
+mod watch;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::error::Result;
+use crate::snapshot::Snapshot;
+
+pub use self::message::{Beat, Fetch, Fetched, Hosts, Update};
+pub use self::tables::{Counters, Identity, Settings, Tables};
+pub use self::values::{Build, Built, Change, Value, Values};
+
+/// What happens to the control thread.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A host sent a heartbeat.
+    Beat(Box<Beat>),
+    /// A host answered a fetch, or failed to.
+    Fetched(Result<Fetched>),
+    /// The platform answered a watch, or failed to.
+    Values(Result<Update>),
+    /// The platform answered a read of the host list, or failed to.
+    Hosts(Result<Hosts>),
+    /// A message could not be read or trusted.
+    Rejected,
+    /// The operator asks this host to leave.
+    Leave,
+    /// Nothing is in flight on the traffic lanes.
+    Drained,
+}
+
+/// What the front end has to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a heartbeat.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// What to send.
+        beat: Box<Beat>,
+    },
+    /// Fetch from another host and hand in [`Event::Fetched`].
+    Fetch {
+        /// Host to ask.
+        to: SocketAddr,
+        /// What to ask for.
+        ask: Fetch,
+    },
+    /// Watch the platform's values and hand in [`Event::Values`].
+    Watch {
+        /// Revision that is known already.
+        after: u64,
+        /// Longest time to wait for something new.
+        wait: Duration,
+    },
+    /// Read the platform's host list and hand in [`Event::Hosts`].
+    ReadHosts,
+    /// Swap in a new snapshot.
+    Publish(Arc<Snapshot>),
+    /// End the process; the host has left.
+    Exit,
+}
+
+/// Actions in the order in which they were decided.
+pub type Outbox = Vec<Action>;
+
+/// Decision code of the control thread.
+#[derive(Debug)]
+pub struct Control {
+    tables: Tables,
+}
+
+impl Control {
+    /// Control state of a host that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, now: Duration) -> Self {
+        Self {
+            tables: Tables::new(settings, now),
+        }
+    }
+
+    /// Takes one event and returns what to do about it.
+    pub fn handle(&mut self, now: Duration, event: Event) -> Outbox {
+        let mut outbox = Outbox::new();
+        let tables = &mut self.tables;
+        match event {
+            Event::Tick => tick(tables, now, &mut outbox),
+            Event::Beat(beat) => beat::receive(tables, now, &beat, &mut outbox),
+            Event::Fetched(answer) => spread::receive(tables, now, answer),
+            Event::Values(answer) => watch::receive_values(tables, now, answer),
+            Event::Hosts(answer) => watch::receive_hosts(tables, now, answer),
+            Event::Rejected => tables.counters.rejected += 1,
+            Event::Leave => leave::start(tables, now, &mut outbox),
+            Event::Drained => leave::drained(tables),
+        }
+        conclude(tables, now, &mut outbox);
+        outbox
+    }
+
+    /// Answers another host's fetch.
+    #[must_use]
+    pub fn answer(&self, ask: &Fetch) -> Fetched {
+        spread::answer(&self.tables, ask)
+    }
+
+    /// The control tables, to read and to dump.
+    #[must_use]
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+}
+
+/// Runs the systems that depend on time.
+fn tick(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    suspect::run(tables, now, outbox);
+    lease::run(tables, now);
+    beat::run(tables, now, outbox);
+    watch::run(tables, now, outbox);
+    spread::run(tables, now, outbox);
+    leave::run(tables, now, outbox);
+}
+
+/// Runs the systems that follow from changed tables.
+fn conclude(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    roster::run(tables);
+    lease::run(tables, now);
+    publish::run(tables, now, outbox);
+}
--- /dev/null
+++ b/src/control/publish.rs
@@ -0,0 +1,36 @@
+//! Publishes a snapshot when something the traffic lanes need has changed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::tables::Tables;
+use super::{Action, Outbox};
+use crate::snapshot::Lease;
+
+/// Step by which a published lease is renewed.
+const LEASE_STEP: Duration = Duration::from_millis(250);
+
+/// Publishes if something changed or the lease has moved by a useful step.
+pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    let leaving = tables.me.leaving.is_some();
+    let moved = lease_moved(tables, now);
+    if !(tables.output.dirty || moved || leaving != tables.snapshot.leaving) {
+        return;
+    }
+    tables.output.dirty = false;
+    tables.snapshot.leaving = leaving;
+    tables.snapshot.changed = tables.view.changed;
+    tables.snapshot.lease = Lease {
+        until: tables.view.lease,
+    };
+    tables.counters.published += 1;
+    outbox.push(Action::Publish(Arc::new(tables.snapshot.clone())));
+}
+
+fn lease_moved(tables: &Tables, now: Duration) -> bool {
+    let published = tables.snapshot.lease.until;
+    let until = tables.view.lease;
+    let renewed = until > now && until >= published + LEASE_STEP;
+    let lost = until < published && published > now;
+    renewed || lost
+}
--- /dev/null
+++ b/src/control/spread.rs
@@ -0,0 +1,180 @@
+//! Spread of configuration, rosters and members between hosts.
+//!
+//! Heartbeats tell what a host holds. One that is behind fetches the difference
+//! from one that is ahead, so a change costs its own size.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+
+use super::message::{Fetch, Fetched, News, Status, Update};
+use super::tables::{Member, Tables};
+use super::values::Built;
+use super::{Action, Outbox, members, roster};
+use crate::error::Result;
+use crate::id::Id;
+
+/// Time after which a fetch without an answer is given up.
+const FETCH_LIMIT: Duration = Duration::from_secs(4);
+
+/// Longest pause after a fetch.
+const FETCH_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause after a fetch that failed.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time for which views may differ before members are compared.
+const DIFFER_LIMIT: Duration = Duration::from_secs(3);
+
+/// Starts a fetch if this host is behind another.
+pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    let differs = compare_views(tables, now);
+    let state = &mut tables.fetch;
+    if state.pending.is_some_and(|since| now > since + FETCH_LIMIT) {
+        state.pending = None;
+    }
+    if state.pending.is_some() || now < state.due {
+        return;
+    }
+    if let Some((id, ask)) = choose(tables, differs) {
+        start(tables, now, id, ask, outbox);
+    }
+}
+
+/// Takes in the answer to a fetch.
+pub(super) fn receive(tables: &mut Tables, now: Duration, answer: Result<Fetched>) {
+    tables.fetch.pending = None;
+    let Ok(fetched) = answer else {
+        tables.counters.fetch_failures += 1;
+        tables.fetch.failed = tables.fetch.to;
+        tables.fetch.due = now + tables.jitter(RETRY_PAUSE);
+        return;
+    };
+    tables.fetch.failed = None;
+    tables.fetch.due = now + tables.jitter(FETCH_PAUSE);
+    take(tables, now, fetched);
+}
+
+/// Answers another host's fetch.
+pub(super) fn answer(tables: &Tables, ask: &Fetch) -> Fetched {
+    let pending = ask.rosters.then(|| tables.rosters.pending.clone());
+    let base = tables.rosters.base.clone().filter(|_| ask.rosters);
+    let members = if ask.members {
+        all_news(tables)
+    } else {
+        Vec::new()
+    };
+    Fetched {
+        update: tables.values.update(ask.after),
+        pending,
+        base,
+        members,
+    }
+}
+
+/// Puts what was built from accepted values into force.
+pub(super) fn put_into_force(tables: &mut Tables, built: Built) {
+    tables.counters.accepted_values += 1;
+    let keys = built.keys.unwrap_or_else(|| tables.settings.keys.clone());
+    let mut snapshot = tables.snapshot.clone().with_services(built.services);
+    snapshot.revision = tables.values.revision;
+    snapshot.keys = keys;
+    tables.snapshot = snapshot;
+    tables.output.dirty = true;
+    log::info!("revision {} is in force", tables.values.revision);
+}
+
+/// Members whose view has differed from this host's for too long.
+fn compare_views(tables: &mut Tables, now: Duration) -> bool {
+    let digest = tables.view.digest;
+    let differs = tables.live().any(|member| member.vote.view != digest);
+    if !differs {
+        tables.fetch.differs = None;
+        return false;
+    }
+    let since = *tables.fetch.differs.get_or_insert(now);
+    now > since + DIFFER_LIMIT
+}
+
+fn choose(tables: &mut Tables, differs: bool) -> Option<(Id, Fetch)> {
+    let joined = tables.fetch.joined;
+    let wanted = |member: &Member| Fetch {
+        after: tables.values.revision,
+        rosters: wants_rosters(tables, member),
+        members: !joined || (differs && member.vote.view != tables.view.digest),
+    };
+    let mut ahead: Vec<(Id, Fetch)> = tables
+        .live()
+        .filter(|member| member.status == Status::Alive && member.sent.is_some())
+        .map(|member| (member, wanted(member)))
+        .filter(|(member, ask)| {
+            ask.rosters || ask.members || member.revision > tables.values.revision
+        })
+        .map(|(member, ask)| (member.id, ask))
+        .collect();
+    if ahead.len() > 1 {
+        let failed = tables.fetch.failed;
+        ahead.retain(|(id, _)| Some(tables.members[id].card.peer) != failed);
+    }
+    ahead.choose(&mut tables.rng).copied()
+}
+
+fn wants_rosters(tables: &Tables, member: &Member) -> bool {
+    let rosters = &tables.rosters;
+    let base = member.vote.base;
+    let foreign = base != 0 && base != rosters.base_digest() && base != rosters.pending.digest();
+    foreign || member.roster > rosters.pending.revision
+}
+
+fn start(tables: &mut Tables, now: Duration, id: Id, ask: Fetch, outbox: &mut Outbox) {
+    let to = tables.members[&id].card.peer;
+    tables.counters.fetches += 1;
+    tables.fetch.pending = Some(now);
+    tables.fetch.to = Some(to);
+    tables.fetch.asked = ask;
+    if ask.members {
+        tables.fetch.differs = None;
+    }
+    outbox.push(Action::Fetch { to, ask });
+}
+
+fn take(tables: &mut Tables, now: Duration, fetched: Fetched) {
+    take_values(tables, &fetched.update);
+    if let Some(pending) = fetched.pending {
+        roster::offer(&mut tables.rosters, pending);
+    }
+    if let Some(base) = fetched.base {
+        roster::offer_base(&mut tables.rosters, base);
+    }
+    for news in &fetched.members {
+        members::apply(tables, now, news);
+    }
+    tables.fetch.joined |= tables.fetch.asked.members;
+}
+
+fn take_values(tables: &mut Tables, update: &Update) {
+    if update.revision <= tables.values.revision {
+        return;
+    }
+    let build = tables.settings.build.clone();
+    match tables.values.merge_accepted(update, &build) {
+        Ok(outcome) => put_into_force(tables, outcome),
+        Err(err) => {
+            tables.counters.refused_values += 1;
+            log::warn!("values of another host refused: {err}");
+        }
+    }
+}
+
+fn all_news(tables: &Tables) -> Vec<News> {
+    let me = News {
+        id: tables.me.id,
+        incarnation: tables.me.incarnation,
+        version: tables.me.version,
+        status: Status::Alive,
+        leaving: tables.me.leaving.is_some(),
+        card: Some(tables.me.card.clone()),
+    };
+    let members = tables.members.values().map(Member::news);
+    members.chain([me]).collect()
+}
--- /dev/null
+++ b/src/control/suspect.rs
@@ -0,0 +1,121 @@
+//! Failure detection: silence, then suspicion, then death.
+//!
+//! A silent host is pinged, then suspected, and has time to refute before it is
+//! declared dead. A host that missed its own ticks does not count the lost time
+//! against others, and is more patient with them for a while.
+
+use std::time::Duration;
+
+use super::message::Status;
+use super::tables::{Member, Tables};
+use super::{Outbox, beat, members};
+use crate::id::Id;
+
+/// Period of the control thread's ticks.
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// Gap between two ticks that counts as a stall of this host.
+const STALL: Duration = Duration::from_millis(350);
+
+/// Time after a missing heartbeat at which the sender is pinged.
+const OVERDUE: Duration = Duration::from_millis(300);
+
+/// Time between two pings of one host.
+const PING_PERIOD: Duration = Duration::from_millis(200);
+
+/// Time from the first ping to suspicion.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// Time that a suspected host has to refute.
+const SUSPICION: Duration = Duration::from_millis(900);
+
+/// Additional patience for each recent failure of this host itself.
+const PENALTY_STEP: Duration = Duration::from_millis(250);
+
+/// Time without a failure that takes one step of the penalty back.
+const PENALTY_DECAY: Duration = Duration::from_secs(2);
+
+/// Looks for silent hosts.
+pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    forgive_stall(tables, now);
+    let overdue = beat::cycle(tables) + OVERDUE + PENALTY_STEP * tables.pulse.penalty;
+    for id in silent(tables, now, overdue) {
+        judge(tables, now, id, overdue);
+        ping(tables, now, id, outbox);
+    }
+}
+
+/// Shifts what was heard by the time this host itself was stalled.
+fn forgive_stall(tables: &mut Tables, now: Duration) {
+    let gap = now.saturating_sub(tables.pulse.ticked);
+    tables.pulse.ticked = now;
+    if gap < STALL {
+        decay(tables, now);
+        return;
+    }
+    tables.counters.stalls += 1;
+    tables.pulse.penalty = (tables.pulse.penalty + 1).min(members::PENALTY_LIMIT);
+    tables.pulse.decay = now + PENALTY_DECAY;
+    for member in tables.members.values_mut() {
+        member.heard = (member.heard + gap).min(now);
+        member.since = (member.since + gap).min(now);
+    }
+}
+
+fn decay(tables: &mut Tables, now: Duration) {
+    if now < tables.pulse.decay {
+        return;
+    }
+    tables.pulse.penalty = tables.pulse.penalty.saturating_sub(1);
+    tables.pulse.decay = now + PENALTY_DECAY;
+}
+
+fn silent(tables: &Tables, now: Duration, overdue: Duration) -> Vec<Id> {
+    tables
+        .live()
+        .filter(|member| member.status == Status::Suspect || now > member.heard + overdue)
+        .map(|member| member.id)
+        .collect()
+}
+
+fn judge(tables: &mut Tables, now: Duration, id: Id, overdue: Duration) {
+    let rumor = members::rumor(tables);
+    let Some(member) = tables.members.get_mut(&id) else {
+        return;
+    };
+    match member.status {
+        Status::Alive if now > member.heard + overdue + PATIENCE => {
+            tables.counters.suspicions += 1;
+            members::mark(member, now, Status::Suspect, rumor);
+        }
+        Status::Suspect if now > member.since + SUSPICION => {
+            let died = !clear_if_heard(member, now);
+            if died {
+                log::info!("host {} is dead", member.card.name);
+                members::mark(member, now, Status::Dead, rumor);
+                tables.counters.deaths += 1;
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Takes a suspicion back if the host was heard from since; true if so.
+fn clear_if_heard(member: &mut Member, now: Duration) -> bool {
+    let heard = member.heard > member.since;
+    if heard {
+        members::mark(member, now, Status::Alive, 0);
+    }
+    heard
+}
+
+fn ping(tables: &mut Tables, now: Duration, id: Id, outbox: &mut Outbox) {
+    let Some(member) = tables.members.get_mut(&id) else {
+        return;
+    };
+    if now < member.pinged + PING_PERIOD {
+        return;
+    }
+    member.pinged = now;
+    beat::send(tables, now, id, true, outbox);
+}
--- /dev/null
+++ b/src/control/tables.rs
@@ -0,0 +1,319 @@
+//! The control thread's tables.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+
+use super::lease::Timing;
+use super::message::{Card, Fetch, News, Roster, Stamp, Status, Vote};
+use super::values::{Build, ValueTable};
+use crate::id::{Id, Incarnation};
+use crate::snapshot::{Host, Snapshot};
+use crate::ticket::Keys;
+
+/// What a host is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who this host is.
+    pub card: Card,
+    /// Its life: the wall-clock microsecond of its start.
+    pub incarnation: Incarnation,
+    /// Control addresses of hosts to contact while the platform is unknown.
+    pub seeds: Vec<SocketAddr>,
+    /// Sealing keys until the configuration names some.
+    pub keys: Keys,
+    /// Times of the lease.
+    pub timing: Timing,
+    /// Longest time that a leaving host waits for work in flight.
+    pub drain: Duration,
+    /// Checks and builds values.
+    pub build: Build,
+    /// Seed of the random choices.
+    pub random: u64,
+}
+
+/// Entities of the control thread.
+#[derive(Debug, Serialize)]
+pub struct Tables {
+    /// This host.
+    pub me: Identity,
+    /// The other hosts of the zone, dead ones for a while.
+    pub members: BTreeMap<Id, Member>,
+    /// Lists of hosts that have a vote.
+    pub rosters: Rosters,
+    /// Configuration values.
+    pub values: ValueTable,
+    /// This host's view of the zone.
+    pub view: View,
+    /// Counters.
+    pub counters: Counters,
+    pub(super) pulse: Pulse,
+    pub(super) watch: Watch,
+    pub(super) fetch: FetchState,
+    #[serde(skip)]
+    pub(super) snapshot: Snapshot,
+    #[serde(skip)]
+    pub(super) output: Output,
+    #[serde(skip)]
+    pub(super) settings: Settings,
+    #[serde(skip)]
+    pub(super) rng: SmallRng,
+}
+
+/// This host as others see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Identity {
+    /// Id of its name.
+    pub id: Id,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Raised to refute what others believe of it.
+    pub version: u32,
+    /// When it began to leave.
+    pub leaving: Option<Duration>,
+    /// True once it has left.
+    pub gone: bool,
+    /// Who it is.
+    pub card: Card,
+}
+
+/// Another host of the zone.
+#[derive(Clone, Debug, Serialize)]
+pub struct Member {
+    /// Id of its name.
+    pub id: Id,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Newest version known.
+    pub version: u32,
+    /// What is believed of it.
+    pub status: Status,
+    /// When that was first believed.
+    pub since: Duration,
+    /// True if it announced that it leaves.
+    pub leaving: bool,
+    /// Who it is.
+    pub card: Card,
+    /// When it was last known to be alive.
+    pub heard: Duration,
+    /// When it was last pinged.
+    pub pinged: Duration,
+    /// Its newest stamp.
+    pub sent: Option<Stamp>,
+    /// Its newest vote.
+    pub vote: Vote,
+    /// Time of this host's message that it last acknowledged.
+    pub acked: Option<Duration>,
+    /// Revision it has in force.
+    pub revision: u64,
+    /// Revision of the host list it holds.
+    pub roster: u64,
+    /// Heartbeats that still carry news of it.
+    pub rumor: u32,
+}
+
+impl Member {
+    /// True unless it is believed dead.
+    #[must_use]
+    pub fn is_live(&self) -> bool {
+        self.status != Status::Dead
+    }
+
+    /// News of it.
+    #[must_use]
+    pub fn news(&self) -> News {
+        let card = (self.status == Status::Alive).then(|| self.card.clone());
+        News {
+            id: self.id,
+            incarnation: self.incarnation,
+            version: self.version,
+            status: self.status,
+            leaving: self.leaving,
+            card,
+        }
+    }
+}
+
+/// Newest roster, and the one agreed on before it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Rosters {
+    /// Newest roster known.
+    pub pending: Roster,
+    /// Last roster that a majority held for the hold time.
+    pub base: Option<Roster>,
+}
+
+/// This host's view of the zone.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct View {
+    /// Digest of live hosts and of the newest roster.
+    pub digest: u64,
+    /// When this host entered it.
+    pub since: Duration,
+    /// When its live hosts last changed.
+    pub changed: Duration,
+    /// Time at which the lease runs out.
+    pub lease: Duration,
+}
+
+/// Heartbeat state.
+#[derive(Debug, Default, Serialize)]
+pub(super) struct Pulse {
+    pub(super) due: Duration,
+    pub(super) ticked: Duration,
+    pub(super) cursor: Id,
+    pub(super) penalty: u32,
+    pub(super) decay: Duration,
+}
+
+/// State of the platform reads.
+#[derive(Debug, Default, Serialize)]
+pub(super) struct Watch {
+    pub(super) values: Read,
+    pub(super) hosts: Read,
+    pub(super) started: bool,
+}
+
+/// One repeated read.
+#[derive(Debug, Default, Serialize)]
+pub(super) struct Read {
+    pub(super) due: Duration,
+    pub(super) pending: bool,
+    pub(super) failures: u32,
+}
+
+/// Fetches from other hosts.
+#[derive(Debug, Default, Serialize)]
+pub(super) struct FetchState {
+    pub(super) pending: Option<Duration>,
+    pub(super) due: Duration,
+    pub(super) differs: Option<Duration>,
+    pub(super) joined: bool,
+    pub(super) failed: Option<SocketAddr>,
+    pub(super) to: Option<SocketAddr>,
+    #[serde(skip)]
+    pub(super) asked: Fetch,
+}
+
+/// What was last published.
+#[derive(Debug, Default)]
+pub(super) struct Output {
+    pub(super) dirty: bool,
+    pub(super) drained: bool,
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Counters {
+    /// Heartbeats sent.
+    pub beats_out: u64,
+    /// Heartbeats received.
+    pub beats_in: u64,
+    /// Messages that could not be read or trusted, or were of another zone.
+    pub rejected: u64,
+    /// Late ticks of this host itself.
+    pub stalls: u64,
+    /// Suspicions raised here.
+    pub suspicions: u64,
+    /// Suspicions against this host that it refuted.
+    pub refutations: u64,
+    /// Hosts declared dead.
+    pub deaths: u64,
+    /// Reads of the platform.
+    pub reads: u64,
+    /// Reads of the platform that failed.
+    pub read_failures: u64,
+    /// Answers of a stale platform replica.
+    pub stale_reads: u64,
+    /// Value sets that were refused.
+    pub refused_values: u64,
+    /// Value sets put into force.
+    pub accepted_values: u64,
+    /// Fetches from other hosts.
+    pub fetches: u64,
+    /// Fetches that failed.
+    pub fetch_failures: u64,
+    /// Snapshots published.
+    pub published: u64,
+    /// Times the lease was gained after it had run out.
+    pub leases: u64,
+}
+
+impl Tables {
+    pub(super) fn new(settings: Settings, now: Duration) -> Self {
+        let card = settings.card.clone();
+        let mut rng = SmallRng::seed_from_u64(settings.random);
+        let me = Identity {
+            id: Id::of(&card.name),
+            incarnation: settings.incarnation,
+            version: 0,
+            leaving: None,
+            gone: false,
+            card,
+        };
+        let pulse = Pulse {
+            due: now,
+            ticked: now,
+            cursor: Id(rng.random()),
+            ..Pulse::default()
+        };
+        Self {
+            me,
+            members: BTreeMap::new(),
+            rosters: Rosters::default(),
+            values: ValueTable::default(),
+            view: View::default(),
+            counters: Counters::default(),
+            pulse,
+            watch: Watch::default(),
+            fetch: FetchState::default(),
+            snapshot: Snapshot::empty(settings.keys.clone()),
+            output: Output {
+                dirty: true,
+                drained: false,
+            },
+            settings,
+            rng,
+        }
+    }
+
+    /// Live members, this host excluded.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|member| member.is_live())
+    }
+
+    /// All live hosts with this one, in order of their ids.
+    pub(super) fn hosts(&self) -> Arc<[Host]> {
+        let me = Host {
+            id: self.me.id,
+            name: Arc::clone(&self.me.card.name),
+            incarnation: self.me.incarnation,
+            lanes: self.me.card.lanes.clone(),
+            leaving: self.me.leaving.is_some() || self.rosters.is_leaving(&self.me.card),
+        };
+        let mut hosts: Vec<Host> = self.live().map(|member| self.host(member)).collect();
+        hosts.push(me);
+        hosts.sort_by_key(|host| host.id);
+        hosts.into()
+    }
+
+    fn host(&self, member: &Member) -> Host {
+        Host {
+            id: member.id,
+            name: Arc::clone(&member.card.name),
+            incarnation: member.incarnation,
+            lanes: member.card.lanes.clone(),
+            leaving: member.leaving || self.rosters.is_leaving(&member.card),
+        }
+    }
+
+    /// A random time between zero and `limit`.
+    pub(super) fn jitter(&mut self, limit: Duration) -> Duration {
+        limit.mul_f64(self.rng.random())
+    }
+}
--- /dev/null
+++ b/src/control/values.rs
@@ -0,0 +1,170 @@
+//! Configuration values: in force, and refused drafts.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Serialize, Serializer};
+
+use super::message::Update;
+use crate::error::Result;
+use crate::id::Name;
+use crate::snapshot::Service;
+use crate::ticket::Keys;
+
+/// Values by key.
+pub type Values = BTreeMap<Name, Value>;
+
+/// One configuration value.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Value {
+    /// Revision that wrote it.
+    pub revision: u64,
+    /// Its JSON text; none if it was removed. Dumps show its size only.
+    #[serde(serialize_with = "serialize_size")]
+    pub json: Option<Name>,
+}
+
+/// A changed value.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// Key.
+    pub key: Name,
+    /// New value.
+    pub value: Value,
+}
+
+/// What a set of values amounts to for this host.
+#[derive(Clone, Debug, Default)]
+pub struct Built {
+    /// Services in force.
+    pub services: Vec<Service>,
+    /// Sealing keys, if the values name any.
+    pub keys: Option<Keys>,
+}
+
+type BuildFn = dyn Fn(&Values) -> Result<Built> + Send + Sync;
+
+/// Checks a set of values as a whole and builds it.
+#[derive(Clone)]
+pub struct Build(Arc<BuildFn>);
+
+impl Build {
+    /// Builds through a closure.
+    pub fn new(build: impl Fn(&Values) -> Result<Built> + Send + Sync + 'static) -> Self {
+        Self(Arc::new(build))
+    }
+
+    fn call(&self, values: &Values) -> Result<Built> {
+        (self.0)(values)
+    }
+}
+
+impl fmt::Debug for Build {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Build(..)")
+    }
+}
+
+/// Values in force, and changes that were refused.
+#[derive(Debug, Default, Serialize)]
+pub struct ValueTable {
+    /// Revision in force.
+    pub revision: u64,
+    /// Highest revision seen, refused ones included.
+    pub seen: u64,
+    /// Values in force.
+    pub values: Values,
+    /// Refused changes, waiting for a later one that mends them.
+    pub draft: Values,
+}
+
+impl ValueTable {
+    /// Puts a newer update into force, refused changes before it included.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the values do not build; what was in force stays.
+    pub fn merge(&mut self, update: &Update, build: &Build) -> Result<Built> {
+        self.seen = self.seen.max(update.revision);
+        let mut values = self.values.clone();
+        merge(&mut values, &self.draft);
+        merge_changes(&mut values, update);
+        match build.call(&values) {
+            Ok(outcome) => {
+                self.accept(values, update.revision);
+                Ok(outcome)
+            }
+            Err(err) => {
+                merge_changes(&mut self.draft, update);
+                Err(err)
+            }
+        }
+    }
+
+    /// Puts a newer update of another host into force, which has accepted it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the values do not build here; what was in force stays.
+    pub fn merge_accepted(&mut self, update: &Update, build: &Build) -> Result<Built> {
+        let mut values = self.values.clone();
+        merge_changes(&mut values, update);
+        let outcome = build.call(&values)?;
+        self.draft
+            .retain(|key, value| values.get(key).is_none_or(|v| v.revision < value.revision));
+        let draft = std::mem::take(&mut self.draft);
+        self.accept(values, update.revision);
+        self.draft = draft;
+        Ok(outcome)
+    }
+
+    /// Values above `after`.
+    #[must_use]
+    pub fn update(&self, after: u64) -> Update {
+        let values = self
+            .values
+            .iter()
+            .filter(|(_, value)| value.revision > after)
+            .map(|(key, value)| Change {
+                key: Arc::clone(key),
+                value: value.clone(),
+            })
+            .collect();
+        Update {
+            revision: self.revision,
+            values,
+        }
+    }
+
+    fn accept(&mut self, values: Values, revision: u64) {
+        self.values = values;
+        self.draft.clear();
+        self.revision = self.revision.max(revision);
+        self.seen = self.seen.max(revision);
+    }
+}
+
+fn merge(values: &mut Values, newer: &Values) {
+    for (key, value) in newer {
+        merge_value(values, key, value);
+    }
+}
+
+fn merge_changes(values: &mut Values, update: &Update) {
+    for change in &update.values {
+        merge_value(values, &change.key, &change.value);
+    }
+}
+
+fn merge_value(values: &mut Values, key: &Name, value: &Value) {
+    let known = values.get(key).map_or(0, |known| known.revision);
+    if value.revision > known {
+        values.insert(Arc::clone(key), value.clone());
+    }
+}
+
+#[allow(clippy::ref_option, reason = "serde passes fields by reference")]
+fn serialize_size<S: Serializer>(json: &Option<Name>, serializer: S) -> Result<S::Ok, S::Error> {
+    json.as_ref().map(|json| json.len()).serialize(serializer)
+}
--- /dev/null
+++ b/src/front/control.rs
@@ -0,0 +1,308 @@
+//! Sockets and timers of the control thread.
+//!
+//! One task owns [`Control`]. Heartbeats go over UDP, fetches over TCP on the same
+//! port number, reads of the platform over HTTP. The task sleeps until one of them
+//! or the tick has something for it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::codec::{Decoder, Encoder, Framed, LengthDelimitedCodec};
+use tokio_util::udp::UdpFramed;
+
+use super::platform::Platform;
+use crate::clock::Clock;
+use crate::control::suspect::TICK;
+use crate::control::{Action, Beat, Control, Event, Fetch, Fetched, Outbox, Settings};
+use crate::error::{Error, Result};
+use crate::snapshot::Snapshot;
+use crate::wire::{self, PeerKey};
+
+/// Time that a fetch may take at either end.
+const FETCH_LIMIT: Duration = Duration::from_secs(3);
+
+/// Most bytes of the answer to a fetch.
+const FETCH_BYTES: usize = 32 << 20;
+
+/// Most bytes of a fetch itself.
+const ASK_BYTES: usize = 256;
+
+/// Most connections that are served at once.
+const CONNECTION_LIMIT: usize = 64;
+
+/// Dumps of the control tables that may be asked for at once.
+const DUMP_BACKLOG: usize = 4;
+
+/// What the control thread is told at its start.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Settings of the decision code.
+    pub control: Settings,
+    /// Key of messages between hosts.
+    pub key: PeerKey,
+    /// Platform to read, if any.
+    pub platform: Option<Platform>,
+}
+
+/// What ties the control thread to the rest of the process.
+pub struct Links {
+    /// Swaps in a new snapshot.
+    pub publish: Arc<dyn Fn(Arc<Snapshot>) + Send + Sync>,
+    /// Flows and requests in flight on the traffic lanes.
+    pub in_flight: Arc<dyn Fn() -> usize + Send + Sync>,
+    /// True once the operator asks this host to leave.
+    pub leave: watch::Receiver<bool>,
+    /// Requests for a dump of the control tables.
+    pub dumps: mpsc::Receiver<oneshot::Sender<serde_json::Value>>,
+}
+
+impl Links {
+    /// Channel for dump requests.
+    #[must_use]
+    pub fn dump_channel() -> (
+        mpsc::Sender<oneshot::Sender<serde_json::Value>>,
+        mpsc::Receiver<oneshot::Sender<serde_json::Value>>,
+    ) {
+        mpsc::channel(DUMP_BACKLOG)
+    }
+}
+
+impl std::fmt::Debug for Links {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Links(..)")
+    }
+}
+
+type Question = (Fetch, oneshot::Sender<Fetched>);
+type BeatSocket = UdpFramed<BeatCodec, Arc<UdpSocket>>;
+
+struct BeatCodec(PeerKey);
+
+struct Loop {
+    control: Control,
+    clock: Clock,
+    settings: ControlSettings,
+    links: Links,
+    beats: BeatSocket,
+    tasks: JoinSet<Event>,
+    served: JoinSet<()>,
+}
+
+/// Runs the control thread until this host has left.
+///
+/// # Errors
+///
+/// Fails when its sockets cannot be opened.
+pub async fn run(settings: ControlSettings, clock: Clock, links: Links) -> Result<()> {
+    let addr = settings.control.card.peer;
+    let udp = UdpSocket::bind(addr).await;
+    let udp = Arc::new(udp.map_err(|err| Error::io("open the control socket", err))?);
+    let listener = TcpListener::bind(addr).await;
+    let listener = listener.map_err(|err| Error::io("open the control listener", err))?;
+    let inbox = UdpFramed::new(Arc::clone(&udp), BeatCodec(settings.key.clone()));
+    let state = Loop {
+        control: Control::new(settings.control.clone(), clock.now()),
+        clock,
+        beats: UdpFramed::new(udp, BeatCodec(settings.key.clone())),
+        settings,
+        links,
+        tasks: JoinSet::new(),
+        served: JoinSet::new(),
+    };
+    state.run(inbox, listener).await;
+    Ok(())
+}
+
+impl Loop {
+    async fn run(mut self, mut inbox: BeatSocket, listener: TcpListener) {
+        let (ask, mut questions) = mpsc::channel::<Question>(CONNECTION_LIMIT);
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                Some(Ok((beat, _))) = inbox.next() => beat_event(beat),
+                Some(Ok(event)) = self.tasks.join_next() => event,
+                Some((ask, reply)) = questions.recv() => {
+                    let _ = reply.send(self.control.answer(&ask));
+                    continue;
+                }
+                Ok((stream, _)) = listener.accept(), if self.served.len() < CONNECTION_LIMIT => {
+                    self.serve(stream, ask.clone());
+                    continue;
+                }
+                Some(_) = self.served.join_next() => continue,
+                Some(reply) = self.links.dumps.recv() => {
+                    let _ = reply.send(self.dump());
+                    continue;
+                }
+                Ok(()) = self.links.leave.changed() => Event::Leave,
+                _ = ticks.tick() => Event::Tick,
+            };
+            if self.handle(event).await {
+                return;
+            }
+        }
+    }
+
+    /// Handles an event; true once this host has left.
+    async fn handle(&mut self, event: Event) -> bool {
+        let ticked = matches!(event, Event::Tick);
+        if ticked && self.is_drained() {
+            let now = self.clock.now();
+            self.control.handle(now, Event::Drained);
+        }
+        let now = self.clock.now();
+        let outbox = self.control.handle(now, event);
+        self.carry_out(outbox).await
+    }
+
+    fn is_drained(&self) -> bool {
+        *self.links.leave.borrow() && (self.links.in_flight)() == 0
+    }
+
+    async fn carry_out(&mut self, outbox: Outbox) -> bool {
+        let mut left = false;
+        for action in outbox {
+            match action {
+                Action::Send { to, beat } => self.send(to, *beat).await,
+                Action::Fetch { to, ask } => self.fetch(to, ask),
+                Action::Watch { after, wait } => self.watch(after, wait),
+                Action::ReadHosts => self.read_hosts(),
+                Action::Publish(snapshot) => (self.links.publish)(snapshot),
+                Action::Exit => left = true,
+            }
+        }
+        left
+    }
+
+    async fn send(&mut self, to: SocketAddr, beat: Beat) {
+        if let Err(err) = self.beats.send((beat, to)).await {
+            log::debug!("heartbeat to {to}: {err}");
+        }
+    }
+
+    fn fetch(&mut self, to: SocketAddr, ask: Fetch) {
+        let key = self.settings.key.clone();
+        self.tasks
+            .spawn(async move { Event::Fetched(fetch(to, ask, &key).await) });
+    }
+
+    fn watch(&mut self, after: u64, wait: Duration) {
+        let platform = self.settings.platform.clone();
+        self.tasks.spawn(async move {
+            Event::Values(match platform {
+                Some(platform) => platform.watch(after, wait).await,
+                None => Err(no_platform()),
+            })
+        });
+    }
+
+    fn read_hosts(&mut self) {
+        let platform = self.settings.platform.clone();
+        self.tasks.spawn(async move {
+            Event::Hosts(match platform {
+                Some(platform) => platform.hosts().await,
+                None => Err(no_platform()),
+            })
+        });
+    }
+
+    fn serve(&mut self, stream: TcpStream, ask: mpsc::Sender<Question>) {
+        let key = self.settings.key.clone();
+        self.served.spawn(async move {
+            if let Ok(Err(err)) = timeout(FETCH_LIMIT, serve(stream, &ask, &key)).await {
+                log::debug!("fetch not served: {err}");
+            }
+        });
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::to_value(self.control.tables()).unwrap_or_default()
+    }
+}
+
+/// Fetches from the host at `to`.
+///
+/// # Errors
+///
+/// Fails when it does not answer in time, or answers nonsense.
+pub async fn fetch(to: SocketAddr, ask: Fetch, key: &PeerKey) -> Result<Fetched> {
+    let answer = timeout(FETCH_LIMIT, exchange(to, ask, key)).await;
+    let bytes = answer
+        .map_err(|_| Error::peer(to, "no answer in time"))?
+        .map_err(|err| Error::peer(to, err.to_string()))?;
+    wire::decode_fetched(&bytes, key)
+}
+
+async fn exchange(to: SocketAddr, ask: Fetch, key: &PeerKey) -> io::Result<BytesMut> {
+    let stream = TcpStream::connect(to).await?;
+    let mut frames = framed(stream);
+    frames.send(wire::encode_fetch(&ask, key)).await?;
+    let frame = frames.next().await;
+    frame.unwrap_or_else(|| Err(io::ErrorKind::UnexpectedEof.into()))
+}
+
+async fn serve(stream: TcpStream, ask: &mpsc::Sender<Question>, key: &PeerKey) -> Result<()> {
+    let refused = |err| Error::io("answer a fetch", err);
+    let mut frames = framed(stream);
+    frames.codec_mut().set_max_frame_length(ASK_BYTES);
+    let Some(frame) = frames.next().await else {
+        return Ok(());
+    };
+    let fetch = wire::decode_fetch(&frame.map_err(refused)?, key)?;
+    let (reply, answer) = oneshot::channel();
+    let ended = || Error::malformed("fetch while the host ends");
+    ask.send((fetch, reply)).await.map_err(|_| ended())?;
+    let fetched = answer.await.map_err(|_| ended())?;
+    let bytes = wire::encode_fetched(&fetched, key);
+    frames.codec_mut().set_max_frame_length(FETCH_BYTES);
+    frames.send(bytes).await.map_err(refused)
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(FETCH_BYTES)
+        .new_framed(stream)
+}
+
+fn beat_event(beat: Result<Beat>) -> Event {
+    match beat {
+        Ok(beat) => Event::Beat(Box::new(beat)),
+        Err(_) => Event::Rejected,
+    }
+}
+
+#[cold]
+fn no_platform() -> Error {
+    Error::platform("no address in the settings")
+}
+
+impl Decoder for BeatCodec {
+    type Item = Result<Beat>;
+    type Error = io::Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<Self::Item>> {
+        if src.is_empty() {
+            return Ok(None);
+        }
+        let datagram = src.split();
+        Ok(Some(wire::decode_beat(&datagram, &self.0)))
+    }
+}
+
+impl Encoder<Beat> for BeatCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, beat: Beat, dst: &mut BytesMut) -> io::Result<()> {
+        dst.extend_from_slice(&wire::encode_beat(&beat, &self.0));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,4 @@
+//! Sockets, threads, timers and settings.
+
+pub mod control;
+pub mod platform;
--- /dev/null
+++ b/src/wire/peer.rs
@@ -0,0 +1,391 @@
+//! Messages between hosts as sealed prost messages.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use prost::Message;
+
+use super::addr;
+use crate::control::message::{
+    Beat, Card, Fetch, Fetched, Listed, News, Roster, Stamp, Status, Update, Vote,
+};
+use crate::control::{Change, Value};
+use crate::error::{Error, Result};
+use crate::id::{Id, Name};
+
+/// Most bytes of an encoded heartbeat.
+pub const BEAT_BYTES: usize = 1_400;
+
+/// Most traffic lanes of one host.
+const LANE_LIMIT: usize = 16;
+
+const SEAL_BYTES: usize = 16;
+
+/// Key that seals messages between hosts, so that strangers cannot join.
+#[derive(Clone)]
+pub struct PeerKey([u8; 32]);
+
+impl PeerKey {
+    /// Key derived from the secret that all hosts share.
+    #[must_use]
+    pub fn new(secret: &str) -> Self {
+        Self(blake3::derive_key("jacinthhinge peer", secret.as_bytes()))
+    }
+
+    fn seal(&self, mut content: Vec<u8>) -> Bytes {
+        let hash = blake3::keyed_hash(&self.0, &content);
+        content.extend_from_slice(&hash.as_bytes()[..SEAL_BYTES]);
+        content.into()
+    }
+
+    fn open<'a>(&self, sealed: &'a [u8]) -> Result<&'a [u8]> {
+        let Some(length) = sealed.len().checked_sub(SEAL_BYTES) else {
+            return Err(Error::malformed("seal of a host's message"));
+        };
+        let (content, seal) = sealed.split_at(length);
+        let hash = blake3::keyed_hash(&self.0, content);
+        if &hash.as_bytes()[..SEAL_BYTES] != seal {
+            return Err(Error::malformed("seal of a host's message"));
+        }
+        Ok(content)
+    }
+}
+
+impl std::fmt::Debug for PeerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("PeerKey(..)")
+    }
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireBeat {
+    #[prost(fixed64, tag = "1")]
+    from: u64,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint32, tag = "3")]
+    version: u32,
+    #[prost(bool, tag = "4")]
+    leaving: bool,
+    #[prost(message, optional, tag = "5")]
+    card: Option<WireCard>,
+    #[prost(uint64, tag = "6")]
+    revision: u64,
+    #[prost(uint64, tag = "7")]
+    roster: u64,
+    #[prost(uint64, tag = "8")]
+    sent: u64,
+    #[prost(uint64, optional, tag = "9")]
+    echo: Option<u64>,
+    #[prost(bool, tag = "10")]
+    ping: bool,
+    #[prost(fixed64, tag = "11")]
+    view: u64,
+    #[prost(bool, tag = "12")]
+    settled: bool,
+    #[prost(fixed64, tag = "13")]
+    base: u64,
+    #[prost(message, repeated, tag = "14")]
+    news: Vec<WireNews>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireCard {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(string, tag = "2")]
+    zone: String,
+    #[prost(bytes = "bytes", tag = "3")]
+    peer: Bytes,
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    lanes: Vec<Bytes>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireNews {
+    #[prost(fixed64, tag = "1")]
+    id: u64,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint32, tag = "3")]
+    version: u32,
+    #[prost(uint32, tag = "4")]
+    status: u32,
+    #[prost(bool, tag = "5")]
+    leaving: bool,
+    #[prost(message, optional, tag = "6")]
+    card: Option<WireCard>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct WireFetch {
+    #[prost(uint64, tag = "1")]
+    after: u64,
+    #[prost(bool, tag = "2")]
+    rosters: bool,
+    #[prost(bool, tag = "3")]
+    members: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireFetched {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    values: Vec<WireValue>,
+    #[prost(message, optional, tag = "3")]
+    pending: Option<WireRoster>,
+    #[prost(message, optional, tag = "4")]
+    base: Option<WireRoster>,
+    #[prost(message, repeated, tag = "5")]
+    members: Vec<WireNews>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireValue {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+    #[prost(string, optional, tag = "3")]
+    json: Option<String>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireRoster {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    hosts: Vec<WireListed>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireListed {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(bytes = "bytes", tag = "2")]
+    peer: Bytes,
+    #[prost(bool, tag = "3")]
+    leaving: bool,
+}
+
+/// Encodes and seals a heartbeat.
+#[must_use]
+pub fn encode_beat(beat: &Beat, key: &PeerKey) -> Bytes {
+    let wire = WireBeat {
+        from: beat.from.0,
+        incarnation: beat.incarnation,
+        version: beat.version,
+        leaving: beat.leaving,
+        card: beat.card.as_ref().map(encode_card),
+        revision: beat.revision,
+        roster: beat.roster,
+        sent: beat.sent.0,
+        echo: beat.echo.map(|echo| echo.0),
+        ping: beat.ping,
+        view: beat.vote.view,
+        settled: beat.vote.settled,
+        base: beat.vote.base,
+        news: beat.news.iter().map(encode_news).collect(),
+    };
+    key.seal(wire.encode_to_vec())
+}
+
+/// Opens and decodes a heartbeat.
+///
+/// # Errors
+///
+/// Fails when it is over [`BEAT_BYTES`], not sealed with this key, or malformed.
+pub fn decode_beat(bytes: &[u8], key: &PeerKey) -> Result<Beat> {
+    if bytes.len() > BEAT_BYTES {
+        return Err(Error::oversized(bytes.len(), BEAT_BYTES));
+    }
+    let content = key.open(bytes)?;
+    let wire = WireBeat::decode(content).map_err(|_| Error::malformed("heartbeat"))?;
+    Ok(Beat {
+        from: Id(wire.from),
+        incarnation: wire.incarnation,
+        version: wire.version,
+        leaving: wire.leaving,
+        card: decode_card_of(wire.from, wire.card)?,
+        revision: wire.revision,
+        roster: wire.roster,
+        sent: Stamp(wire.sent),
+        echo: wire.echo.map(Stamp),
+        ping: wire.ping,
+        vote: Vote {
+            view: wire.view,
+            settled: wire.settled,
+            base: wire.base,
+        },
+        news: wire
+            .news
+            .into_iter()
+            .map(decode_news)
+            .collect::<Result<_>>()?,
+    })
+}
+
+/// Encodes and seals a fetch.
+#[must_use]
+pub fn encode_fetch(ask: &Fetch, key: &PeerKey) -> Bytes {
+    let wire = WireFetch {
+        after: ask.after,
+        rosters: ask.rosters,
+        members: ask.members,
+    };
+    key.seal(wire.encode_to_vec())
+}
+
+/// Opens and decodes a fetch.
+///
+/// # Errors
+///
+/// Fails when it is not sealed with this key, or malformed.
+pub fn decode_fetch(bytes: &[u8], key: &PeerKey) -> Result<Fetch> {
+    let content = key.open(bytes)?;
+    let wire = WireFetch::decode(content).map_err(|_| Error::malformed("fetch"))?;
+    Ok(Fetch {
+        after: wire.after,
+        rosters: wire.rosters,
+        members: wire.members,
+    })
+}
+
+/// Encodes and seals the answer to a fetch.
+#[must_use]
+pub fn encode_fetched(fetched: &Fetched, key: &PeerKey) -> Bytes {
+    let wire = WireFetched {
+        revision: fetched.update.revision,
+        values: fetched.update.values.iter().map(encode_value).collect(),
+        pending: fetched.pending.as_ref().map(encode_roster),
+        base: fetched.base.as_ref().map(encode_roster),
+        members: fetched.members.iter().map(encode_news).collect(),
+    };
+    key.seal(wire.encode_to_vec())
+}
+
+/// Opens and decodes the answer to a fetch.
+///
+/// # Errors
+///
+/// Fails when it is not sealed with this key, or malformed.
+pub fn decode_fetched(bytes: &[u8], key: &PeerKey) -> Result<Fetched> {
+    let content = key.open(bytes)?;
+    let wire = WireFetched::decode(content).map_err(|_| Error::malformed("fetched values"))?;
+    Ok(Fetched {
+        update: Update {
+            revision: wire.revision,
+            values: wire.values.into_iter().map(decode_value).collect(),
+        },
+        pending: wire.pending.map(decode_roster).transpose()?,
+        base: wire.base.map(decode_roster).transpose()?,
+        members: wire
+            .members
+            .into_iter()
+            .map(decode_news)
+            .collect::<Result<_>>()?,
+    })
+}
+
+fn encode_card(card: &Card) -> WireCard {
+    WireCard {
+        name: card.name.to_string(),
+        zone: card.zone.to_string(),
+        peer: addr::encode(card.peer),
+        lanes: card.lanes.iter().copied().map(addr::encode).collect(),
+    }
+}
+
+/// Decodes a card that must be the one of host `id`.
+fn decode_card_of(id: u64, wire: Option<WireCard>) -> Result<Option<Card>> {
+    let Some(wire) = wire else { return Ok(None) };
+    if Id::of(&wire.name) != Id(id) {
+        return Err(Error::malformed("name of a host"));
+    }
+    if wire.lanes.is_empty() || wire.lanes.len() > LANE_LIMIT {
+        return Err(Error::malformed("lanes of a host"));
+    }
+    Ok(Some(Card {
+        name: wire.name.into(),
+        zone: wire.zone.into(),
+        peer: addr::decode(&wire.peer)?,
+        lanes: wire
+            .lanes
+            .iter()
+            .map(|lane| addr::decode(lane))
+            .collect::<Result<_>>()?,
+    }))
+}
+
+fn encode_news(news: &News) -> WireNews {
+    WireNews {
+        id: news.id.0,
+        incarnation: news.incarnation,
+        version: news.version,
+        status: news.status as u32,
+        leaving: news.leaving,
+        card: news.card.as_ref().map(encode_card),
+    }
+}
+
+fn decode_news(wire: WireNews) -> Result<News> {
+    Ok(News {
+        id: Id(wire.id),
+        incarnation: wire.incarnation,
+        version: wire.version,
+        status: decode_status(wire.status)?,
+        leaving: wire.leaving,
+        card: decode_card_of(wire.id, wire.card)?,
+    })
+}
+
+fn decode_status(status: u32) -> Result<Status> {
+    match status {
+        0 => Ok(Status::Alive),
+        1 => Ok(Status::Suspect),
+        2 => Ok(Status::Dead),
+        _ => Err(Error::malformed("status of a host")),
+    }
+}
+
+fn encode_value(change: &Change) -> WireValue {
+    WireValue {
+        key: change.key.to_string(),
+        revision: change.value.revision,
+        json: change.value.json.as_deref().map(str::to_owned),
+    }
+}
+
+fn decode_value(wire: WireValue) -> Change {
+    Change {
+        key: Name::from(wire.key),
+        value: Value {
+            revision: wire.revision,
+            json: wire.json.map(Arc::from),
+        },
+    }
+}
+
+fn encode_roster(roster: &Roster) -> WireRoster {
+    let hosts = roster.hosts.iter().map(|host| WireListed {
+        name: host.name.to_string(),
+        peer: addr::encode(host.peer),
+        leaving: host.leaving,
+    });
+    WireRoster {
+        revision: roster.revision,
+        hosts: hosts.collect(),
+    }
+}
+
+fn decode_roster(wire: WireRoster) -> Result<Roster> {
+    let hosts = wire.hosts.into_iter().map(|host| {
+        Ok(Listed {
+            name: host.name.into(),
+            peer: addr::decode(&host.peer)?,
+            leaving: host.leaving,
+        })
+    });
+    Ok(Roster::new(wire.revision, hosts.collect::<Result<_>>()?))
+}
--- /dev/null
+++ b/tests/values.rs
@@ -0,0 +1,140 @@
+//! Configuration values: in force everywhere, and never back.
+
+mod zone;
+
+use jacinthhinge::control::{Event, Update};
+use jacinthhinge::prelude::*;
+use zone::{Node, Zone};
+
+const SECOND: Duration = Duration::from_secs(1);
+const FORCE_LIMIT: Duration = Duration::from_secs(6);
+
+fn started(count: usize) -> Zone {
+    let mut zone = Zone::with_hosts(count);
+    zone.platform.up = true;
+    zone.list(0..count);
+    zone.set("fleet", Some("1"));
+    zone.run_for(8 * SECOND);
+    assert!(in_force(&zone, 1));
+    zone
+}
+
+fn in_force(zone: &Zone, revision: u64) -> bool {
+    zone.all(|node| node.snapshot.revision == revision)
+}
+
+fn value(node: &Node, key: &str) -> Option<Name> {
+    let values = &node.control.tables().values.values;
+    values.get(key).and_then(|value| value.json.clone())
+}
+
+#[test]
+fn change_is_in_force_everywhere() {
+    let mut zone = started(4);
+    zone.set("service/adserve", Some("2"));
+    let took = zone.run_till(FORCE_LIMIT, |zone| in_force(zone, 2));
+    assert!(took.is_some());
+}
+
+#[test]
+fn change_spreads_from_the_only_host_that_hears_of_it() {
+    let mut zone = started(40);
+    for node in zone.nodes.values_mut().skip(1) {
+        node.platform = false;
+    }
+    zone.run_for(40 * SECOND);
+    zone.set("service/adserve", Some("2"));
+    let took = zone.run_till(FORCE_LIMIT, |zone| in_force(zone, 2));
+    assert!(took.is_some());
+    assert!(zone.all(|node| value(node, "service/adserve").as_deref() == Some("2")));
+}
+
+#[test]
+fn host_that_starts_while_the_platform_is_down_boots_from_others() {
+    let mut zone = started(3);
+    zone.platform.up = false;
+    zone.start(3);
+    let took = zone.run_till(FORCE_LIMIT, |zone| in_force(zone, 1));
+    assert!(took.is_some());
+}
+
+#[test]
+fn stale_replica_is_not_obeyed() {
+    let mut zone = started(2);
+    zone.set("fleet", Some("2"));
+    zone.run_for(3 * SECOND);
+    zone.platform.update = Update::default();
+    zone.run_for(40 * SECOND);
+    assert!(in_force(&zone, 2));
+    assert!(zone.all(|node| value(node, "fleet").as_deref() == Some("2")));
+    assert!(zone.all(|node| node.control.tables().counters.stale_reads > 0));
+}
+
+#[test]
+fn bad_set_is_refused_whole_and_not_spread() {
+    let mut zone = started(3);
+    zone.set("service/adserve", Some("\"bad\""));
+    zone.run_for(5 * SECOND);
+    assert!(in_force(&zone, 1));
+    assert!(zone.all(|node| node.control.tables().counters.refused_values == 1));
+    zone.set("service/bestel", Some("3"));
+    zone.run_for(5 * SECOND);
+    assert!(in_force(&zone, 1), "the bad value still stands");
+    zone.set("service/adserve", Some("4"));
+    let took = zone.run_till(FORCE_LIMIT, |zone| in_force(zone, 4));
+    assert!(took.is_some());
+    assert!(zone.all(|node| value(node, "service/bestel").as_deref() == Some("3")));
+}
+
+#[test]
+fn removed_value_is_removed_everywhere() {
+    let mut zone = started(3);
+    zone.nodes.get_mut(&2).expect("host").platform = false;
+    zone.set("fleet", None);
+    zone.run_for(FORCE_LIMIT);
+    assert!(zone.all(|node| value(node, "fleet").is_none()));
+}
+
+#[test]
+fn watch_of_nothing_new_waits() {
+    let mut zone = started(1);
+    zone.platform.reads.clear();
+    zone.run_for(60 * SECOND);
+    let reads = zone.platform.reads.len();
+    assert!(reads <= 20, "{reads} reads in a minute");
+}
+
+#[test]
+fn reads_of_the_fleet_stay_in_budget_through_an_outage() {
+    let mut zone = Zone::new();
+    zone.platform.up = true;
+    zone.set("fleet", Some("1"));
+    (0..650).for_each(|index| zone.start(index));
+    zone.run_for(10 * SECOND);
+    zone.platform.up = false;
+    zone.run_for(40 * SECOND);
+    zone.platform.up = true;
+    zone.set("fleet", Some("2"));
+    zone.run_for(15 * SECOND);
+    let most = busiest_second(&zone.platform.reads);
+    assert!(most < 2_000, "{most} reads in one second");
+    assert!(in_force(&zone, 2));
+}
+
+fn busiest_second(reads: &[Duration]) -> usize {
+    let ends = reads.iter().enumerate();
+    let counts = ends.map(|(end, time)| {
+        let start = reads.partition_point(|read| *read + SECOND <= *time);
+        end + 1 - start
+    });
+    counts.max().unwrap_or_default()
+}
+
+#[test]
+fn failed_read_is_counted_and_changes_nothing() {
+    let mut zone = started(1);
+    zone.give(0, Event::Values(Err(Error::platform("status 500"))));
+    zone.run_for(SECOND);
+    assert!(in_force(&zone, 1));
+    assert_eq!(zone.nodes[&0].control.tables().counters.read_failures, 1);
+}
--- /dev/null
+++ b/tests/zone/mod.rs
@@ -0,0 +1,408 @@
+//! A few control cores joined by an in-memory queue.
+//!
+//! What is lost, late or stale is decided by closures and plain fields, which
+//! each test sets.
+
+#![allow(dead_code, reason = "each test uses its part")]
+
+use std::collections::BTreeMap;
+
+use jacinthhinge::control::lease::Timing;
+use jacinthhinge::control::message::{Beat, Card, Hosts, Listed};
+use jacinthhinge::control::{
+    Action, Build, Built, Change, Control, Event, Fetch, Fetched, Settings, Update, Value, Values,
+};
+use jacinthhinge::prelude::*;
+use jacinthhinge::wire::{PeerKey, encode_beat, encode_fetched};
+
+pub const TICK: Duration = Duration::from_millis(100);
+pub const LATENCY: Duration = Duration::from_micros(500);
+const POLL: Duration = Duration::from_millis(100);
+const STEP: Duration = Duration::from_millis(20);
+const HEADERS: u64 = 28;
+
+/// Gives the delays of the copies of a message that arrive; none if it is lost.
+pub type Link = Box<dyn FnMut(Duration, usize, usize) -> Vec<Duration>>;
+
+/// Called before and after each event of a running host.
+pub type Watcher = Box<dyn FnMut(Duration, &Node)>;
+
+/// A host.
+pub struct Node {
+    pub index: usize,
+    pub control: Control,
+    pub snapshot: Arc<Snapshot>,
+    pub start: Duration,
+    pub incarnation: Incarnation,
+    pub platform: bool,
+    pub exited: bool,
+    pub paused: Duration,
+    late: Vec<Event>,
+}
+
+impl Node {
+    /// Names it publishes as alive.
+    pub fn hosts(&self) -> Vec<String> {
+        let hosts = self.snapshot.hosts.iter();
+        let mut names: Vec<String> = hosts.map(|host| host.name.to_string()).collect();
+        names.sort();
+        names
+    }
+
+    /// True if it publishes a lease that it holds.
+    pub fn is_leased(&self, now: Duration) -> bool {
+        self.snapshot.lease.is_held(now.saturating_sub(self.start))
+    }
+}
+
+/// The platform as the hosts reach it.
+#[derive(Default)]
+pub struct Platform {
+    pub up: bool,
+    pub update: Update,
+    pub hosts: Hosts,
+    pub reads: Vec<Duration>,
+}
+
+/// Messages on their way, and what they cost.
+pub struct Net {
+    pub link: Link,
+    pub measure: bool,
+    pub messages: u64,
+    pub bytes: u64,
+    key: PeerKey,
+    queue: BTreeMap<(Duration, u64), Task>,
+    count: u64,
+}
+
+enum Task {
+    Tick(usize, Incarnation),
+    Give(usize, Incarnation, Event),
+    Beat(usize, Box<Beat>),
+    Answer(usize, Incarnation, usize, Fetch),
+    Watch(usize, Incarnation, u64, Duration),
+}
+
+impl Net {
+    fn plan(&mut self, at: Duration, task: Task) {
+        self.count += 1;
+        self.queue.insert((at, self.count), task);
+    }
+
+    fn send(&mut self, now: Duration, from: usize, to: usize, beat: &Beat) {
+        if self.measure {
+            self.messages += 1;
+            self.bytes += HEADERS + encode_beat(beat, &self.key).len() as u64;
+        }
+        for delay in (self.link)(now, from, to) {
+            self.plan(now + delay, Task::Beat(to, Box::new(beat.clone())));
+        }
+    }
+
+    fn passes(&mut self, now: Duration, from: usize, to: usize) -> bool {
+        !(self.link)(now, from, to).is_empty()
+    }
+}
+
+/// Hosts of one zone.
+pub struct Zone {
+    pub now: Duration,
+    pub nodes: BTreeMap<usize, Node>,
+    pub platform: Platform,
+    pub net: Net,
+    pub watcher: Watcher,
+    pub build: Build,
+    pub timing: Timing,
+    pub seeds: Vec<SocketAddr>,
+    lives: u64,
+}
+
+impl Zone {
+    /// A zone without hosts, where nothing is lost and the platform is down.
+    pub fn new() -> Self {
+        Self {
+            now: Duration::ZERO,
+            nodes: BTreeMap::new(),
+            platform: Platform::default(),
+            net: Net {
+                link: Box::new(|_, _, _| vec![LATENCY]),
+                measure: false,
+                messages: 0,
+                bytes: 0,
+                key: PeerKey::new("secret"),
+                queue: BTreeMap::new(),
+                count: 0,
+            },
+            watcher: Box::new(|_, _| {}),
+            build: Build::new(build),
+            timing: Timing::default(),
+            seeds: Vec::new(),
+            lives: 0,
+        }
+    }
+
+    /// A zone of hosts that are seeded with each other.
+    pub fn with_hosts(count: usize) -> Self {
+        let mut zone = Self::new();
+        zone.seeds = (0..count).map(peer).collect();
+        (0..count).for_each(|index| zone.start(index));
+        zone
+    }
+
+    /// Starts a host in a new life.
+    pub fn start(&mut self, index: usize) {
+        self.lives += 1;
+        let incarnation = 1_000_000_000 * self.lives;
+        let settings = Settings {
+            card: card(index),
+            incarnation,
+            seeds: self.seeds.clone(),
+            keys: Keys::new("current", "other"),
+            timing: self.timing,
+            drain: Duration::from_secs(5),
+            build: self.build.clone(),
+            random: self.lives,
+        };
+        let node = Node {
+            index,
+            control: Control::new(settings, Duration::ZERO),
+            snapshot: Arc::new(Snapshot::empty(Keys::new("current", "other"))),
+            start: self.now,
+            incarnation,
+            platform: true,
+            exited: false,
+            paused: Duration::ZERO,
+            late: Vec::new(),
+        };
+        self.nodes.insert(index, node);
+        let phase = Duration::from_millis(self.lives * 7 % 100);
+        self.net
+            .plan(self.now + phase, Task::Tick(index, incarnation));
+    }
+
+    /// Stops a host without a word.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes.remove(&index);
+    }
+
+    /// Pauses a host; what arrives meanwhile waits.
+    pub fn pause(&mut self, index: usize, time: Duration) {
+        if let Some(node) = self.nodes.get_mut(&index) {
+            node.paused = self.now + time;
+        }
+    }
+
+    /// Hands an event to a host now.
+    pub fn give(&mut self, index: usize, event: Event) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&index) else {
+            return;
+        };
+        node.late.push(event);
+        if now < node.paused {
+            return;
+        }
+        for event in std::mem::take(&mut node.late) {
+            (self.watcher)(now, node);
+            let outbox = node.control.handle(now.saturating_sub(node.start), event);
+            for action in outbox {
+                carry_out(&mut self.net, &mut self.platform, now, node, action);
+            }
+            (self.watcher)(now, node);
+        }
+    }
+
+    /// Sets the platform's host list.
+    pub fn list(&mut self, indices: impl IntoIterator<Item = usize>) {
+        self.platform.hosts.revision += 1;
+        self.platform.hosts.hosts = indices.into_iter().map(listed).collect();
+    }
+
+    /// Sets or removes one configuration value.
+    pub fn set(&mut self, key: &str, json: Option<&str>) {
+        let update = &mut self.platform.update;
+        update.revision += 1;
+        update.values.retain(|change| &*change.key != key);
+        update.values.push(Change {
+            key: key.into(),
+            value: Value {
+                revision: update.revision,
+                json: json.map(Name::from),
+            },
+        });
+    }
+
+    /// Runs until `time`.
+    pub fn run_until(&mut self, time: Duration) {
+        while let Some(entry) = self.net.queue.first_entry() {
+            if entry.key().0 > time {
+                break;
+            }
+            let ((at, _), task) = entry.remove_entry();
+            self.now = at;
+            self.perform(task);
+        }
+        self.now = time;
+    }
+
+    /// Runs for some time.
+    pub fn run_for(&mut self, time: Duration) {
+        self.run_until(self.now + time);
+    }
+
+    /// Runs until a condition holds, and says how long that took.
+    pub fn run_till(&mut self, limit: Duration, holds: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let start = self.now;
+        while !holds(self) {
+            if self.now >= start + limit {
+                return None;
+            }
+            self.run_for(STEP);
+        }
+        Some(self.now.saturating_sub(start))
+    }
+
+    /// True if a condition holds on every running host.
+    pub fn all(&self, holds: impl Fn(&Node) -> bool) -> bool {
+        self.nodes.values().filter(|node| !node.exited).all(holds)
+    }
+
+    fn perform(&mut self, task: Task) {
+        match task {
+            Task::Tick(index, life) if self.runs(index, life) => {
+                let paused = self.nodes[&index].paused;
+                self.give(index, Event::Tick);
+                let next = paused.max(self.now + TICK);
+                self.net.plan(next, Task::Tick(index, life));
+            }
+            Task::Give(index, life, event) if self.runs(index, life) => self.give(index, event),
+            Task::Beat(index, beat) => self.give(index, Event::Beat(beat)),
+            Task::Answer(index, life, to, ask) => {
+                let answer = Event::Fetched(self.answer(index, to, &ask));
+                self.net
+                    .plan(self.now + LATENCY, Task::Give(index, life, answer));
+            }
+            Task::Watch(index, life, after, left) if self.runs(index, life) => {
+                self.watch(index, life, after, left);
+            }
+            _ => {}
+        }
+    }
+
+    fn runs(&self, index: usize, life: Incarnation) -> bool {
+        let node = self.nodes.get(&index);
+        node.is_some_and(|node| node.incarnation == life && !node.exited)
+    }
+
+    fn answer(&mut self, from: usize, to: usize, ask: &Fetch) -> Result<Fetched> {
+        let passes = self.net.passes(self.now, from, to) && self.net.passes(self.now, to, from);
+        let node = self.nodes.get(&to);
+        let node = node.filter(|node| passes && self.now >= node.paused && !node.exited);
+        let node = node.ok_or_else(|| Error::peer(peer(to), "no answer in time"))?;
+        let fetched = node.control.answer(ask);
+        if self.net.measure {
+            self.net.bytes += encode_fetched(&fetched, &self.net.key).len() as u64;
+        }
+        Ok(fetched)
+    }
+
+    fn watch(&mut self, index: usize, life: Incarnation, after: u64, left: Duration) {
+        let reached = self.platform.up && self.nodes[&index].platform;
+        let update = &self.platform.update;
+        if reached && update.revision == after && left > POLL {
+            let wait = Task::Watch(index, life, after, left.saturating_sub(POLL));
+            self.net.plan(self.now + POLL, wait);
+            return;
+        }
+        let mut update = update.clone();
+        update.values.retain(|change| change.value.revision > after);
+        let answer = reached.then_some(update);
+        let answer = answer.ok_or_else(|| Error::platform("down"));
+        self.give(index, Event::Values(answer));
+    }
+}
+
+fn carry_out(
+    net: &mut Net,
+    platform: &mut Platform,
+    now: Duration,
+    node: &mut Node,
+    action: Action,
+) {
+    let (index, life) = (node.index, node.incarnation);
+    match action {
+        Action::Send { to, beat } => net.send(now, index, index_of(to), &beat),
+        Action::Fetch { to, ask } => {
+            net.plan(now + LATENCY, Task::Answer(index, life, index_of(to), ask));
+        }
+        Action::Watch { after, wait } => {
+            platform.reads.push(now);
+            net.plan(now + LATENCY, Task::Watch(index, life, after, wait));
+        }
+        Action::ReadHosts => {
+            platform.reads.push(now);
+            let answer = (platform.up && node.platform).then(|| platform.hosts.clone());
+            let answer = answer.ok_or_else(|| Error::platform("down"));
+            net.plan(now + LATENCY, Task::Give(index, life, Event::Hosts(answer)));
+        }
+        Action::Publish(snapshot) => node.snapshot = snapshot,
+        Action::Exit => node.exited = true,
+    }
+}
+
+/// Control address of a host.
+pub fn peer(index: usize) -> SocketAddr {
+    let port = 10_000 + u16::try_from(index).expect("few hosts");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Name of a host.
+pub fn name(index: usize) -> String {
+    format!("sv-a-{index:03}")
+}
+
+/// Names of hosts.
+pub fn names(indices: impl IntoIterator<Item = usize>) -> Vec<String> {
+    indices.into_iter().map(name).collect()
+}
+
+/// Id of a host.
+pub fn id(index: usize) -> Id {
+    Id::of(&name(index))
+}
+
+/// Card of a host.
+pub fn card(index: usize) -> Card {
+    let addr = peer(index);
+    let lanes = (1..=4).map(|lane| SocketAddr::new(addr.ip(), addr.port() + lane * 1_000));
+    Card {
+        name: name(index).into(),
+        zone: "sv-a".into(),
+        peer: addr,
+        lanes: lanes.collect(),
+    }
+}
+
+fn listed(index: usize) -> (Name, Listed) {
+    let host = Listed {
+        name: name(index).into(),
+        peer: peer(index),
+        leaving: false,
+    };
+    ("sv-a".into(), host)
+}
+
+fn index_of(addr: SocketAddr) -> usize {
+    usize::from(addr.port() - 10_000)
+}
+
+/// Builds no service, and refuses values that read `bad`.
+fn build(values: &Values) -> Result<Built> {
+    let bad = values
+        .iter()
+        .find(|(_, value)| value.json.as_deref() == Some("\"bad\""));
+    match bad {
+        Some((key, _)) => Err(Error::config(&**key, "bad value", "write a good one")),
+        None => Ok(Built::default()),
+    }
+}
