Decide about load by a plain struct of closures

Cause: placement looked at every endpoint and at own counts only, long work of several hosts could fill all slots of an endpoint, a refused request went back at once without a budget, and nothing was refused early. Change: Policies holds the decisions as closures and Parts their numbers, so that an experiment swaps one of them. Placement samples 16 endpoints, adds the work of other hosts as last reported, ramps up new endpoints, passes over those that leave packets unanswered for 150 ms and keeps to the own zone while it has room. Long work counts others' work against the reserved slots. Admission compares the wait in the queue with the slack. Retries spend a budget that fresh requests earn.

--- /dev/null
+++ b/src/systems/admit.rs
@@ -0,0 +1,81 @@
+//! Refuses early, as not run, what cannot be run before its deadline.
+//!
+//! The wait of a request is the queued work that goes before it over the slots
+//! this lane has in use. Classes of lower rank wait behind the others, so they
+//! are the first to be refused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::policies::Parts;
+use super::verdict;
+use crate::packet::{Class, Reason};
+use crate::snapshot::Service;
+use crate::tables::{Outbox, Tables};
+
+/// Queues a new request, or refuses it when it would wait too long.
+pub(super) fn run(tables: &mut Tables, slot: usize, now: Duration, out: &mut Outbox) {
+    let policies = Arc::clone(&tables.policies);
+    if (policies.admit)(tables, slot, now) {
+        earn(tables, slot);
+        tables.requests.queue(slot);
+    } else {
+        verdict::end_unsent(tables, slot, Reason::Overload, out);
+    }
+}
+
+fn earn(tables: &mut Tables, slot: usize) {
+    let id = tables.requests.row(slot).service;
+    if let Some(service) = tables.snapshot.services.get(&id) {
+        tables.budgets.earn(id, service.retries);
+    }
+}
+
+/// True when the wait leaves enough of the slack.
+pub(super) fn admit(tables: &Tables, parts: &Parts, slot: usize, now: Duration) -> bool {
+    let row = tables.requests.row(slot);
+    let Some(service) = tables.snapshot.services.get(&row.service) else {
+        return true;
+    };
+    let wait = work_ahead(tables, service, row.class) / slots_held(tables, service);
+    let slack = slack(service, row.class, row.deadline, now);
+    wait <= slack.as_secs_f64() * parts.slack
+}
+
+/// True when a request that is dispatched now can end in time.
+pub(super) fn keep(tables: &Tables, slot: usize, now: Duration) -> bool {
+    let row = tables.requests.row(slot);
+    let Some(service) = tables.snapshot.services.get(&row.service) else {
+        return true;
+    };
+    !slack(service, row.class, row.deadline, now).is_zero()
+}
+
+fn slack(service: &Service, class: Class, deadline: Duration, now: Duration) -> Duration {
+    let time = service.classes[class.index()].service_time;
+    deadline.saturating_sub(now).saturating_sub(time)
+}
+
+/// Slot time of the queued requests that go before a new one, in seconds.
+fn work_ahead(tables: &Tables, service: &Service, class: Class) -> f64 {
+    let rank = service.classes[class.index()].rank;
+    Class::ALL
+        .iter()
+        .map(|other| (other, &service.classes[other.index()]))
+        .filter(|(_, policy)| policy.rank >= rank)
+        .map(|(other, policy)| {
+            let count = tables.requests.queue_len(service.id, *other);
+            f64::from(u32::try_from(count).unwrap_or(u32::MAX)) * policy.service_time.as_secs_f64()
+        })
+        .sum()
+}
+
+/// Slots of the service that this lane uses, and at least its fair share of them.
+fn slots_held(tables: &Tables, service: &Service) -> f64 {
+    let running: u32 = tables.endpoints.running(service.id);
+    let total = tables.endpoints.slots(service.id);
+    let hosts = u32::try_from(tables.snapshot.hosts.len().max(1)).unwrap_or(u32::MAX);
+    f64::from(running)
+        .max(f64::from(total) / f64::from(hosts))
+        .max(1.0)
+}
--- a/src/systems/ask.rs
+++ b/src/systems/ask.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{take, verdict};
+use super::{admit, take, verdict};
 use crate::packet::{Body, Class, Packet, Part, Reason, Verdict};
 use crate::tables::{Arrival, Outbox, Request, RequestId, RequestState, Stage, Tables};
 
@@ -50,7 +50,7 @@
         repeat(tables, slot, out);
         return;
     }
-    gather(tables, slot, packet, part, out);
+    gather(tables, slot, packet, part, now, out);
 }
 
 /// Makes the record of a new request, or says why it is not taken.
@@ -100,7 +100,14 @@
     tables.snapshot.lease.is_held(now) && tables.is_home(&packet.key())
 }
 
-fn gather(tables: &mut Tables, slot: usize, packet: &Packet, part: &Part, out: &mut Outbox) {
+fn gather(
+    tables: &mut Tables,
+    slot: usize,
+    packet: &Packet,
+    part: &Part,
+    now: Duration,
+    out: &mut Outbox,
+) {
     let row = tables.requests.row_mut(slot);
     let fresh = row.parts.insert(part);
     let whole = row.parts.is_whole();
@@ -114,7 +121,7 @@
         );
     }
     if fresh && whole && row.state == RequestState::Gathering {
-        tables.requests.queue(slot);
+        admit::run(tables, slot, now, out);
     }
 }
 
--- a/src/systems/dispatch.rs
+++ b/src/systems/dispatch.rs
@@ -1,11 +1,14 @@
 //! Gives queued requests to endpoints with a free slot.
 
+use std::cmp::Reverse;
+use std::sync::Arc;
 use std::time::Duration;
 
-use super::{open, place, probe, verdict};
+use smallvec::SmallVec;
+
+use super::{open, probe, verdict};
 use crate::id::Id;
 use crate::packet::{Body, Class, Reason, Verdict};
-use crate::snapshot::Service;
 use crate::tables::{EndpointRow, Outbox, Request, RequestState, Tables};
 
 /// Parts of a request sent before the endpoint has acknowledged any.
@@ -14,23 +17,20 @@
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     for service in tables.requests.waiting() {
         greet_unknown(tables, service, now, out);
-        for class in ranked(tables, service) {
-            drain(tables, service, class, now, out);
-        }
-    }
-}
-
-/// Classes of a service, the most important first.
-fn ranked(tables: &Tables, service: Id) -> [Class; Class::ALL.len()] {
-    let mut classes = Class::ALL;
-    if let Some(service) = tables.snapshot.services.get(&service) {
-        classes.sort_by_key(|class| std::cmp::Reverse(rank(service, *class)));
+        drain(tables, service, now, out);
     }
-    classes
 }
 
-fn rank(service: &Service, class: Class) -> u32 {
-    service.classes[class.index()].rank
+/// The most urgent queued request of the class of highest rank.
+pub(super) fn order(tables: &Tables, service: Id, stuck: &[Class]) -> Option<usize> {
+    let policy = tables.snapshot.services.get(&service);
+    let rank = |class: &Class| policy.map_or(0, |policy| policy.classes[class.index()].rank);
+    Class::ALL
+        .iter()
+        .filter(|class| !stuck.contains(class))
+        .filter_map(|class| Some((rank(class), tables.requests.queued(service, *class).next()?)))
+        .max_by_key(|(rank, slot)| (*rank, Reverse(tables.requests.row(*slot).deadline)))
+        .map(|(_, slot)| slot)
 }
 
 /// An endpoint that has not spoken is asked for its incarnation first.
@@ -46,13 +46,18 @@
     }
 }
 
-fn drain(tables: &mut Tables, service: Id, class: Class, now: Duration, out: &mut Outbox) {
-    loop {
-        let Some(slot) = tables.requests.queued(service, class).next() else {
-            return;
-        };
-        let Some(endpoint) = place::pick_slot(tables, service, class, now) else {
-            return;
+fn drain(tables: &mut Tables, service: Id, now: Duration, out: &mut Outbox) {
+    let policies = Arc::clone(&tables.policies);
+    let mut stuck: SmallVec<[Class; Class::ALL.len()]> = SmallVec::new();
+    while let Some(slot) = (policies.order)(tables, service, &stuck) {
+        if !(policies.keep)(tables, slot, now) {
+            verdict::end_unsent(tables, slot, Reason::Late, out);
+            continue;
+        }
+        let class = tables.requests.row(slot).class;
+        let Some(endpoint) = (policies.pick_slot)(tables, service, class, now) else {
+            stuck.push(class);
+            continue;
         };
         tables.requests.unqueue(slot);
         if may_run(tables, slot, now) {
@@ -82,8 +87,10 @@
     row.started = now;
     row.holding = true;
     row.acked = vec![false; row.parts.total()];
-    let class = row.class;
-    tables.endpoints.acquire(endpoint, class);
+    tables.endpoints.acquire(endpoint);
+    if let Some(row) = tables.endpoints.get_mut(endpoint) {
+        row.asked.get_or_insert(now);
+    }
     transmit(tables, slot, now, out);
 }
 
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -5,6 +5,7 @@
 //! timer. Packets wait in the inbox; [`route`] decides which system each is for,
 //! and the others deal with theirs. None of them sees a socket, bytes or a clock.
 
+mod admit;
 mod ask;
 mod dispatch;
 mod drain;
@@ -15,6 +16,7 @@
 mod open;
 mod pass;
 mod place;
+mod policies;
 mod probe;
 mod recover;
 mod retry;
@@ -24,6 +26,8 @@
 mod verdict;
 mod wake;
 
+pub use self::policies::{Admit, Order, Parts, PickConn, PickSlot, Policies, Retry};
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,6 +72,7 @@
     recover::run(tables, now, out);
     retry::run(tables, now, out);
     expire::run(tables, now, out);
+    place::probe(tables, now, out);
     let swept = tables.flows.sweep(SWEEP);
     probe::run(tables, &swept, now, out);
     idle::run(tables, &swept, now, out);
--- a/src/systems/open.rs
+++ b/src/systems/open.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{pass, place, recover, take};
+use super::{pass, recover, take};
 use crate::id::FlowKey;
 use crate::packet::{Body, Packet, Reason};
 use crate::tables::{Arrival, Flow, FlowState, Outbox, Stage, Tables};
@@ -64,7 +64,9 @@
         return;
     };
     let choice = if flow.refused.len() < TRIES {
-        place::pick_conn(tables, flow.service, &flow.refused, now)
+        let (service, refused) = (flow.service, flow.refused.clone());
+        let policies = std::sync::Arc::clone(&tables.policies);
+        (policies.pick_conn)(tables, service, &refused, now)
     } else {
         None
     };
@@ -73,6 +75,7 @@
         return;
     };
     row.fresh += 1;
+    row.asked.get_or_insert(now);
     let target = row.target();
     if let Some(flow) = tables.flows.get_mut(key) {
         flow.state = FlowState::Opening;
--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -1,51 +1,217 @@
 //! Chooses the endpoint of a flow or a request.
+//!
+//! What this lane has seen itself weighs more than what is reported: an endpoint
+//! that does not answer is passed over whatever its health, one that answers is
+//! used. An endpoint's own load report fills in the work of other lanes.
 
 use std::time::Duration;
 
+use rand::RngExt;
+
+use super::policies::Parts;
+use super::probe;
 use crate::id::Id;
-use crate::packet::Class;
-use crate::tables::{EndpointRow, Tables};
+use crate::packet::{Body, Class};
+use crate::tables::{EndpointRow, Outbox, Tables};
+
+/// Share that a new or restarted endpoint starts with.
+const RAMP_START: f64 = 0.1;
+
+/// Share of its due that an endpoint keeps however often it refuses.
+const SHED_FLOOR: f64 = 0.05;
+
+/// Time without an answer after which a report of bad health is believed.
+const DOUBT: Duration = Duration::from_secs(1);
+
+/// Age of a load report above which it is asked for again while work waits.
+const STALE: Duration = Duration::from_millis(20);
+
+/// Pause of an endpoint after it refused work with slots free.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest pause of an endpoint that keeps refusing, as a multiple of the first.
+const PAUSE_LIMIT: u32 = 8;
+
+/// A choice among endpoints: lower scores first, remote ones only when no local fits.
+struct Choice {
+    id: Id,
+    remote: bool,
+    score: f64,
+}
 
 /// Endpoint for a new flow: the least full of those with room.
-pub(super) fn pick_conn(tables: &Tables, service: Id, refused: &[Id], now: Duration) -> Option<Id> {
-    tables
-        .endpoints
-        .of(service)
-        .filter(|row| row.is_open(now) && !refused.contains(&row.spec.id))
-        .filter(|row| conns(row) < row.spec.conns)
-        .min_by(|a, b| conn_share(a).total_cmp(&conn_share(b)))
-        .map(|row| row.spec.id)
+pub(super) fn pick_conn(
+    tables: &mut Tables,
+    parts: &Parts,
+    service: Id,
+    refused: &[Id],
+    now: Duration,
+) -> Option<Id> {
+    let lanes = lanes(tables);
+    pick(tables, parts, service, now, |row| {
+        let conns = conns(row, lanes);
+        if conns >= row.spec.conns || refused.contains(&row.spec.id) {
+            return None;
+        }
+        let share = f64::from(conns + 1) / f64::from(row.spec.conns);
+        let remote = !row.spec.local || share > parts.spill;
+        Some((remote, share))
+    })
 }
 
 /// Endpoint for a request: the least busy of those with a free slot.
-pub(super) fn pick_slot(tables: &Tables, service: Id, class: Class, now: Duration) -> Option<Id> {
+pub(super) fn pick_slot(
+    tables: &mut Tables,
+    parts: &Parts,
+    service: Id,
+    class: Class,
+    now: Duration,
+) -> Option<Id> {
     let reserve = tables.snapshot.services.get(&service)?.reserve;
-    tables
-        .endpoints
-        .of(service)
-        .filter(|row| row.is_open(now) && row.load.incarnation != 0)
-        .filter(|row| has_slot(row, class, reserve))
-        .min_by(|a, b| slot_share(a).total_cmp(&slot_share(b)))
-        .map(|row| row.spec.id)
+    pick(tables, parts, service, now, |row| {
+        let busy = busy(row, parts, class, now);
+        if row.load.incarnation == 0 || busy >= limit(row, parts, class, reserve) {
+            return None;
+        }
+        Some((
+            !row.spec.local,
+            f64::from(busy + 1) / f64::from(row.spec.slots),
+        ))
+    })
+}
+
+/// Requests that an endpoint may hold when one of `class` is sent to it.
+fn limit(row: &EndpointRow, parts: &Parts, class: Class, reserve: u32) -> u32 {
+    if class.is_long() {
+        row.spec.slots.saturating_sub(reserve).max(1)
+    } else {
+        row.spec.slots + parts.ahead
+    }
+}
+
+/// Requests on an endpoint: this lane's, and others' as last reported. An old
+/// report is forgotten for short work only; long work waits for a new one.
+fn busy(row: &EndpointRow, parts: &Parts, class: Class, now: Duration) -> u32 {
+    let is_old = now >= row.heard + parts.hold;
+    if is_old && !class.is_long() {
+        row.running
+    } else {
+        row.running + row.others
+    }
 }
 
-fn has_slot(row: &EndpointRow, class: Class, reserve: u32) -> bool {
-    let long_limit = row.spec.slots.saturating_sub(reserve).max(1);
-    let fits = !class.is_long() || row.long < long_limit;
-    fits && row.running < row.spec.slots
+/// Flows on an endpoint: as reported, or from this lane's own when the report
+/// tells of far fewer than an even spread over the lanes would make.
+fn conns(row: &EndpointRow, lanes: u32) -> u32 {
+    let reported = row.load.conns + row.fresh;
+    let spread = (row.flows + row.fresh) * lanes;
+    if reported < spread / 2 {
+        spread
+    } else {
+        reported
+    }
 }
 
-fn conns(row: &EndpointRow) -> u32 {
-    row.flows.max(row.load.conns + row.fresh)
+fn lanes(tables: &Tables) -> u32 {
+    let lanes: usize = tables
+        .snapshot
+        .hosts
+        .iter()
+        .map(|host| host.lanes.len())
+        .sum();
+    u32::try_from(lanes.max(1)).unwrap_or(u32::MAX)
 }
 
-fn conn_share(row: &EndpointRow) -> f64 {
-    f64::from(conns(row)) / (f64::from(row.spec.conns) * row.spec.weight)
+/// Best endpoint by `judge`, which gives `None` for one without room.
+///
+/// A sample from a random place on is looked at, so that the cost does not grow
+/// with the service and equal endpoints take turns. Silent ones are used only
+/// when all of the sample are silent, so that a service is never empty.
+fn pick(
+    tables: &mut Tables,
+    parts: &Parts,
+    service: Id,
+    now: Duration,
+    judge: impl Fn(&EndpointRow) -> Option<(bool, f64)>,
+) -> Option<Id> {
+    let count = tables.endpoints.count(service);
+    if count == 0 {
+        return None;
+    }
+    let start = tables.rng.random_range(0..count);
+    let open = || {
+        tables
+            .endpoints
+            .from(service, start)
+            .filter(|row| row.is_open(now))
+            .take(parts.sample)
+    };
+    let answers = open().any(|row| !is_silent(row, parts, now));
+    open()
+        .filter(|row| !answers || !is_silent(row, parts, now))
+        .filter(|row| now >= row.paused)
+        .filter_map(|row| {
+            let (remote, share) = judge(row)?;
+            Some(Choice {
+                id: row.spec.id,
+                remote,
+                score: share / weight(row, parts, now),
+            })
+        })
+        .min_by(|a, b| {
+            (a.remote, a.score)
+                .partial_cmp(&(b.remote, b.score))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        })
+        .map(|choice| choice.id)
 }
 
-fn slot_share(row: &EndpointRow) -> f64 {
-    let busy = row.running.max(row.load.busy);
-    f64::from(busy) / (f64::from(row.spec.slots) * row.spec.weight)
+/// Share that an endpoint is due: the operators' weight, less while it is new and
+/// less for what it refuses.
+fn weight(row: &EndpointRow, parts: &Parts, now: Duration) -> f64 {
+    let age = now.saturating_sub(row.since).as_secs_f64();
+    let ramp = (age / parts.ramp.as_secs_f64().max(f64::EPSILON)).clamp(RAMP_START, 1.0);
+    let kept = (1.0 - row.shed).max(SHED_FLOOR);
+    row.spec.weight * ramp * kept
+}
+
+/// True when an endpoint leaves this lane without answers, or is reported
+/// unhealthy and has not proved the opposite.
+fn is_silent(row: &EndpointRow, parts: &Parts, now: Duration) -> bool {
+    let mute = row.asked.is_some_and(|asked| now >= asked + parts.silence);
+    mute || (!row.spec.healthy && now >= row.heard + DOUBT)
+}
+
+/// Asks endpoints for their load that are silent, or whose report is old while
+/// requests wait.
+pub(super) fn probe(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    let waiting = tables.requests.waiting();
+    let ids: Vec<Id> = tables
+        .endpoints
+        .iter()
+        .filter(|row| {
+            let wanted = waiting.contains(&row.service) && now >= row.heard + STALE;
+            wanted || row.asked.is_some() || !row.spec.healthy
+        })
+        .map(|row| row.spec.id)
+        .collect();
+    for id in ids {
+        probe::greet(tables, id, now, out);
+    }
+}
+
+/// Notes that an endpoint has spoken, and what of.
+pub(super) fn heard(tables: &mut Tables, id: Id, body: &Body, now: Duration) {
+    let Some(row) = tables.endpoints.get_mut(id) else {
+        return;
+    };
+    row.heard = now;
+    row.asked = None;
+    if let Body::Answer { .. } = body {
+        row.failures = 0;
+        row.paused = Duration::ZERO;
+        row.note(false);
+    }
 }
 
 /// Counts a failure to answer against an endpoint.
@@ -55,3 +221,18 @@
         row.refused = Some(now);
     }
 }
+
+/// Counts a refusal against an endpoint; one that refuses with slots free is
+/// paused, the longer the more it refuses in a row.
+pub(super) fn refused(tables: &mut Tables, id: Id, now: Duration) {
+    let Some(row) = tables.endpoints.get_mut(id) else {
+        return;
+    };
+    row.refused = Some(now);
+    row.failures += 1;
+    let free = row.load.busy < row.spec.slots;
+    row.note(free);
+    if free {
+        row.paused = now + PAUSE * row.failures.min(PAUSE_LIMIT);
+    }
+}
--- /dev/null
+++ b/src/systems/policies.rs
@@ -0,0 +1,107 @@
+//! Decisions about load that may be swapped one by one.
+//!
+//! [`Policies`] is a plain struct of closures which the systems call;
+//! [`Parts`] holds the numbers that the shipped closures work with.
+
+use std::fmt;
+use std::time::Duration;
+
+use super::{admit, dispatch, place, retry};
+use crate::id::Id;
+use crate::packet::Class;
+use crate::tables::Tables;
+
+/// Chooses the endpoint of a new flow among those that have not refused it.
+pub type PickConn = Box<dyn Fn(&mut Tables, Id, &[Id], Duration) -> Option<Id> + Send + Sync>;
+
+/// Chooses the endpoint of a request.
+pub type PickSlot = Box<dyn Fn(&mut Tables, Id, Class, Duration) -> Option<Id> + Send + Sync>;
+
+/// Chooses the queued request of a service that goes next, without the classes
+/// that found no endpoint in this tick.
+pub type Order = Box<dyn Fn(&Tables, Id, &[Class]) -> Option<usize> + Send + Sync>;
+
+/// Tells whether a queued request can still be run in time.
+pub type Admit = Box<dyn Fn(&Tables, usize, Duration) -> bool + Send + Sync>;
+
+/// Tells whether a request whose dispatch failed may be dispatched again.
+pub type Retry = Box<dyn Fn(&mut Tables, usize, Duration) -> bool + Send + Sync>;
+
+/// The decisions about load.
+pub struct Policies {
+    /// Endpoint of a flow.
+    pub pick_conn: PickConn,
+    /// Endpoint of a request.
+    pub pick_slot: PickSlot,
+    /// Request that goes next.
+    pub order: Order,
+    /// Admission of a request, when it arrives.
+    pub admit: Admit,
+    /// Check of a request right before its dispatch.
+    pub keep: Admit,
+    /// Retry of a request.
+    pub retry: Retry,
+}
+
+/// Numbers of the shipped policies.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Parts {
+    /// Endpoints looked at for one choice.
+    pub sample: usize,
+    /// Time over which a new or restarted endpoint gets its full share.
+    pub ramp: Duration,
+    /// Time without any answer after which an endpoint is passed over.
+    pub silence: Duration,
+    /// Time for which a report of others' work is believed.
+    pub hold: Duration,
+    /// Requests sent ahead to an endpoint whose slots are all taken.
+    pub ahead: u32,
+    /// Share of the connections of the own zone above which flows spill over.
+    pub spill: f64,
+    /// Largest wait in the queue, as a share of the slack until the deadline.
+    pub slack: f64,
+}
+
+impl Parts {
+    /// The numbers shipped.
+    pub const SHIPPED: Self = Self {
+        sample: 16,
+        ramp: Duration::from_secs(5),
+        silence: Duration::from_millis(150),
+        hold: Duration::from_millis(50),
+        ahead: 1,
+        spill: 0.8,
+        slack: 0.5,
+    };
+}
+
+impl Policies {
+    /// The policies shipped.
+    #[must_use]
+    pub fn shipped() -> Self {
+        Self::of(Parts::SHIPPED)
+    }
+
+    /// The shipped policies with other numbers.
+    #[must_use]
+    pub fn of(parts: Parts) -> Self {
+        Self {
+            pick_conn: Box::new(move |tables, service, refused, now| {
+                place::pick_conn(tables, &parts, service, refused, now)
+            }),
+            pick_slot: Box::new(move |tables, service, class, now| {
+                place::pick_slot(tables, &parts, service, class, now)
+            }),
+            order: Box::new(dispatch::order),
+            admit: Box::new(move |tables, slot, now| admit::admit(tables, &parts, slot, now)),
+            keep: Box::new(admit::keep),
+            retry: Box::new(retry::may_retry),
+        }
+    }
+}
+
+impl fmt::Debug for Policies {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Policies(..)")
+    }
+}
--- a/src/systems/retry.rs
+++ b/src/systems/retry.rs
@@ -4,6 +4,7 @@
 //! number, which an endpoint takes once. A new dispatch is made only when the last
 //! one is certain not to have run, or the work may be repeated.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::{dispatch, place, verdict};
@@ -50,25 +51,37 @@
         row.tainted = true;
     }
     if let Some(target) = target {
-        place::blame(tables, target.endpoint, now);
+        place::refused(tables, target.endpoint, now);
     }
     let lost = reason == Reason::EndpointLost && class.is_once();
     if lost {
         verdict::end(tables, slot, Verdict::Unknown, reason, out);
-    } else if reason == Reason::Cancelled || !may_retry(tables, slot, now) {
+    } else if reason == Reason::Cancelled || !again(tables, slot, now) {
         verdict::end_unsent(tables, slot, reason, out);
-    } else {
-        tables.counters.retries += 1;
-        tables.requests.queue(slot);
     }
 }
 
-fn may_retry(tables: &mut Tables, slot: usize, now: Duration) -> bool {
+/// Queues a request again if its policy allows.
+fn again(tables: &mut Tables, slot: usize, now: Duration) -> bool {
+    let policies = Arc::clone(&tables.policies);
+    if !(policies.retry)(tables, slot, now) {
+        return false;
+    }
+    tables.counters.retries += 1;
+    tables.requests.queue(slot);
+    true
+}
+
+/// True within the deadline, the tries and the service's retry budget.
+pub(super) fn may_retry(tables: &mut Tables, slot: usize, now: Duration) -> bool {
     let row = tables.requests.row(slot);
     if row.dispatches.len() >= TRIES || now >= row.deadline {
         return false;
     }
-    true
+    let service = row.service;
+    let funded = tables.budgets.spend(service);
+    tables.counters.exhausted += u64::from(!funded);
+    funded
 }
 
 /// True for repeatable work whose endpoint says nothing to this lane.
@@ -89,10 +102,7 @@
     if let Some(target) = row.target {
         place::blame(tables, target.endpoint, now);
     }
-    if may_retry(tables, slot, now) {
-        tables.counters.retries += 1;
-        tables.requests.queue(slot);
-    } else {
+    if !again(tables, slot, now) {
         verdict::end(tables, slot, Verdict::Unknown, Reason::EndpointLost, out);
     }
 }
--- a/src/systems/settle.rs
+++ b/src/systems/settle.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{dispatch, open, recover, retry, take, verdict};
+use super::{dispatch, open, place, recover, retry, take, verdict};
 use crate::packet::{Body, Load, Packet, Part, Reason};
 use crate::tables::{Arrival, Flow, FlowState, Outbox, RequestState, Stage, Tables};
 use crate::ticket::Target;
@@ -19,6 +19,7 @@
         tables.counters.foreign += 1;
         return;
     };
+    place::heard(tables, target.endpoint, &packet.body, now);
     if let Some(load) = load_of(&packet.body) {
         tables.endpoints.report(target.endpoint, load, now);
         target.incarnation = load.incarnation;
--- a/src/systems/verdict.rs
+++ b/src/systems/verdict.rs
@@ -87,9 +87,8 @@
     if !std::mem::take(&mut row.holding) {
         return;
     }
-    let class = row.class;
     if let Some(target) = row.target {
-        tables.endpoints.release(target.endpoint, class);
+        tables.endpoints.release(target.endpoint);
     }
 }
 
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -6,10 +6,13 @@
 use serde::{Serialize, Serializer};
 
 use crate::id::Id;
-use crate::packet::{Class, Load};
+use crate::packet::Load;
 use crate::snapshot::{Endpoint, Snapshot};
 use crate::ticket::Target;
 
+/// Weight of the latest outcome in [`EndpointRow::shed`].
+const SHED_WEIGHT: f64 = 0.05;
+
 /// Time for which an address that changed its service gets no traffic.
 const QUARANTINE: Duration = Duration::from_secs(10);
 
@@ -32,11 +35,17 @@
     pub fresh: u32,
     /// Requests of this lane on it.
     pub running: u32,
-    /// Long requests of this lane on it.
-    pub long: u32,
+    /// Requests of other lanes on it when it last reported.
+    pub others: u32,
+    /// Time of the first packet that it has not answered.
+    pub asked: Option<Duration>,
+    /// Time until which it gets no requests after a refusal.
+    pub paused: Duration,
+    /// Share of the latest requests that it refused with slots free.
+    pub shed: f64,
     /// Time of its last refusal.
     pub refused: Option<Duration>,
-    /// Failures in a row.
+    /// Failures and refusals in a row.
     pub failures: u32,
     /// Time it was first seen, or restarted.
     pub since: Duration,
@@ -53,6 +62,11 @@
         self.leaving.is_none() && now >= self.barred
     }
 
+    /// Notes whether it refused the latest request with slots free.
+    pub fn note(&mut self, refused: bool) {
+        self.shed += SHED_WEIGHT * (f64::from(u8::from(refused)) - self.shed);
+    }
+
     /// How tickets name it.
     #[must_use]
     pub fn target(&self) -> Target {
@@ -64,12 +78,20 @@
     }
 }
 
+/// Endpoints of one service.
+#[derive(Debug, Default)]
+struct Group {
+    rows: Vec<usize>,
+    running: u32,
+    slots: u32,
+}
+
 /// Endpoints by id and by service.
 #[derive(Debug, Default)]
 pub struct Endpoints {
     rows: Vec<EndpointRow>,
     index: HashMap<Id, usize>,
-    services: HashMap<Id, Vec<usize>>,
+    services: HashMap<Id, Group>,
 }
 
 impl Endpoints {
@@ -106,8 +128,37 @@
 
     /// Endpoints of a service.
     pub fn of(&self, service: Id) -> impl Iterator<Item = &EndpointRow> + '_ {
-        let slots = self.services.get(&service).map_or(&[][..], Vec::as_slice);
-        slots.iter().map(|slot| &self.rows[*slot])
+        self.from(service, 0)
+    }
+
+    /// Endpoints of a service, beginning at the one at `start` and going round.
+    pub fn from(&self, service: Id, start: usize) -> impl Iterator<Item = &EndpointRow> + '_ {
+        let slots = self
+            .services
+            .get(&service)
+            .map_or(&[][..], |group| &group.rows);
+        let (before, after) = slots.split_at(start.min(slots.len()));
+        after.iter().chain(before).map(|slot| &self.rows[*slot])
+    }
+
+    /// Number of endpoints of a service.
+    #[must_use]
+    pub fn count(&self, service: Id) -> usize {
+        self.services
+            .get(&service)
+            .map_or(0, |group| group.rows.len())
+    }
+
+    /// Slots of a service.
+    #[must_use]
+    pub fn slots(&self, service: Id) -> u32 {
+        self.services.get(&service).map_or(0, |group| group.slots)
+    }
+
+    /// Requests of this lane on a service.
+    #[must_use]
+    pub fn running(&self, service: Id) -> u32 {
+        self.services.get(&service).map_or(0, |group| group.running)
     }
 
     /// All endpoints.
@@ -134,25 +185,32 @@
             row.leaving = None;
         }
         row.load = load;
-        row.heard = now;
+        row.others = load.busy.saturating_sub(row.running);
         row.fresh = 0;
-        row.failures = 0;
         restarted
     }
 
     /// Counts a request on an endpoint.
-    pub fn acquire(&mut self, id: Id, class: Class) {
-        if let Some(row) = self.get_mut(id) {
-            row.running += 1;
-            row.long += u32::from(class.is_long());
+    pub fn acquire(&mut self, id: Id) {
+        let Some(row) = self.get_mut(id) else {
+            return;
+        };
+        row.running += 1;
+        let service = row.service;
+        if let Some(group) = self.services.get_mut(&service) {
+            group.running += 1;
         }
     }
 
     /// Stops counting a request on an endpoint.
-    pub fn release(&mut self, id: Id, class: Class) {
-        if let Some(row) = self.get_mut(id) {
-            row.running = row.running.saturating_sub(1);
-            row.long = row.long.saturating_sub(u32::from(class.is_long()));
+    pub fn release(&mut self, id: Id) {
+        let Some(row) = self.get_mut(id) else {
+            return;
+        };
+        row.running = row.running.saturating_sub(1);
+        let service = row.service;
+        if let Some(group) = self.services.get_mut(&service) {
+            group.running = group.running.saturating_sub(1);
         }
     }
 
@@ -175,7 +233,10 @@
     fn push(&mut self, row: EndpointRow) {
         let slot = self.rows.len();
         self.index.insert(row.spec.id, slot);
-        self.services.entry(row.service).or_default().push(slot);
+        let group = self.services.entry(row.service).or_default();
+        group.rows.push(slot);
+        group.running += row.running;
+        group.slots += row.spec.slots;
         self.rows.push(row);
     }
 }
@@ -191,7 +252,10 @@
             flows: 0,
             fresh: 0,
             running: 0,
-            long: 0,
+            others: 0,
+            asked: None,
+            paused: Duration::ZERO,
+            shed: 0.0,
             refused: None,
             failures: 0,
             since: now,
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -4,6 +4,7 @@
 //! is shared between threads. Systems in [`systems`](crate::systems) run over
 //! them. Rows are plain structs, keyed by small ids.
 
+mod budget;
 mod counters;
 mod endpoints;
 mod flows;
@@ -17,6 +18,7 @@
 use rand::rngs::SmallRng;
 use serde_json::{Value, json};
 
+pub use self::budget::{BURST, Budgets};
 pub use self::counters::Counters;
 pub use self::endpoints::{EndpointRow, Endpoints};
 pub use self::flows::{Flow, FlowState, Flows};
@@ -26,6 +28,7 @@
 use crate::id::FlowKey;
 use crate::packet::{Body, Packet};
 use crate::snapshot::Snapshot;
+use crate::systems::Policies;
 use crate::ticket::{Home, Side, Target, Ticket};
 
 /// All tables of a lane.
@@ -43,6 +46,10 @@
     pub requests: Requests,
     /// Endpoints, with this lane's own observations of them.
     pub endpoints: Endpoints,
+    /// Retry budgets of services.
+    pub budgets: Budgets,
+    /// Decisions about load.
+    pub policies: Arc<Policies>,
     /// Counters since the start.
     pub counters: Counters,
     /// Seeded source of random choices.
@@ -64,6 +71,8 @@
             flows: Flows::default(),
             requests: Requests::new(me.incarnation),
             endpoints: Endpoints::default(),
+            budgets: Budgets::default(),
+            policies: Arc::new(Policies::shipped()),
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(seed),
             ticked: Duration::ZERO,
--- a/src/tables/requests.rs
+++ b/src/tables/requests.rs
@@ -302,6 +302,14 @@
             .flat_map(move |queues| queues[class.index()].iter().map(|(_, slot)| *slot))
     }
 
+    /// Number of queued requests of a class.
+    #[must_use]
+    pub fn queue_len(&self, service: Id, class: Class) -> usize {
+        self.queues
+            .get(&service)
+            .map_or(0, |queues| queues[class.index()].len())
+    }
+
     /// Slots of all requests.
     #[must_use]
     pub fn slots(&self) -> Vec<usize> {
