Serve: one control thread and a traffic thread a lane

Cause: the path was complete in parts but no process ran it. Change: front/serve.rs wires settings, control, lanes, operators' server, metrics and signals. Ruled out: a lock around the tables for dumps; a dump is a command to the lane. Conclusion: the first SIGTERM makes the host leave, the second ends it.

--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Map, Value};
 
+use super::serve;
 use super::settings::{Flags, Settings, flags};
 use crate::config::{Config, Difference};
 use crate::error::{Error, Result};
@@ -133,14 +134,7 @@
 
 fn run_serve(flags: Flags) -> Result<(), Report<Error>> {
     let settings = Settings::new(flags, |name| std::env::var(name).ok())?;
-    Ok(serve(&settings)?)
-}
-
-/// Stands in for the server until the traffic lanes are in.
-fn serve(settings: &Settings) -> Result<()> {
-    let fault = format!("host {} cannot start", settings.name);
-    let remedy = "use a build with traffic lanes";
-    Err(Error::setting("serve", fault, remedy))
+    serve::run(&settings)
 }
 
 fn run_check(check: &Check) -> Result<(), Report<Error>> {
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -7,8 +7,8 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -55,7 +55,7 @@
     /// What it shows of itself.
     pub gauge: Arc<Gauge>,
     commands: mpsc::Sender<Command>,
-    thread: JoinHandle<()>,
+    thread: Mutex<Option<JoinHandle<()>>>,
 }
 
 enum Command {
@@ -93,7 +93,7 @@
             home,
             gauge,
             commands,
-            thread,
+            thread: Mutex::new(Some(thread)),
         })
     }
 
@@ -105,9 +105,12 @@
     }
 
     /// Stops the lane and waits for its thread.
-    pub async fn stop(self) {
+    pub async fn stop(&self) {
         let _ = self.commands.send(Command::Stop).await;
-        let _ = self.thread.join();
+        let thread = self.thread.lock().ok().and_then(|mut thread| thread.take());
+        if let Some(thread) = thread {
+            let _ = thread.join();
+        }
     }
 }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,4 +9,5 @@
 pub mod metrics;
 pub mod ops;
 pub mod platform;
+pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/src/front/serve.rs
@@ -0,0 +1,288 @@
+//! The daemon: one control thread, and a traffic thread a lane.
+//!
+//! SIGTERM or SIGINT asks the host to leave: it announces that, finishes what is in
+//! flight and exits. A second signal ends it at once.
+
+use std::process;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime};
+
+use arc_swap::ArcSwap;
+use error_stack::Report;
+use flexi_logger::{LogSpecification, Logger};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use serde_json::{Map, Value, json};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::control::{self, ControlSettings, Links};
+use super::lane::{Board, Lane};
+use super::metrics::Metrics;
+use super::ops::{self, Ops};
+use super::platform::Platform;
+use super::settings::Settings;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::control::message::Card;
+use crate::control::{self as decisions, Build, Built, Values};
+use crate::error::{Error, Result};
+use crate::id::{Id, Incarnation, Name};
+use crate::snapshot::Snapshot;
+use crate::ticket::Home;
+
+/// Time between two reports of metrics.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
+/// Exit status of a process ended by a second signal.
+const CUT_SHORT: i32 = 130;
+
+type DumpSender = mpsc::Sender<oneshot::Sender<Value>>;
+
+/// Runs a host until it has left.
+///
+/// # Errors
+///
+/// Fails when a socket cannot be opened or a thread cannot be started.
+pub fn run(settings: &Settings) -> Result<(), Report<Error>> {
+    start_log(&settings.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| Error::io("start the control thread", source))?;
+    runtime.block_on(serve(settings))?;
+    Ok(())
+}
+
+fn start_log(level: &str) -> Result<()> {
+    let refused = |fault: String| Error::setting("--log", fault, "write a level such as info");
+    let spec = LogSpecification::parse(level).map_err(|error| refused(error.to_string()))?;
+    let logger = Logger::with(spec)
+        .format(flexi_logger::detailed_format)
+        .start()
+        .map_err(|error| refused(error.to_string()))?;
+    // The handle would stop the logger when dropped; the process logs until its end.
+    std::mem::forget(logger);
+    Ok(())
+}
+
+async fn serve(settings: &Settings) -> Result<()> {
+    let clock = Clock::monotonic();
+    let incarnation = incarnation();
+    let board = Arc::new(Board {
+        snapshot: ArcSwap::from_pointee(Snapshot::empty(settings.keys.clone())),
+    });
+    let lanes = start_lanes(settings, incarnation, &board, &clock)?;
+    let (dumps, asked) = Links::dump_channel();
+    let (leave, leaving) = watch::channel(false);
+    let links = Links {
+        publish: publisher(&board),
+        in_flight: in_flight(&lanes),
+        leave: leaving.clone(),
+        dumps: asked,
+    };
+    let own = control_settings(settings, incarnation);
+    let metrics = Metrics::new(settings.statsd)?;
+    log::info!(
+        "host={} zone={} region={} state=started lanes={}",
+        settings.name,
+        settings.zone,
+        settings.region,
+        lanes.len()
+    );
+    let ops = ops_of(&lanes, dumps, &board, &leaving);
+    tokio::select! {
+        ended = control::run(own, clock, links) => ended?,
+        ended = ops::run(settings.ops, ops, std::future::pending()) => ended?,
+        () = report(metrics, &lanes) => {},
+        failed = on_signals(leave) => failed?,
+    }
+    stop_lanes(lanes).await;
+    log::info!("host={} state=left", settings.name);
+    Ok(())
+}
+
+/// The wall-clock microsecond of the start, which no earlier life can have.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = since.unwrap_or_default().as_micros();
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
+
+fn start_lanes(
+    settings: &Settings,
+    incarnation: Incarnation,
+    board: &Arc<Board>,
+    clock: &Clock,
+) -> Result<Arc<[Lane]>> {
+    settings
+        .lanes
+        .iter()
+        .map(|addr| {
+            let home = Home {
+                host: Id::of(&settings.name),
+                incarnation,
+                addr: *addr,
+            };
+            let seed = incarnation ^ u64::from(addr.port());
+            Lane::start(home, Arc::clone(board), clock.clone(), seed)
+        })
+        .collect()
+}
+
+async fn stop_lanes(lanes: Arc<[Lane]>) {
+    for lane in lanes.iter() {
+        lane.stop().await;
+    }
+}
+
+fn publisher(board: &Arc<Board>) -> Arc<dyn Fn(Arc<Snapshot>) + Send + Sync> {
+    let board = Arc::clone(board);
+    Arc::new(move |snapshot| board.snapshot.store(snapshot))
+}
+
+fn in_flight(lanes: &Arc<[Lane]>) -> Arc<dyn Fn() -> usize + Send + Sync> {
+    let lanes = Arc::clone(lanes);
+    Arc::new(move || {
+        let count = |lane: &Lane| lane.gauge.in_flight.load(Ordering::Relaxed);
+        lanes.iter().map(count).sum()
+    })
+}
+
+fn control_settings(settings: &Settings, incarnation: Incarnation) -> ControlSettings {
+    let card = Card {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        peer: settings.peer_addr,
+        lanes: settings.lanes.clone(),
+    };
+    ControlSettings {
+        control: decisions::Settings {
+            card,
+            incarnation,
+            seeds: settings.peers.clone(),
+            keys: settings.keys.clone(),
+            timing: decisions::lease::Timing::default(),
+            drain: DRAIN,
+            build: build(settings),
+            random: incarnation,
+        },
+        key: settings.peer_key.clone(),
+        platform: Some(Platform::new(&settings.platform.to_string())),
+    }
+}
+
+/// Longest time that a leaving host waits for work in flight.
+const DRAIN: Duration = Duration::from_mins(1);
+
+/// How this host makes services of configuration values.
+fn build(settings: &Settings) -> Build {
+    let (host, zone) = (settings.name.clone(), settings.zone.clone());
+    Build::new(move |values: &Values| {
+        let texts = values
+            .iter()
+            .filter_map(|(key, value)| Some((&**key, value.json.as_deref()?)));
+        let config = Config::from_values(texts)?;
+        Ok(Built {
+            services: config.services(&host, &zone),
+            keys: config.keys(),
+        })
+    })
+}
+
+/// Reports the lanes' counters and gauges, for ever.
+async fn report(mut metrics: Metrics, lanes: &[Lane]) {
+    loop {
+        tokio::time::sleep(REPORT_EVERY).await;
+        let flows = lanes
+            .iter()
+            .map(|lane| lane.gauge.flows.load(Ordering::Relaxed));
+        metrics.gauge("flows", flows.sum());
+        metrics.count(Value::Object(total(lanes)));
+    }
+}
+
+/// Sum of the lanes' counters.
+fn total(lanes: &[Lane]) -> Map<String, Value> {
+    let mut sums = Map::new();
+    for lane in lanes {
+        let Value::Object(counters) = json!(**lane.gauge.counters.load()) else {
+            continue;
+        };
+        for (name, count) in counters {
+            let sum = sums.entry(name).or_insert(json!(0));
+            *sum = json!(sum.as_u64().unwrap_or(0) + count.as_u64().unwrap_or(0));
+        }
+    }
+    sums
+}
+
+/// Asks the host to leave at the first signal, and ends the process at the second.
+async fn on_signals(leave: watch::Sender<bool>) -> Result<()> {
+    let mut term = listen(SignalKind::terminate())?;
+    let mut int = listen(SignalKind::interrupt())?;
+    let mut next = async || {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    };
+    next().await;
+    log::info!("state=leaving cause=signal");
+    let _ = leave.send(true);
+    next().await;
+    log::warn!("state=ended cause=second_signal");
+    process::exit(CUT_SHORT)
+}
+
+fn listen(kind: SignalKind) -> Result<Signal> {
+    signal(kind).map_err(|source| Error::io("listen for signals", source))
+}
+
+fn ops_of(
+    lanes: &Arc<[Lane]>,
+    control: DumpSender,
+    board: &Arc<Board>,
+    leaving: &watch::Receiver<bool>,
+) -> Ops {
+    let lanes = Arc::clone(lanes);
+    let board = Arc::clone(board);
+    let leaving = leaving.clone();
+    Ops {
+        dump: Arc::new(move |name| dump(Arc::clone(&lanes), control.clone(), name)),
+        ready: Arc::new(move || {
+            let snapshot = board.snapshot.load();
+            !snapshot.services.is_empty() && !snapshot.hosts.is_empty() && !*leaving.borrow()
+        }),
+    }
+}
+
+/// One table of each lane, the control tables, or all of them.
+fn dump(
+    lanes: Arc<[Lane]>,
+    control: DumpSender,
+    name: Option<Name>,
+) -> BoxFuture<'static, Option<Value>> {
+    async move {
+        if name.as_deref() == Some("control") {
+            return dump_control(&control).await;
+        }
+        let mut tables = Vec::new();
+        for lane in lanes.iter() {
+            tables.push(lane.dump(name.clone()).await?);
+        }
+        if name.is_some() {
+            return Some(Value::Array(tables));
+        }
+        let control = dump_control(&control).await?;
+        Some(json!({ "control": control, "lanes": tables }))
+    }
+    .boxed()
+}
+
+async fn dump_control(control: &DumpSender) -> Option<Value> {
+    let (answer, answered) = oneshot::channel();
+    control.send(answer).await.ok()?;
+    answered.await.ok()
+}
--- a/src/front/settings.rs
+++ b/src/front/settings.rs
@@ -10,6 +10,7 @@
 use crate::error::{Error, Result};
 use crate::id::Name;
 use crate::ticket::Keys;
+use crate::wire::PeerKey;
 
 /// Prefix of the environment variables.
 const PREFIX: &str = "JACINTHHINGE_";
@@ -83,6 +84,8 @@
     pub peers: Vec<SocketAddr>,
     /// Ticket keys until the platform gives others.
     pub keys: Keys,
+    /// Key of messages between hosts.
+    pub peer_key: PeerKey,
     /// Address of the statsd server.
     pub statsd: Option<SocketAddr>,
     /// Log level, or levels by module.
@@ -147,6 +150,7 @@
             platform,
             peers,
             keys: keys(&key, other.as_deref())?,
+            peer_key: PeerKey::new(&key),
             statsd: statsd.map(|text| addr("--statsd", &text)).transpose()?,
             log,
         })
