--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,8 @@
 //! ```
 
 pub mod clock;
+pub mod config;
+pub mod control;
 pub mod error;
 pub mod front;
 pub mod id;
