--- a/examples/platform/main.rs
+++ b/examples/platform/main.rs
@@ -12,6 +12,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use bpaf::Bpaf;
+use jacinthhinge::config::Config;
 use jacinthhinge::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -34,7 +35,7 @@
 struct Options {
     /// Address to serve HTTP on
     listen: SocketAddr,
-    /// Operators' file, TOML or a JSON map of keys to values
+    /// Operators' file
     config: String,
     /// Host of the system as NAME,ZONE,IP:PORT; may be repeated
     #[bpaf(argument::<HostEntry>("NAME,ZONE,ADDR"), many)]
@@ -167,10 +168,7 @@
 
 /// Keys and values of an operators' file.
 fn parse(file: &str, text: &str) -> Result<Vec<(String, Value)>> {
-    let values: BTreeMap<String, Value> = serde_json::from_str(text).map_err(|fault| {
-        Error::config(file, fault.to_string(), "give a JSON map of keys to values")
-    })?;
-    Ok(values.into_iter().collect())
+    Config::parse(file, text).map(|config| config.values())
 }
 
 /// Replaces the file's values; only the keys that differ get the new revision.
