--- a/examples/caller/systems.rs
+++ b/examples/caller/systems.rs
@@ -314,14 +314,15 @@
         let label = format!("{:?} {end:?} {reason}", request.class);
         *world.counts.ends.entry(label).or_default() += 1;
     }
-    let micros = now.saturating_sub(request.start).as_micros();
+    let count = |units: u128| u64::try_from(units).unwrap_or(u64::MAX);
     world.outcomes.push(Outcome {
         flow: id.0,
         request: id.1,
         class: request.class,
         end,
         reason,
-        micros: u64::try_from(micros).unwrap_or(u64::MAX),
+        start: count(request.start.as_millis()),
+        micros: count(now.saturating_sub(request.start).as_micros()),
     });
 }
 
--- a/examples/caller/tables.rs
+++ b/examples/caller/tables.rs
@@ -170,6 +170,9 @@
     pub end: End,
     /// Reason with a verdict, empty otherwise.
     pub reason: String,
+    /// Time of the first sending since the run began, in milliseconds.
+    pub start: u64,
+    /// Time until it ended, in microseconds.
     pub micros: u64,
 }
 
