--- a/src/config/resolve.rs
+++ b/src/config/resolve.rs
@@ -1,7 +1,7 @@
 //! Works out the values in effect from defaults and exceptions.
 
+use std::net::SocketAddr;
 use std::sync::LazyLock;
-use std::time::Duration;
 
 use super::Config;
 use super::model::{ClassValues, EndpointRow, ExceptionRow, Scope, ServiceRow, State, Values};
@@ -10,18 +10,19 @@
 use crate::snapshot::{Endpoint, Policy, Service};
 
 /// Values in effect where neither the fleet nor a service sets them.
-static BUILTIN: LazyLock<Values> = LazyLock::new(|| Values {
-    drain_limit: Some(Duration::from_mins(1)),
-    idle_limit: Some(Duration::from_secs(30)),
-    retry_share: Some(0.1),
-    slots: Some(2),
-    conns: Some(2_000),
-    reserve: Some(0),
-    weight: Some(1.0),
-    class: Class::ALL
-        .into_iter()
-        .map(|class| (class, builtin_class(class)))
-        .collect(),
+static BUILTIN: LazyLock<Values> = LazyLock::new(|| {
+    let service = Service::new("");
+    let endpoint = Endpoint::new("", SocketAddr::from(([0; 4], 0)));
+    Values {
+        drain_limit: Some(service.drain),
+        idle_limit: Some(service.idle),
+        retry_share: Some(service.retries),
+        slots: Some(endpoint.slots),
+        conns: Some(endpoint.conns),
+        reserve: Some(service.reserve),
+        weight: Some(endpoint.weight),
+        class: Class::ALL.map(|class| (class, builtin_class(class))).into(),
+    }
 });
 
 /// A set of values, and where it was written.
@@ -105,23 +106,11 @@
 }
 
 fn builtin_class(class: Class) -> ClassValues {
-    let rank = match class {
-        Class::Confirm => 60,
-        Class::Order => 50,
-        Class::Lookup => 40,
-        Class::Stream => 30,
-        Class::Upload => 20,
-        Class::Photo => 10,
-    };
-    let (deadline, service_time) = if class.is_long() {
-        (Duration::from_secs(30), Duration::from_secs(1))
-    } else {
-        (Duration::from_secs(2), Duration::from_millis(20))
-    };
+    let policy = Policy::of(class);
     ClassValues {
-        rank: Some(rank),
-        deadline: Some(deadline),
-        service_time: Some(service_time),
+        rank: Some(policy.rank),
+        deadline: Some(policy.deadline),
+        service_time: Some(policy.service_time),
     }
 }
 
