--- a/src/front/settings.rs
+++ b/src/front/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a process, from flags and environment variables.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use axum::http::Uri;
@@ -62,6 +63,24 @@
     pub log: Option<String>,
 }
 
+/// A secret, which is never shown.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Secret(Name);
+
+impl Secret {
+    /// Its text.
+    #[must_use]
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
 /// Settings of `serve` that passed every check.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -81,6 +100,8 @@
     pub platform: Uri,
     /// Control addresses of other hosts to start from.
     pub peers: Vec<SocketAddr>,
+    /// Secret that all hosts share, for messages between them.
+    pub key: Secret,
     /// Ticket keys until the platform gives others.
     pub keys: Keys,
     /// Address of the statsd server.
@@ -147,6 +168,7 @@
             platform,
             peers,
             keys: keys(&key, other.as_deref())?,
+            key: Secret(Name::from(key)),
             statsd: statsd.map(|text| addr("--statsd", &text)).transpose()?,
             log,
         })
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -162,6 +162,7 @@
     assert_eq!(settings.peers, ["127.0.0.1:9001".parse().unwrap()]);
     assert_eq!(settings.ops, "127.0.0.1:9080".parse().unwrap());
     assert!(settings.keys == Keys::new(SECRET, SECRET));
+    assert_eq!(settings.key.reveal(), SECRET);
     assert!(!format!("{settings:?}").contains(SECRET));
 }
 
