--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::fault::{Faults, suggest};
 use super::model::{EndpointRow, Scope, ServiceRow, class_name};
@@ -9,7 +10,10 @@
 use super::{Config, KEYS, SERVICE, resolve};
 use crate::id::{Id, Name};
 use crate::packet::Class;
-use crate::snapshot::Service;
+use crate::snapshot::{Policy, Service};
+
+/// Longest deadline of once-only work, which the hold time of a lease covers.
+const ONCE_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Notes every fault that single fields do not show.
 pub(super) fn check_config(config: &Config, faults: &mut Faults<'_>) {
@@ -177,24 +181,37 @@
 
 fn check_service(service: &Service, seen: &mut BTreeSet<String>, faults: &mut Faults<'_>) {
     let path = field_path(SERVICE, &service.name);
-    let slots = service
-        .endpoints
-        .iter()
-        .map(|endpoint| endpoint.slots)
-        .min();
+    let slots = service.endpoints.iter().map(|endpoint| endpoint.slots);
     let reserve = field_path(&path, "reserve");
-    if slots.is_some_and(|slots| service.reserve >= slots) && seen.insert(reserve.clone()) {
+    if slots.max().is_some_and(|slots| service.reserve >= slots) && seen.insert(reserve.clone()) {
         let fault = format!("reserve {} leaves long work no slot", service.reserve);
-        let remedy = "set `reserve` below the slots of every endpoint";
+        let remedy = "set `reserve` below the slots of an endpoint";
         faults.add(&reserve, fault, remedy);
     }
     for class in Class::ALL {
+        let class_path = format!("{path}.class.{}", class_name(class));
         let policy = service.classes[class.index()];
-        let name = class_name(class);
-        let time = format!("{path}.class.{name}.service_time");
-        if policy.service_time > policy.deadline && seen.insert(time.clone()) {
-            let fault = "service time is over the deadline";
-            faults.add(&time, fault, "raise `deadline` or lower `service_time`");
-        }
+        check_policy(class, policy, &class_path, seen, faults);
+    }
+}
+
+fn check_policy(
+    class: Class,
+    policy: Policy,
+    path: &str,
+    seen: &mut BTreeSet<String>,
+    faults: &mut Faults<'_>,
+) {
+    let time = field_path(path, "service_time");
+    if policy.service_time > policy.deadline && seen.insert(time.clone()) {
+        let fault = "service time is over the deadline";
+        faults.add(&time, fault, "raise `deadline` or lower `service_time`");
+    }
+    let deadline = field_path(path, "deadline");
+    let over = class.is_once() && policy.deadline > ONCE_DEADLINE;
+    if over && seen.insert(deadline.clone()) {
+        let limit = humantime::format_duration(ONCE_DEADLINE);
+        let fault = format!("a deadline over {limit} outlasts the lease of once-only work");
+        faults.add(&deadline, fault, format!("write one up to {limit}"));
     }
 }
