--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::message::{Roster, Vote};
 use super::tables::{Member, Tables};
@@ -101,10 +101,7 @@
 
 /// Time until which a majority of each roster has agreed.
 fn agreed_until(tables: &Tables, now: Duration) -> Duration {
-    let bases = [
-        tables.rosters.base_digest(),
-        tables.rosters.pending.digest(),
-    ];
+    let bases = [tables.rosters.base_digest(), tables.rosters.pending.digest];
     let agreed: Vec<(SocketAddr, Duration)> = tables
         .live()
         .filter(|member| counts(tables, member, bases))
@@ -147,7 +144,7 @@
 
 /// The newest roster is agreed on once a majority of both has settled on it.
 fn agree_on_roster(tables: &mut Tables) {
-    if tables.rosters.base_digest() != tables.rosters.pending.digest() {
+    if tables.rosters.base_digest() != tables.rosters.pending.digest {
         tables.rosters.base = Some(tables.rosters.pending.clone());
     }
 }
@@ -162,16 +159,12 @@
         hash_host(member.id, member.incarnation, leaving)
     });
     let sum = hosts.fold(own, u64::wrapping_add);
-    let mut hasher = Xxh3::new();
-    hasher.update(&sum.to_le_bytes());
-    hasher.update(&tables.rosters.pending.digest().to_le_bytes());
-    hasher.digest()
+    xxh3_64_with_seed(&sum.to_le_bytes(), tables.rosters.pending.digest)
 }
 
 fn hash_host(id: Id, incarnation: Incarnation, leaving: bool) -> u64 {
-    let mut hasher = Xxh3::new();
-    hasher.update(&id.0.to_le_bytes());
-    hasher.update(&incarnation.to_le_bytes());
-    hasher.update(&[u8::from(leaving)]);
-    hasher.digest()
+    let mut bytes = [u8::from(leaving); 17];
+    bytes[..8].copy_from_slice(&id.0.to_le_bytes());
+    bytes[8..16].copy_from_slice(&incarnation.to_le_bytes());
+    xxh3_64(&bytes)
 }
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -170,4 +170,6 @@
     pub revision: u64,
     /// Hosts in order of their addresses.
     pub hosts: Vec<Listed>,
+    /// Digest of the addresses; never zero, but for a roster that is not made yet.
+    pub digest: u64,
 }
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -6,23 +6,13 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::message::{Card, Hosts, Listed, Roster};
 use super::tables::{Rosters, Tables};
 use crate::id::Name;
 
 impl Roster {
-    /// Digest of the addresses that have a vote; never zero.
-    #[must_use]
-    pub fn digest(&self) -> u64 {
-        let mut hasher = Xxh3::new();
-        for host in &self.hosts {
-            hash_addr(&mut hasher, host.peer);
-        }
-        hasher.digest().max(1)
-    }
-
     /// Roster of one zone out of the platform's list.
     #[must_use]
     pub fn of_zone(list: &Hosts, zone: &Name) -> Self {
@@ -40,7 +30,12 @@
     pub fn new(revision: u64, mut hosts: Vec<Listed>) -> Self {
         hosts.sort_by_key(|host| host.peer);
         hosts.dedup_by_key(|host| host.peer);
-        Self { revision, hosts }
+        let digest = digest(&hosts);
+        Self {
+            revision,
+            hosts,
+            digest,
+        }
     }
 
     fn weight(&self) -> (u64, usize) {
@@ -65,7 +60,7 @@
 
     /// Digest of the roster agreed on, zero if none.
     pub(super) fn base_digest(&self) -> u64 {
-        self.base.as_ref().map_or(0, Roster::digest)
+        self.base.as_ref().map_or(0, |roster| roster.digest)
     }
 }
 
@@ -90,23 +85,35 @@
     if tables.rosters.pending.revision > 0 {
         return;
     }
-    let members = tables.members.values().map(|member| member.card.peer);
-    let known = tables.rosters.pending.hosts.iter().map(|host| host.peer);
-    let hosts = members
-        .chain(known)
+    let listed = &tables.rosters.pending.hosts;
+    let is_new = |peer: &SocketAddr| listed.binary_search_by_key(peer, |host| host.peer).is_err();
+    let new: Vec<SocketAddr> = tables
+        .members
+        .values()
+        .map(|member| member.card.peer)
         .chain(tables.settings.seeds.iter().copied())
         .chain([tables.me.card.peer])
-        .map(seed)
+        .filter(is_new)
         .collect();
+    if new.is_empty() {
+        return;
+    }
+    let hosts = listed.iter().cloned().chain(new.into_iter().map(seed));
+    let hosts = hosts.collect();
     tables.rosters.pending = Roster::new(0, hosts);
 }
 
-fn hash_addr(hasher: &mut Xxh3, addr: SocketAddr) {
-    match addr.ip() {
-        IpAddr::V4(ip) => hasher.update(&ip.octets()),
-        IpAddr::V6(ip) => hasher.update(&ip.octets()),
+/// Digest of the addresses that have a vote; never zero.
+fn digest(hosts: &[Listed]) -> u64 {
+    let mut bytes = Vec::new();
+    for host in hosts {
+        match host.peer.ip() {
+            IpAddr::V4(ip) => bytes.extend_from_slice(&ip.octets()),
+            IpAddr::V6(ip) => bytes.extend_from_slice(&ip.octets()),
+        }
+        bytes.extend_from_slice(&host.peer.port().to_be_bytes());
     }
-    hasher.update(&addr.port().to_be_bytes());
+    xxh3_64(&bytes).max(1)
 }
 
 fn seed(peer: SocketAddr) -> Listed {
--- a/src/control/spread.rs
+++ b/src/control/spread.rs
@@ -122,7 +122,7 @@
 fn wants_rosters(tables: &Tables, member: &Member) -> bool {
     let rosters = &tables.rosters;
     let base = member.vote.base;
-    let foreign = base != 0 && base != rosters.base_digest() && base != rosters.pending.digest();
+    let foreign = base != 0 && base != rosters.base_digest() && base != rosters.pending.digest;
     foreign || member.roster > rosters.pending.revision
 }
 
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -182,7 +182,9 @@
 
     /// Stops a host without a word.
     pub fn kill(&mut self, index: usize) {
-        self.nodes.remove(&index);
+        if let Some(node) = self.nodes.remove(&index) {
+            (self.watcher)(self.now, &node);
+        }
     }
 
     /// Pauses a host; what arrives meanwhile waits.
