Play swings of demand over the decision systems

Cause: the three measures had no experiment that anyone can repeat. Change: the swing example, with fakes of callers, fabric and backend servers on one clock around the shipped systems, and simple balancers to compare with.

--- /dev/null
+++ b/examples/swing/main.rs
@@ -0,0 +1,123 @@
+//! Swings demand fourfold within seconds over the decision systems and compares
+//! the shipped policies with simple ones.
+//!
+//! `cargo run --release --example swing -- --seed N` plays one seed; `--seeds K`
+//! plays K of them and prints means. `--ablations` takes single parts out of the
+//! shipped policies instead.
+
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::unchecked_time_subtraction,
+    reason = "figures of an experiment"
+)]
+
+mod baselines;
+mod measure;
+mod plan;
+mod server;
+mod world;
+
+use std::sync::Mutex;
+use std::thread;
+
+use baselines::{ABLATIONS, BASELINES, Entry};
+use bpaf::Bpaf;
+use measure::COLUMNS;
+use plan::PLANS;
+use world::World;
+
+/// Plays swings of demand over the decision systems.
+#[derive(Bpaf, Clone)]
+#[bpaf(options)]
+struct Options {
+    /// First seed
+    #[bpaf(fallback(1))]
+    seed: u64,
+    /// Number of seeds
+    #[bpaf(fallback(1))]
+    seeds: u64,
+    /// Runs at the same time
+    #[bpaf(fallback(3))]
+    threads: usize,
+    /// Only the policy of this name
+    policy: Option<String>,
+    /// Compares with the shipped policies less one part
+    ablations: bool,
+}
+
+/// Figures of one service, by column.
+type Figures = [f64; COLUMNS.len()];
+
+fn main() {
+    let options = options().run();
+    print_head();
+    for entry in entries(&options) {
+        let runs = play(&options, &entry);
+        print_rows(entry.name, &runs);
+    }
+}
+
+fn entries(options: &Options) -> Vec<Entry> {
+    let mut entries = Vec::from(BASELINES);
+    if options.ablations {
+        entries.truncate(1);
+        entries.extend(ABLATIONS);
+    }
+    let wanted = |entry: &Entry| {
+        options
+            .policy
+            .as_ref()
+            .is_none_or(|name| name == entry.name)
+    };
+    entries.retain(wanted);
+    entries
+}
+
+/// Plays all seeds and gives the figures of each run.
+fn play(options: &Options, entry: &Entry) -> Vec<[Figures; PLANS.len()]> {
+    let seeds = Mutex::new(options.seed..options.seed + options.seeds);
+    let runs = Mutex::new(Vec::new());
+    let work = || {
+        loop {
+            let next = seeds.lock().expect("no run panics").next();
+            let Some(seed) = next else {
+                return;
+            };
+            let figures = run(seed, entry);
+            runs.lock().expect("no run panics").push(figures);
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..options.threads {
+            scope.spawn(work);
+        }
+    });
+    runs.into_inner().expect("no run panics")
+}
+
+fn run(seed: u64, entry: &Entry) -> [Figures; PLANS.len()] {
+    let mut world = World::new(seed, entry.make, entry.reserve);
+    world.play();
+    std::array::from_fn(|plan| COLUMNS.each_ref().map(|column| (column.read)(&world, plan)))
+}
+
+fn print_head() {
+    let names: Vec<&str> = COLUMNS.iter().map(|column| column.name).collect();
+    println!("| policy | service | {} |", names.join(" | "));
+    println!("| --- | --- |{}", " ---: |".repeat(COLUMNS.len()));
+}
+
+fn print_rows(name: &str, runs: &[[Figures; PLANS.len()]]) {
+    for (plan, spec) in PLANS.iter().enumerate() {
+        let cells: Vec<String> = COLUMNS
+            .iter()
+            .enumerate()
+            .map(|(index, column)| {
+                let sum: f64 = runs.iter().map(|run| run[plan][index]).sum();
+                format!("{:.*}", column.digits, sum / runs.len() as f64)
+            })
+            .collect();
+        println!("| {name} | {} | {} |", spec.name, cells.join(" | "));
+    }
+}
--- /dev/null
+++ b/examples/swing/measure.rs
@@ -0,0 +1,213 @@
+//! What a run is judged by.
+
+use hdrhistogram::Histogram;
+use jacinthhinge::prelude::*;
+
+use crate::plan::{self, CALM, CREST, END, PLANS, SURGE};
+use crate::world::{Request, World};
+
+/// Time within which a flow must open.
+const OPEN_LIMIT: Duration = Duration::from_millis(300);
+
+/// Length of the windows in which recovery is looked for.
+const WINDOW: Duration = Duration::from_millis(250);
+
+/// Recovered is a p99 of at most this much of the calm one.
+const RECOVERED: f64 = 1.1;
+
+/// Longest wait for the short work of the crest.
+const TAIL: Duration = Duration::from_millis(500);
+
+/// A column of the table.
+pub struct Column {
+    pub name: &'static str,
+    pub digits: usize,
+    /// Reads the figure of a service from a run.
+    pub read: fn(&World, usize) -> f64,
+}
+
+const fn column(name: &'static str, digits: usize, read: fn(&World, usize) -> f64) -> Column {
+    Column { name, digits, read }
+}
+
+/// The table's columns; times are milliseconds, shares percent.
+pub const COLUMNS: [Column; 16] = [
+    column("flows max/mean", 3, |world, plan| {
+        mean(&flow_samples(world, plan))
+    }),
+    column("worst", 3, |world, plan| max(&flow_samples(world, plan))),
+    column("slots max/mean", 3, |world, plan| {
+        mean(&slot_samples(world, plan))
+    }),
+    column("worst", 3, |world, plan| max(&slot_samples(world, plan))),
+    column("broken", 1, |world, plan| world.broken[plan].live as f64),
+    column("with server", 1, |world, plan| {
+        world.broken[plan].lost as f64
+    }),
+    column("goodput %", 1, |world, plan| {
+        100.0 * goodput(world, plan, false)
+    }),
+    column("of all %", 1, |world, plan| {
+        100.0 * goodput(world, plan, true)
+    }),
+    column("not run", 0, |world, plan| {
+        verdicts(world, plan, Verdict::NotRun)
+    }),
+    column("unknown", 0, |world, plan| {
+        verdicts(world, plan, Verdict::Unknown)
+    }),
+    column("p50 calm", 1, |world, plan| {
+        quantile(world, plan, CALM, 0.5)
+    }),
+    column("p99 calm", 1, |world, plan| {
+        quantile(world, plan, CALM, 0.99)
+    }),
+    column("p99 surge", 1, |world, plan| {
+        quantile(world, plan, SURGE, 0.99)
+    }),
+    column("p99 crest", 1, |world, plan| {
+        quantile(world, plan, CREST, 0.99)
+    }),
+    column("recovery", 0, recovery),
+    column("retries %", 1, |world, _| 100.0 * retries(world)),
+];
+
+/// Samples from the calm on, but for the second in which endpoints are lost.
+fn flow_samples(world: &World, plan: usize) -> Vec<f64> {
+    let samples = world
+        .samples
+        .iter()
+        .filter(|s| s.plan == plan && s.at > CALM.0);
+    samples.map(|sample| sample.flows).collect()
+}
+
+fn slot_samples(world: &World, plan: usize) -> Vec<f64> {
+    let samples = world
+        .samples
+        .iter()
+        .filter(|s| s.plan == plan && s.at > CALM.0);
+    samples.map(|sample| sample.slots).collect()
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+fn max(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+/// Worth of what was answered in time at the crest over what an all-knowing
+/// scheduler could have answered; `all` counts work whose home was lost, too.
+fn goodput(world: &World, plan: usize, all: bool) -> f64 {
+    let made = world
+        .requests
+        .iter()
+        .filter(|r| r.plan == plan && within(r.made, CREST));
+    let offered: Vec<&Request> = made.filter(|r| all || !r.stranded).collect();
+    let timely = offered
+        .iter()
+        .filter(|r| r.done.is_some_and(|done| done <= r.deadline));
+    let work: f64 = timely.map(|r| plan::worth(r.class)).sum();
+    let flows = world
+        .flows
+        .iter()
+        .filter(|f| f.plan == plan && within(f.made, CREST));
+    let wanted: Vec<_> = flows.filter(|f| all || !f.stranded).collect();
+    let opened = wanted
+        .iter()
+        .filter(|f| f.opened.is_some_and(|at| at <= f.made + OPEN_LIMIT));
+    let worth = plan::worth(Class::Stream);
+    let got = work + worth * opened.count() as f64;
+    got / (bound(plan, offered) + worth * wanted.len() as f64)
+}
+
+/// Most worth that any scheduler could get: it knows all times beforehand, may
+/// run a request in pieces, and takes the worth of a second of slot time as order.
+/// Long work may also use what calm short work leaves after the crest.
+fn bound(plan: usize, mut offered: Vec<&Request>) -> f64 {
+    let density = |r: &Request| plan::worth(r.class) / r.work.as_secs_f64();
+    offered.sort_by(|a, b| density(b).total_cmp(&density(a)));
+    let spec = PLANS[plan];
+    let slots = |endpoints: usize| endpoints as f64 * f64::from(spec.slots);
+    let after = CREST.1 + TAIL;
+    let lost = (after - plan::ENDPOINTS_LOST).as_secs_f64() * slots(spec.lost);
+    let mut crest = (after - CREST.0).as_secs_f64() * slots(spec.endpoints) - lost;
+    let short = spec.demand.iter().filter(|demand| !demand.class.is_long());
+    let calm = 1.0 - short.map(|demand| demand.share).sum::<f64>();
+    let rest = (END - after).as_secs_f64() * slots(spec.endpoints - spec.lost) * calm;
+    let mut later = rest;
+    let mut worth = 0.0;
+    for request in offered {
+        let need = request.work.as_secs_f64();
+        let mut left = take(&mut crest, need);
+        if request.class.is_long() {
+            left = take(&mut later, left);
+        }
+        worth += plan::worth(request.class) * (1.0 - left / need);
+    }
+    worth
+}
+
+/// Takes up to `need` and tells what is left of it.
+fn take(from: &mut f64, need: f64) -> f64 {
+    let taken = need.min(*from);
+    *from -= taken;
+    need - taken
+}
+
+fn verdicts(world: &World, plan: usize, verdict: Verdict) -> f64 {
+    let requests = world.requests.iter().filter(|r| r.plan == plan);
+    let ended = requests.filter(|r| r.ended.is_some_and(|(said, _)| said == verdict));
+    ended.count() as f64
+}
+
+/// Quantile of the time that short work took, in milliseconds.
+fn quantile(world: &World, plan: usize, span: (Duration, Duration), at: f64) -> f64 {
+    let mut times = Histogram::<u64>::new(3).expect("valid precision");
+    for request in short(world, plan, span) {
+        if let Some(done) = request.done {
+            let taken = (done - request.made).as_micros();
+            times
+                .record(u64::try_from(taken).unwrap_or(u64::MAX))
+                .expect("the histogram grows");
+        }
+    }
+    times.value_at_quantile(at) as f64 / 1_000.0
+}
+
+fn short(
+    world: &World,
+    plan: usize,
+    span: (Duration, Duration),
+) -> impl Iterator<Item = &Request> + '_ {
+    let own = world.requests.iter().filter(move |r| r.plan == plan);
+    own.filter(move |r| !r.class.is_long() && !r.stranded && within(r.made, span))
+}
+
+/// Time after the crest until short work is answered as in calm.
+fn recovery(world: &World, plan: usize) -> f64 {
+    let calm = quantile(world, plan, CALM, 0.99);
+    let mut from = CREST.1;
+    while from < END {
+        let span = (from, from + WINDOW);
+        let whole = short(world, plan, span).all(|request| request.done.is_some());
+        if whole && quantile(world, plan, span, 0.99) <= RECOVERED * calm {
+            break;
+        }
+        from += WINDOW;
+    }
+    (from - CREST.1).as_secs_f64() * 1_000.0
+}
+
+/// Dispatches made again over requests taken, in the whole fleet.
+fn retries(world: &World) -> f64 {
+    let counters = world.counters();
+    let retries: u64 = counters.iter().map(|c| c.retries).sum();
+    let taken: u64 = counters.iter().map(|c| c.taken).sum();
+    retries as f64 / taken.max(1) as f64
+}
+
+fn within(at: Duration, span: (Duration, Duration)) -> bool {
+    at >= span.0 && at < span.1
+}
--- /dev/null
+++ b/examples/swing/world.rs
@@ -0,0 +1,754 @@
+//! Fakes around the decision systems: fabric, callers and backend servers on one
+//! clock.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use jacinthhinge::prelude::*;
+use jacinthhinge::systems::{self, Policies};
+use jacinthhinge::tables::{Arrival, Outbox, Tables};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use smallvec::smallvec;
+
+use crate::plan::{self, Demand, HOSTS, PLANS};
+use crate::server::{Job, Server, Taken};
+
+/// One way through the fabric or between zones.
+const HOP: Duration = Duration::from_micros(500);
+
+/// One way between a caller and the fabric.
+const CALLER_HOP: Duration = Duration::from_millis(1);
+
+/// Time after which a caller repeats itself.
+const REPEAT: Duration = Duration::from_millis(200);
+
+/// Time between two pings of a flow.
+const PING: Duration = Duration::from_secs(2);
+
+/// Time after which the fabric stops handing packets to a lost host.
+const FABRIC_LAG: Duration = Duration::from_millis(200);
+
+/// Time between two samples of the backend servers.
+pub const SAMPLE: Duration = Duration::from_secs(1);
+
+/// Time for which a cold server works slowly.
+const COLD: Duration = Duration::from_secs(3);
+
+/// A request as its caller knows it.
+pub struct Request {
+    pub plan: usize,
+    pub class: Class,
+    pub made: Duration,
+    pub deadline: Duration,
+    pub work: Duration,
+    pub done: Option<Duration>,
+    pub ended: Option<(Verdict, Reason)>,
+    /// True when its home was lost before it could answer.
+    pub stranded: bool,
+}
+
+/// A flow as its caller knows it.
+pub struct Flow {
+    pub plan: usize,
+    pub made: Duration,
+    pub until: Duration,
+    pub opened: Option<Duration>,
+    pub over: bool,
+    /// True when its home was lost before it could answer.
+    pub stranded: bool,
+    ticket: Bytes,
+}
+
+/// Sample of a service's live backend servers.
+pub struct Sample {
+    pub plan: usize,
+    pub at: Duration,
+    /// Maximum over mean of busy slots and of open flows.
+    pub slots: f64,
+    pub flows: f64,
+}
+
+/// Flows reset while open.
+#[derive(Clone, Copy, Default)]
+pub struct Broken {
+    /// Those that a live server held.
+    pub live: u64,
+    /// Those that were on a lost server.
+    pub lost: u64,
+}
+
+enum Event {
+    Packet(SocketAddr, SocketAddr, Packet),
+    Timer(usize),
+    Finish(usize, Job),
+    NewRequest(usize, usize),
+    NewFlow(usize),
+    Repeat(usize),
+    Reopen(usize),
+    Ping(usize),
+    Hangup(usize),
+    LoseHost,
+    RouteAround,
+    NoticeHost,
+    LoseEndpoints,
+    NoticeEndpoints,
+    Sample,
+}
+
+struct Host {
+    tables: Tables,
+    alive: bool,
+}
+
+/// Everything that is played.
+pub struct World {
+    now: Duration,
+    rng: SmallRng,
+    events: BTreeMap<(Duration, u64), Event>,
+    count: u64,
+    hosts: Vec<Host>,
+    sprayed: Vec<usize>,
+    pub servers: Vec<Server>,
+    nodes: HashMap<SocketAddr, usize>,
+    pub requests: Vec<Request>,
+    pub flows: Vec<Flow>,
+    pub samples: Vec<Sample>,
+    pub broken: Vec<Broken>,
+    before: Vec<Duration>,
+    services: Vec<Service>,
+    keys: Keys,
+    noticed: HashSet<usize>,
+}
+
+/// Flow numbers of requests begin here, those of flows at zero.
+const REQUESTS: u64 = 1 << 40;
+
+impl World {
+    pub fn new(seed: u64, make: fn() -> Policies, reserve: bool) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let services: Vec<Service> = (0..PLANS.len())
+            .map(|plan| service(plan, reserve))
+            .collect();
+        let specs = services
+            .iter()
+            .flat_map(|service| service.endpoints.clone());
+        let servers: Vec<Server> = specs.map(Server::new).collect();
+        let nodes = servers
+            .iter()
+            .enumerate()
+            .map(|(i, s)| (s.spec.addr, i))
+            .collect();
+        let mut world = Self {
+            now: Duration::ZERO,
+            events: BTreeMap::new(),
+            count: 0,
+            hosts: Vec::new(),
+            sprayed: (0..HOSTS).collect(),
+            before: vec![Duration::ZERO; servers.len()],
+            servers,
+            nodes,
+            requests: Vec::new(),
+            flows: Vec::new(),
+            samples: Vec::new(),
+            broken: vec![Broken::default(); PLANS.len()],
+            services,
+            keys: Keys::new("one", "two"),
+            noticed: HashSet::new(),
+            rng: SmallRng::seed_from_u64(rng.random()),
+        };
+        world.misbehave();
+        world.start(seed, make);
+        world
+    }
+
+    /// Plays until the end.
+    pub fn play(&mut self) {
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > plan::END {
+                return;
+            }
+            self.now = at;
+            self.step(event);
+        }
+    }
+
+    pub fn counters(&self) -> Vec<jacinthhinge::tables::Counters> {
+        self.hosts.iter().map(|host| host.tables.counters).collect()
+    }
+
+    /// In each service one server sheds and one is reported unhealthy though it
+    /// is not; in the large ones one is cold and one reports no load.
+    fn misbehave(&mut self) {
+        let mut first = 0;
+        for (index, plan) in PLANS.iter().enumerate() {
+            let last = first + plan.endpoints - 1;
+            self.servers[first].shed = 0.1;
+            self.services[index].endpoints[1].healthy = false;
+            if plan.lost > 0 {
+                self.servers[last].cold = COLD;
+                self.servers[last - 1].lies = true;
+            }
+            first += plan.endpoints;
+        }
+    }
+
+    fn start(&mut self, seed: u64, make: fn() -> Policies) {
+        for index in 0..HOSTS {
+            let host = host(index);
+            let me = Home {
+                host: host.id,
+                incarnation: host.incarnation,
+                addr: host.lanes[0],
+            };
+            let empty = Arc::new(Snapshot::empty(self.keys.clone()));
+            let mut tables = Tables::new(me, empty, seed + index as u64);
+            tables.policies = Arc::new(make());
+            self.hosts.push(Host {
+                tables,
+                alive: true,
+            });
+        }
+        self.publish();
+        for index in 0..HOSTS {
+            self.after(
+                systems::TICK * index as u32 / HOSTS as u32,
+                Event::Timer(index),
+            );
+        }
+        for (plan, spec) in PLANS.iter().enumerate() {
+            for demand in 0..spec.demand.len() {
+                self.after(Duration::ZERO, Event::NewRequest(plan, demand));
+            }
+            self.after(Duration::ZERO, Event::NewFlow(plan));
+        }
+        self.after(plan::HOST_LOST, Event::LoseHost);
+        self.after(plan::HOST_LOST + FABRIC_LAG, Event::RouteAround);
+        self.after(plan::HOST_LOST + plan::DETECTION, Event::NoticeHost);
+        self.after(plan::ENDPOINTS_LOST, Event::LoseEndpoints);
+        self.after(
+            plan::ENDPOINTS_LOST + plan::HEALTH_LAG,
+            Event::NoticeEndpoints,
+        );
+        self.after(SAMPLE, Event::Sample);
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.count += 1;
+        self.events.insert((self.now + delay, self.count), event);
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Packet(from, to, packet) => self.deliver(from, to, packet),
+            Event::Timer(index) => self.tick(index),
+            Event::Finish(server, job) => self.finish(server, &job),
+            Event::NewRequest(plan, demand) => self.new_request(plan, demand),
+            Event::NewFlow(plan) => self.new_flow(plan),
+            Event::Repeat(index) => self.ask(index),
+            Event::Reopen(index) => self.open(index),
+            Event::Ping(index) => self.ping(index),
+            Event::Hangup(index) => self.hangup(index),
+            Event::LoseHost => self.lose_host(),
+            Event::RouteAround => self.sprayed.retain(|index| *index != 0),
+            Event::NoticeHost => self.publish(),
+            Event::LoseEndpoints => self.lose_endpoints(),
+            Event::NoticeEndpoints => self.notice_endpoints(),
+            Event::Sample => self.sample(),
+        }
+    }
+
+    // Hosts.
+
+    fn publish(&mut self) {
+        let mut snapshot = Snapshot::empty(self.keys.clone()).with_services(self.services.clone());
+        let alive = (0..HOSTS).filter(|index| self.hosts[*index].alive);
+        snapshot.hosts = alive.map(host).collect();
+        snapshot.changed = self.now;
+        snapshot.lease.until = plan::END * 2;
+        let snapshot = Arc::new(snapshot);
+        for index in 0..HOSTS {
+            let mut out = Outbox::default();
+            let tables = &mut self.hosts[index].tables;
+            systems::publish(tables, Arc::clone(&snapshot), self.now, &mut out);
+            self.send_all(index, out);
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.after(systems::TICK, Event::Timer(index));
+        let mut out = Outbox::default();
+        let tables = &mut self.hosts[index].tables;
+        systems::run_timers(tables, self.now, &mut out);
+        systems::run(tables, self.now, &mut out);
+        self.send_all(index, out);
+    }
+
+    fn receive(&mut self, index: usize, from: SocketAddr, packet: Packet) {
+        if !self.hosts[index].alive {
+            return;
+        }
+        let mut out = Outbox::default();
+        let tables = &mut self.hosts[index].tables;
+        tables.inbox.push(Arrival::new(from, packet));
+        systems::run(tables, self.now, &mut out);
+        self.send_all(index, out);
+    }
+
+    fn send_all(&mut self, index: usize, out: Outbox) {
+        if !self.hosts[index].alive {
+            return;
+        }
+        let from = host(index).lanes[0];
+        for send in out.sends {
+            let is_caller = send.to.port() == CALLER_PORT;
+            let delay = if is_caller { CALLER_HOP } else { HOP };
+            self.after(delay, Event::Packet(from, send.to, send.packet));
+        }
+    }
+
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, packet: Packet) {
+        if to.port() == CALLER_PORT {
+            self.tell_caller(&packet);
+        } else if let Some(server) = self.nodes.get(&to) {
+            self.serve(*server, &packet);
+        } else if let Some(index) = (0..HOSTS).find(|index| host(*index).lanes[0] == to) {
+            self.receive(index, from, packet);
+        }
+    }
+
+    /// Sends a packet to any host.
+    fn spray(&mut self, delay: Duration, from: SocketAddr, packet: Packet) {
+        let index = self.rng.random_range(0..self.sprayed.len());
+        let to = host(self.sprayed[index]).lanes[0];
+        self.after(delay, Event::Packet(from, to, packet));
+    }
+
+    fn lose_host(&mut self) {
+        self.hosts[0].alive = false;
+        let gone = host(0).id;
+        for index in 0..self.requests.len() {
+            if self.requests[index].done.is_none()
+                && self.home(REQUESTS + index as u64) == Some(gone)
+            {
+                self.requests[index].stranded = true;
+            }
+        }
+    }
+
+    /// True when the home of a flow is lost and nobody has noticed.
+    fn is_stranded(&self, flow: u64) -> bool {
+        !self.hosts[0].alive && self.home(flow) == Some(host(0).id)
+    }
+
+    fn home(&self, flow: u64) -> Option<Id> {
+        let caller = caller();
+        let home = self.hosts[1]
+            .tables
+            .snapshot
+            .home(&FlowKey { caller, flow });
+        home.map(|home| home.host)
+    }
+
+    // Backend servers.
+
+    fn serve(&mut self, index: usize, packet: &Packet) {
+        if !self.servers[index].alive {
+            return;
+        }
+        let key = packet.key();
+        match packet.body {
+            Body::Open => {
+                let server = &mut self.servers[index];
+                let has_room = server.flows.len() < server.spec.conns as usize;
+                let taken = has_room || server.flows.contains(&key);
+                if taken {
+                    server.flows.insert(key);
+                }
+                let load = server.load();
+                let body = if taken {
+                    Body::Opened { load }
+                } else {
+                    Body::OpenRefused { load }
+                };
+                self.reply(index, packet, body);
+            }
+            Body::Close => {
+                self.servers[index].flows.remove(&key);
+            }
+            Body::Probe => {
+                let server = &self.servers[index];
+                let (known, load) = (server.flows.contains(&key), server.load());
+                self.reply(index, packet, Body::Probed { known, load });
+            }
+            Body::Work {
+                dispatch, budget, ..
+            } => self.work(index, packet, dispatch, budget),
+            Body::Cancel { dispatch, .. } => {
+                let server = &mut self.servers[index];
+                server.waiting.retain(|job| job.dispatch != dispatch);
+            }
+            _ => {}
+        }
+    }
+
+    fn work(&mut self, index: usize, packet: &Packet, dispatch: u64, budget: Duration) {
+        let (now, draw) = (self.now, self.rng.random());
+        let job = Job {
+            dispatch,
+            work: self.requests[number(packet.flow - REQUESTS)].work,
+            deadline: now + budget,
+            packet: packet.clone(),
+        };
+        let again = Job {
+            packet: packet.clone(),
+            ..job
+        };
+        match self.servers[index].take(job, draw, now) {
+            Taken::Started(end) => {
+                self.after(end - now, Event::Finish(index, again));
+            }
+            Taken::Waiting | Taken::Repeated(None) => {}
+            Taken::Repeated(Some(body)) => return self.reply(index, packet, body),
+            Taken::Refused(reason) => return self.refuse(index, packet, dispatch, reason),
+        }
+        let body = Body::PartAck {
+            request: dispatch,
+            index: 0,
+        };
+        self.reply(index, packet, body);
+    }
+
+    fn refuse(&mut self, index: usize, packet: &Packet, dispatch: u64, reason: Reason) {
+        let load = self.servers[index].load();
+        let body = Body::Refused {
+            request: packet.flow,
+            dispatch,
+            reason,
+            load,
+        };
+        self.servers[index].record(dispatch, body.clone());
+        self.reply(index, packet, body);
+    }
+
+    fn finish(&mut self, index: usize, job: &Job) {
+        let now = self.now;
+        if !self.servers[index].alive {
+            return;
+        }
+        self.servers[index].finish(now);
+        while let Some(next) = self.servers[index].waiting.pop_front() {
+            if next.deadline <= now {
+                self.refuse(index, &next.packet, next.dispatch, Reason::Late);
+                continue;
+            }
+            let end = self.servers[index].start(&next, now);
+            self.after(end - now, Event::Finish(index, next));
+            break;
+        }
+        let part = Part {
+            index: 0,
+            total: 1,
+            data: Bytes::new(),
+        };
+        let body = Body::Answer {
+            request: job.packet.flow,
+            dispatch: job.dispatch,
+            load: self.servers[index].load(),
+            part,
+        };
+        self.servers[index].record(job.dispatch, body.clone());
+        self.reply(index, &job.packet, body);
+    }
+
+    fn reply(&mut self, index: usize, packet: &Packet, body: Body) {
+        let from = self.servers[index].spec.addr;
+        self.spray(HOP, from, packet.reply(packet.ticket.clone(), body));
+    }
+
+    fn lose_endpoints(&mut self) {
+        let mut first = 0;
+        for plan in PLANS {
+            for index in 2..2 + plan.lost {
+                let server = &mut self.servers[first + index];
+                server.account(self.now);
+                server.alive = false;
+                server.busy = 0;
+                self.noticed.insert(first + index);
+            }
+            first += plan.endpoints;
+        }
+    }
+
+    fn notice_endpoints(&mut self) {
+        let lost = &self.noticed;
+        let specs = self
+            .services
+            .iter_mut()
+            .flat_map(|service| &mut service.endpoints);
+        for (_, spec) in specs.enumerate().filter(|(index, _)| lost.contains(index)) {
+            spec.healthy = false;
+        }
+        self.publish();
+    }
+
+    fn sample(&mut self) {
+        self.after(SAMPLE, Event::Sample);
+        let mut first = 0;
+        for (plan, spec) in PLANS.iter().enumerate() {
+            let (mut slots, mut flows) = (Vec::new(), Vec::new());
+            for index in first..first + spec.endpoints {
+                let server = &mut self.servers[index];
+                server.account(self.now);
+                let used = server.used - self.before[index];
+                self.before[index] = server.used;
+                if server.alive {
+                    slots.push(used.as_secs_f64());
+                    flows.push(server.flows.len() as f64);
+                }
+            }
+            first += spec.endpoints;
+            self.samples.push(Sample {
+                plan,
+                at: self.now,
+                slots: imbalance(&slots),
+                flows: imbalance(&flows),
+            });
+        }
+    }
+
+    // Callers.
+
+    fn new_request(&mut self, plan: usize, demand: usize) {
+        let spec = PLANS[plan];
+        let Demand { class, share } = spec.demand[demand];
+        let policy = plan::policy(class);
+        let slots = spec.endpoints as f64 * f64::from(spec.slots);
+        let calm = share * slots / policy.service_time.as_secs_f64();
+        let rate = calm * plan::factor(class.is_long(), self.now);
+        let gap = plan::gap(&mut self.rng, rate);
+        self.after(gap, Event::NewRequest(plan, demand));
+        let index = self.requests.len();
+        self.requests.push(Request {
+            plan,
+            class,
+            made: self.now,
+            deadline: self.now + policy.deadline,
+            work: plan::work(&mut self.rng, class),
+            done: None,
+            ended: None,
+            stranded: self.is_stranded(REQUESTS + index as u64),
+        });
+        self.ask(index);
+    }
+
+    fn ask(&mut self, index: usize) {
+        let now = self.now;
+        let request = &self.requests[index];
+        if request.done.is_some() || request.ended.is_some() || now >= request.deadline {
+            return;
+        }
+        let body = Body::Ask {
+            request: 1,
+            class: request.class,
+            budget: request.deadline - now,
+            part: Part {
+                index: 0,
+                total: 1,
+                data: Bytes::new(),
+            },
+        };
+        let packet = packet(request.plan, REQUESTS + index as u64, body);
+        self.spray(CALLER_HOP, caller(), packet);
+        self.after(REPEAT, Event::Repeat(index));
+    }
+
+    fn new_flow(&mut self, plan: usize) {
+        let rate = PLANS[plan].flows * plan::factor(false, self.now);
+        let gap = plan::gap(&mut self.rng, rate);
+        self.after(gap, Event::NewFlow(plan));
+        let life = self.rng.random_range(0.0..1.0) * plan::FLOW_LIFE.as_secs_f64();
+        self.add_flow(plan, self.now + Duration::from_secs_f64(life));
+    }
+
+    fn add_flow(&mut self, plan: usize, until: Duration) {
+        let index = self.flows.len();
+        self.flows.push(Flow {
+            plan,
+            made: self.now,
+            until,
+            opened: None,
+            over: false,
+            stranded: self.is_stranded(index as u64),
+            ticket: Bytes::new(),
+        });
+        self.open(index);
+        self.after(PING, Event::Ping(index));
+        self.after(until - self.now, Event::Hangup(index));
+    }
+
+    fn open(&mut self, index: usize) {
+        let flow = &self.flows[index];
+        if flow.opened.is_some() || flow.over {
+            return;
+        }
+        let packet = packet(flow.plan, index as u64, Body::Open);
+        self.spray(CALLER_HOP, caller(), packet);
+        self.after(REPEAT, Event::Reopen(index));
+    }
+
+    fn ping(&mut self, index: usize) {
+        if self.flows[index].over {
+            return;
+        }
+        self.after(PING, Event::Ping(index));
+        self.send_on(index, Body::Ping);
+    }
+
+    fn hangup(&mut self, index: usize) {
+        if self.flows[index].over {
+            return;
+        }
+        self.send_on(index, Body::Close);
+        self.flows[index].over = true;
+    }
+
+    fn send_on(&mut self, index: usize, body: Body) {
+        let flow = &self.flows[index];
+        let mut packet = packet(flow.plan, index as u64, body);
+        packet.ticket = flow.ticket.clone();
+        self.spray(CALLER_HOP, caller(), packet);
+    }
+
+    fn tell_caller(&mut self, packet: &Packet) {
+        if packet.flow >= REQUESTS {
+            let request = &mut self.requests[number(packet.flow - REQUESTS)];
+            match packet.body {
+                Body::Answer { .. } => {
+                    request.done.get_or_insert(self.now);
+                }
+                Body::Ended {
+                    verdict, reason, ..
+                } => {
+                    request.ended.get_or_insert((verdict, reason));
+                }
+                _ => {}
+            }
+            return;
+        }
+        let index = number(packet.flow);
+        match packet.body {
+            Body::Opened { .. } => {
+                let flow = &mut self.flows[index];
+                flow.opened.get_or_insert(self.now);
+                flow.ticket = packet.ticket.clone();
+            }
+            Body::Pong if !packet.ticket.is_empty() => {
+                self.flows[index].ticket = packet.ticket.clone();
+            }
+            Body::Reset { .. } => self.reset(index, packet),
+            _ => {}
+        }
+    }
+
+    /// A flow was reset: it is opened anew under another number.
+    fn reset(&mut self, index: usize, packet: &Packet) {
+        let flow = &mut self.flows[index];
+        if flow.over {
+            return;
+        }
+        flow.over = true;
+        let (plan, until) = (flow.plan, flow.until);
+        if flow.opened.is_some() {
+            let key = packet.key();
+            let live = self
+                .servers
+                .iter()
+                .any(|s| s.alive && s.flows.contains(&key));
+            let broken = &mut self.broken[plan];
+            broken.live += u64::from(live);
+            broken.lost += u64::from(!live);
+        }
+        if until > self.now + REPEAT && self.flows[index].opened.is_some() {
+            self.add_flow(plan, until);
+        }
+    }
+}
+
+/// Port of all callers.
+const CALLER_PORT: u16 = 9;
+
+fn caller() -> SocketAddr {
+    SocketAddr::from(([10, 9, 0, 1], CALLER_PORT))
+}
+
+fn number(flow: u64) -> usize {
+    usize::try_from(flow).unwrap_or(usize::MAX)
+}
+
+fn packet(plan: usize, flow: u64, body: Body) -> Packet {
+    Packet {
+        service: Id::of(PLANS[plan].name),
+        caller: caller(),
+        flow,
+        hops: 0,
+        ticket: Bytes::new(),
+        body,
+    }
+}
+
+fn host(index: usize) -> jacinthhinge::snapshot::Host {
+    let name: Name = format!("host-{index}").into();
+    let last = u8::try_from(index).unwrap_or(u8::MAX);
+    jacinthhinge::snapshot::Host {
+        id: Id::of(&name),
+        name,
+        incarnation: (index as u64 + 1) << 40,
+        lanes: smallvec![SocketAddr::from(([10, 0, 0, last], 1))],
+        leaving: false,
+    }
+}
+
+fn service(plan: usize, reserve: bool) -> Service {
+    let spec = PLANS[plan];
+    Service {
+        id: Id::of(spec.name),
+        name: spec.name.into(),
+        endpoints: (0..spec.endpoints)
+            .map(|index| endpoint(plan, index))
+            .collect(),
+        classes: Class::ALL.map(plan::policy),
+        drain: Duration::from_mins(1),
+        idle: Duration::from_mins(1),
+        retries: 0.1,
+        reserve: u32::from(reserve),
+    }
+}
+
+fn endpoint(plan: usize, index: usize) -> Endpoint {
+    let spec = PLANS[plan];
+    let name: Name = format!("{}-{index}", spec.name).into();
+    let (net, last) = (plan as u8 + 1, index as u8);
+    Endpoint {
+        id: Id::of(&name),
+        name,
+        addr: SocketAddr::from(([10, 1, net, last], 1)),
+        zone: "zone".into(),
+        slots: spec.slots,
+        conns: 2_000,
+        weight: 1.0,
+        draining: false,
+        healthy: true,
+        local: true,
+    }
+}
+
+/// Maximum over mean.
+fn imbalance(values: &[f64]) -> f64 {
+    let sum: f64 = values.iter().sum();
+    let max = values.iter().copied().fold(0.0, f64::max);
+    if sum == 0.0 {
+        1.0
+    } else {
+        max * values.len() as f64 / sum
+    }
+}
