Let long work yield and admit by what the queue has waited

Change: long work yields for 100 ms after short work found no slot; the wait of a queue's next request bounds the expected wait; a dispatch needs twice its time.

--- a/examples/swing/main.rs
+++ b/examples/swing/main.rs
@@ -42,6 +42,8 @@
     threads: usize,
     /// Only the policy of this name
     policy: Option<String>,
+    /// Prints the outcomes of each class at the crest
+    outcomes: bool,
     /// Compares with the shipped policies less one part
     ablations: bool,
 }
@@ -84,7 +86,7 @@
             let Some(seed) = next else {
                 return;
             };
-            let figures = run(seed, entry);
+            let figures = run(seed, entry, options.outcomes);
             runs.lock().expect("no run panics").push(figures);
         }
     };
@@ -96,9 +98,12 @@
     runs.into_inner().expect("no run panics")
 }
 
-fn run(seed: u64, entry: &Entry) -> [Figures; PLANS.len()] {
+fn run(seed: u64, entry: &Entry, outcomes: bool) -> [Figures; PLANS.len()] {
     let mut world = World::new(seed, entry.make, entry.reserve);
     world.play();
+    if outcomes {
+        measure::print_outcomes(&world);
+    }
     std::array::from_fn(|plan| COLUMNS.each_ref().map(|column| (column.read)(&world, plan)))
 }
 
--- a/examples/swing/measure.rs
+++ b/examples/swing/measure.rs
@@ -211,3 +211,38 @@
 fn within(at: Duration, span: (Duration, Duration)) -> bool {
     at >= span.0 && at < span.1
 }
+
+/// Outcomes of each class at the crest, for a closer look.
+pub fn print_outcomes(world: &World) {
+    for (plan, spec) in PLANS.iter().enumerate() {
+        for demand in spec.demand {
+            let mut counts = std::collections::BTreeMap::new();
+            let made = world
+                .requests
+                .iter()
+                .filter(|r| r.plan == plan && r.class == demand.class);
+            for request in made.filter(|r| within(r.made, CREST)) {
+                let timely = request.done.is_some_and(|done| done <= request.deadline);
+                let outcome = match request.ended {
+                    _ if timely => "in time".to_string(),
+                    _ if request.stranded => "stranded".to_string(),
+                    Some((verdict, reason)) => format!("{verdict:?} {reason:?}"),
+                    None => "no word".to_string(),
+                };
+                *counts.entry(outcome).or_insert(0) += 1;
+            }
+            println!("{} {:?}: {counts:?}", spec.name, demand.class);
+        }
+    }
+    let sum = |read: fn(&jacinthhinge::tables::Counters) -> u64| -> u64 {
+        world.counters().iter().map(read).sum()
+    };
+    println!(
+        "taken {} refused {} retries {} exhausted {} resent {}",
+        sum(|c| c.taken),
+        sum(|c| c.refused),
+        sum(|c| c.retries),
+        sum(|c| c.exhausted),
+        sum(|c| c.resent)
+    );
+}
--- a/examples/swing/world.rs
+++ b/examples/swing/world.rs
@@ -78,9 +78,9 @@
 }
 
 enum Event {
-    Packet(SocketAddr, SocketAddr, Packet),
+    Packet(SocketAddr, SocketAddr, Box<Packet>),
     Timer(usize),
-    Finish(usize, Job),
+    Finish(usize, Box<Job>),
     NewRequest(usize, usize),
     NewFlow(usize),
     Repeat(usize),
@@ -239,7 +239,7 @@
 
     fn step(&mut self, event: Event) {
         match event {
-            Event::Packet(from, to, packet) => self.deliver(from, to, packet),
+            Event::Packet(from, to, packet) => self.deliver(from, to, *packet),
             Event::Timer(index) => self.tick(index),
             Event::Finish(server, job) => self.finish(server, &job),
             Event::NewRequest(plan, demand) => self.new_request(plan, demand),
@@ -302,7 +302,7 @@
         for send in out.sends {
             let is_caller = send.to.port() == CALLER_PORT;
             let delay = if is_caller { CALLER_HOP } else { HOP };
-            self.after(delay, Event::Packet(from, send.to, send.packet));
+            self.after(delay, Event::Packet(from, send.to, Box::new(send.packet)));
         }
     }
 
@@ -320,7 +320,7 @@
     fn spray(&mut self, delay: Duration, from: SocketAddr, packet: Packet) {
         let index = self.rng.random_range(0..self.sprayed.len());
         let to = host(self.sprayed[index]).lanes[0];
-        self.after(delay, Event::Packet(from, to, packet));
+        self.after(delay, Event::Packet(from, to, Box::new(packet)));
     }
 
     fn lose_host(&mut self) {
@@ -405,7 +405,7 @@
         };
         match self.servers[index].take(job, draw, now) {
             Taken::Started(end) => {
-                self.after(end - now, Event::Finish(index, again));
+                self.after(end - now, Event::Finish(index, Box::new(again)));
             }
             Taken::Waiting | Taken::Repeated(None) => {}
             Taken::Repeated(Some(body)) => return self.reply(index, packet, body),
@@ -442,7 +442,7 @@
                 continue;
             }
             let end = self.servers[index].start(&next, now);
-            self.after(end - now, Event::Finish(index, next));
+            self.after(end - now, Event::Finish(index, Box::new(next)));
             break;
         }
         let part = Part {
--- a/src/systems/admit.rs
+++ b/src/systems/admit.rs
@@ -1,8 +1,8 @@
 //! Refuses early, as not run, what cannot be run before its deadline.
 //!
 //! The wait of a request is the queued work that goes before it over the slots
-//! this lane has in use. Classes of lower rank wait behind the others, so they
-//! are the first to be refused.
+//! this lane has in use, and no less than what the next of its class has waited.
+//! Classes of lower rank wait behind the others, so they are refused first.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +13,10 @@
 use crate::snapshot::Service;
 use crate::tables::{Outbox, Tables};
 
+/// Time that a request must have left when it is dispatched, over its expected
+/// time in a slot.
+const MARGIN: u32 = 2;
+
 /// Queues a new request, or refuses it when it would wait too long.
 pub(super) fn run(tables: &mut Tables, slot: usize, now: Duration, out: &mut Outbox) {
     let policies = Arc::clone(&tables.policies);
@@ -37,7 +41,8 @@
     let Some(service) = tables.snapshot.services.get(&row.service) else {
         return true;
     };
-    let wait = work_ahead(tables, service, row.class) / slots_held(tables, service);
+    let queue = work_ahead(tables, service, row.class) / slots_held(tables, service);
+    let wait = queue.max(oldest(tables, service, row.class, now).as_secs_f64());
     let slack = slack(service, row.class, row.deadline, now);
     wait <= slack.as_secs_f64() * parts.slack
 }
@@ -48,7 +53,8 @@
     let Some(service) = tables.snapshot.services.get(&row.service) else {
         return true;
     };
-    !slack(service, row.class, row.deadline, now).is_zero()
+    let time = service.classes[row.class.index()].service_time;
+    now + time * MARGIN <= row.deadline
 }
 
 fn slack(service: &Service, class: Class, deadline: Duration, now: Duration) -> Duration {
@@ -56,6 +62,14 @@
     deadline.saturating_sub(now).saturating_sub(time)
 }
 
+/// Time that the next request of a class has waited.
+fn oldest(tables: &Tables, service: &Service, class: Class, now: Duration) -> Duration {
+    let first = tables.requests.queued(service.id, class).next();
+    first.map_or(Duration::ZERO, |slot| {
+        now.saturating_sub(tables.requests.row(slot).taken)
+    })
+}
+
 /// Slot time of the queued requests that go before a new one, in seconds.
 fn work_ahead(tables: &Tables, service: &Service, class: Class) -> f64 {
     let rank = service.classes[class.index()].rank;
--- a/src/systems/dispatch.rs
+++ b/src/systems/dispatch.rs
@@ -56,6 +56,9 @@
         }
         let class = tables.requests.row(slot).class;
         let Some(endpoint) = (policies.pick_slot)(tables, service, class, now) else {
+            if !class.is_long() {
+                tables.endpoints.press(service, now);
+            }
             stuck.push(class);
             continue;
         };
@@ -116,9 +119,16 @@
     out: &mut Outbox,
 ) {
     let row = tables.requests.row_mut(slot);
+    let is_first = row.holding && !row.acked.iter().any(|acked| *acked);
     let Some(acked) = row.acked.get_mut(index) else {
         return;
     };
+    if is_first
+        && let Some(target) = row.target
+        && let Some(endpoint) = tables.endpoints.get_mut(target.endpoint)
+    {
+        endpoint.acked += 1;
+    }
     if std::mem::replace(acked, true) || row.state != RequestState::Sent {
         return;
     }
--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -26,8 +26,17 @@
 /// Age of a load report above which it is asked for again while work waits.
 const STALE: Duration = Duration::from_millis(20);
 
-/// Pause of an endpoint after it refused work with slots free.
-const PAUSE: Duration = Duration::from_millis(20);
+/// Pause of an endpoint after it refused work.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Share of doubtful reports above which an endpoint gets no long work.
+const DOUBT_LIMIT: f64 = 0.2;
+
+/// What an answer adds to the window of an endpoint.
+const WINDOW_STEP: f64 = 0.05;
+
+/// Largest window over the endpoint's slots.
+const WINDOW_LIMIT: f64 = 2.0;
 
 /// Longest pause of an endpoint that keeps refusing, as a multiple of the first.
 const PAUSE_LIMIT: u32 = 8;
@@ -59,7 +68,7 @@
     })
 }
 
-/// Endpoint for a request: the least busy of those with a free slot.
+/// Endpoint for a request: the least busy of those that can take it.
 pub(super) fn pick_slot(
     tables: &mut Tables,
     parts: &Parts,
@@ -68,36 +77,44 @@
     now: Duration,
 ) -> Option<Id> {
     let reserve = tables.snapshot.services.get(&service)?.reserve;
+    let pressed = tables.endpoints.pressed(service);
+    if class.is_long() && pressed.is_some_and(|pressed| now < pressed + parts.yielding) {
+        return None;
+    }
     pick(tables, parts, service, now, |row| {
-        let busy = busy(row, parts, class, now);
-        if row.load.incarnation == 0 || busy >= limit(row, parts, class, reserve) {
-            return None;
-        }
-        Some((
-            !row.spec.local,
-            f64::from(busy + 1) / f64::from(row.spec.slots),
-        ))
+        let busy = if class.is_long() {
+            long_room(row, parts, reserve, now)?
+        } else {
+            short_room(row, parts, now)?
+        };
+        let share = f64::from(busy + 1) / f64::from(row.spec.slots);
+        Some((!row.spec.local, share))
     })
 }
 
-/// Requests that an endpoint may hold when one of `class` is sent to it.
-fn limit(row: &EndpointRow, parts: &Parts, class: Class, reserve: u32) -> u32 {
-    if class.is_long() {
-        row.spec.slots.saturating_sub(reserve).max(1)
-    } else {
-        row.spec.slots + parts.ahead
-    }
+/// Requests on an endpoint that may take long work. Every lane leaves the reserved
+/// slots to short work by what it knows of all others, so it wants a new report.
+fn long_room(row: &EndpointRow, parts: &Parts, reserve: u32, now: Duration) -> Option<u32> {
+    let limit = row.spec.slots.saturating_sub(reserve).max(1);
+    let busy = (row.running + row.others).max(row.load.busy);
+    let is_known = row.load.incarnation != 0 && now < row.heard + parts.hold;
+    (is_known && !is_doubted(row) && busy < limit).then_some(busy)
 }
 
-/// Requests on an endpoint: this lane's, and others' as last reported. An old
-/// report is forgotten for short work only; long work waits for a new one.
-fn busy(row: &EndpointRow, parts: &Parts, class: Class, now: Duration) -> u32 {
+/// Requests on an endpoint that may take short work: one with a slot free, or
+/// where the window lets this lane send ahead. An old report is forgotten.
+fn short_room(row: &EndpointRow, parts: &Parts, now: Duration) -> Option<u32> {
     let is_old = now >= row.heard + parts.hold;
-    if is_old && !class.is_long() {
-        row.running
-    } else {
-        row.running + row.others
-    }
+    let others = if is_old { 0 } else { row.others };
+    let busy = row.running + others;
+    let fits = f64::from(row.running + 1) <= row.window;
+    let has_room = busy < row.spec.slots + parts.ahead;
+    (row.load.incarnation != 0 && fits && has_room).then_some(busy)
+}
+
+/// True for an endpoint whose load reports leave out what it has acknowledged.
+fn is_doubted(row: &EndpointRow) -> bool {
+    row.doubt > DOUBT_LIMIT
 }
 
 /// Flows on an endpoint: as reported, or from this lane's own when the report
@@ -207,13 +224,23 @@
     };
     row.heard = now;
     row.asked = None;
-    if let Body::Answer { .. } = body {
-        row.failures = 0;
-        row.paused = Duration::ZERO;
-        row.note(false);
+    match body {
+        Body::Answer { .. } => served(row),
+        Body::Refused { .. } | Body::Probed { .. } => row.note_load(),
+        _ => {}
     }
 }
 
+/// Answered work opens the window of an endpoint a little.
+fn served(row: &mut EndpointRow) {
+    row.failures = 0;
+    row.paused = Duration::ZERO;
+    row.note_load();
+    row.note_shed(false);
+    let most = f64::from(row.spec.slots) * WINDOW_LIMIT;
+    row.window = (row.window + WINDOW_STEP).min(most);
+}
+
 /// Counts a failure to answer against an endpoint.
 pub(super) fn blame(tables: &mut Tables, id: Id, now: Duration) {
     if let Some(row) = tables.endpoints.get_mut(id) {
@@ -222,17 +249,18 @@
     }
 }
 
-/// Counts a refusal against an endpoint; one that refuses with slots free is
-/// paused, the longer the more it refuses in a row.
+/// Counts a refusal against an endpoint, which closes its window to what it has
+/// and pauses it, the longer the more it refuses in a row.
 pub(super) fn refused(tables: &mut Tables, id: Id, now: Duration) {
     let Some(row) = tables.endpoints.get_mut(id) else {
         return;
     };
     row.refused = Some(now);
     row.failures += 1;
-    let free = row.load.busy < row.spec.slots;
-    row.note(free);
-    if free {
-        row.paused = now + PAUSE * row.failures.min(PAUSE_LIMIT);
+    let is_shed = row.load.busy < row.spec.slots;
+    row.note_shed(is_shed);
+    if !is_shed {
+        row.window = f64::from(row.running.max(1));
     }
+    row.paused = now + PAUSE * row.failures.min(PAUSE_LIMIT);
 }
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -56,6 +56,8 @@
     pub hold: Duration,
     /// Requests sent ahead to an endpoint whose slots are all taken.
     pub ahead: u32,
+    /// Time for which long work yields after short work found no slot.
+    pub yielding: Duration,
     /// Share of the connections of the own zone above which flows spill over.
     pub spill: f64,
     /// Largest wait in the queue, as a share of the slack until the deadline.
@@ -70,6 +72,7 @@
         silence: Duration::from_millis(150),
         hold: Duration::from_millis(50),
         ahead: 1,
+        yielding: Duration::from_millis(100),
         spill: 0.8,
         slack: 0.5,
     };
--- a/src/systems/settle.rs
+++ b/src/systems/settle.rs
@@ -19,7 +19,6 @@
         tables.counters.foreign += 1;
         return;
     };
-    place::heard(tables, target.endpoint, &packet.body, now);
     if let Some(load) = load_of(&packet.body) {
         tables.endpoints.report(target.endpoint, load, now);
         target.incarnation = load.incarnation;
@@ -37,6 +36,7 @@
         Body::Answer { dispatch, part, .. } => answered(tables, *dispatch, part, out),
         _ => tables.counters.foreign += 1,
     }
+    place::heard(tables, target.endpoint, &packet.body, now);
 }
 
 fn load_of(body: &Body) -> Option<Load> {
--- a/src/systems/verdict.rs
+++ b/src/systems/verdict.rs
@@ -87,8 +87,9 @@
     if !std::mem::take(&mut row.holding) {
         return;
     }
+    let acked = row.acked.iter().any(|acked| *acked);
     if let Some(target) = row.target {
-        tables.endpoints.release(target.endpoint);
+        tables.endpoints.release(target.endpoint, acked);
     }
 }
 
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -10,8 +10,8 @@
 use crate::snapshot::{Endpoint, Snapshot};
 use crate::ticket::Target;
 
-/// Weight of the latest outcome in [`EndpointRow::shed`].
-const SHED_WEIGHT: f64 = 0.05;
+/// Weight of the latest event in the shares of [`EndpointRow`].
+const LATEST: f64 = 0.05;
 
 /// Time for which an address that changed its service gets no traffic.
 const QUARANTINE: Duration = Duration::from_secs(10);
@@ -41,6 +41,12 @@
     pub asked: Option<Duration>,
     /// Time until which it gets no requests after a refusal.
     pub paused: Duration,
+    /// Requests of this lane that it is believed to take at once.
+    pub window: f64,
+    /// Requests of this lane that it has acknowledged and not ended.
+    pub acked: u32,
+    /// Share of the latest load reports that left out acknowledged requests.
+    pub doubt: f64,
     /// Share of the latest requests that it refused with slots free.
     pub shed: f64,
     /// Time of its last refusal.
@@ -63,8 +69,15 @@
     }
 
     /// Notes whether it refused the latest request with slots free.
-    pub fn note(&mut self, refused: bool) {
-        self.shed += SHED_WEIGHT * (f64::from(u8::from(refused)) - self.shed);
+    pub fn note_shed(&mut self, refused: bool) {
+        self.shed += LATEST * (f64::from(u8::from(refused)) - self.shed);
+    }
+
+    /// Compares its latest load report with what it must have in hand.
+    pub fn note_load(&mut self) {
+        let short = self.load.busy < self.acked.min(self.spec.slots);
+        self.doubt += LATEST * (f64::from(u8::from(short)) - self.doubt);
+        self.others = self.load.busy.saturating_sub(self.running);
     }
 
     /// How tickets name it.
@@ -84,6 +97,7 @@
     rows: Vec<usize>,
     running: u32,
     slots: u32,
+    pressed: Option<Duration>,
 }
 
 /// Endpoints by id and by service.
@@ -102,6 +116,8 @@
         let mut services: Vec<_> = snapshot.services.values().collect();
         services.sort_unstable_by_key(|service| service.id);
         for service in services {
+            let pressed = old.pressed(service.id);
+            self.services.entry(service.id).or_default().pressed = pressed;
             for spec in &service.endpoints {
                 let mut row = old.take(spec, service.id, now);
                 if owners
@@ -161,6 +177,19 @@
         self.services.get(&service).map_or(0, |group| group.running)
     }
 
+    /// Notes that short work of a service found no slot.
+    pub fn press(&mut self, service: Id, now: Duration) {
+        if let Some(group) = self.services.get_mut(&service) {
+            group.pressed = Some(now);
+        }
+    }
+
+    /// Time at which short work of a service last found no slot.
+    #[must_use]
+    pub fn pressed(&self, service: Id) -> Option<Duration> {
+        self.services.get(&service)?.pressed
+    }
+
     /// All endpoints.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointRow> + '_ {
         self.rows.iter()
@@ -185,7 +214,6 @@
             row.leaving = None;
         }
         row.load = load;
-        row.others = load.busy.saturating_sub(row.running);
         row.fresh = 0;
         restarted
     }
@@ -203,11 +231,12 @@
     }
 
     /// Stops counting a request on an endpoint.
-    pub fn release(&mut self, id: Id) {
+    pub fn release(&mut self, id: Id, acked: bool) {
         let Some(row) = self.get_mut(id) else {
             return;
         };
         row.running = row.running.saturating_sub(1);
+        row.acked = row.acked.saturating_sub(u32::from(acked));
         let service = row.service;
         if let Some(group) = self.services.get_mut(&service) {
             group.running = group.running.saturating_sub(1);
@@ -243,6 +272,7 @@
 
 impl EndpointRow {
     fn new(spec: Endpoint, service: Id, now: Duration) -> Self {
+        let window = f64::from(spec.slots);
         Self {
             spec,
             service,
@@ -255,6 +285,9 @@
             others: 0,
             asked: None,
             paused: Duration::ZERO,
+            window,
+            acked: 0,
+            doubt: 0.0,
             shed: 0.0,
             refused: None,
             failures: 0,
