Close the window of any endpoint that refuses, and ask for loads while work waits

Ruled out: believing its report less the more it refuses; it never closed. Change: every refusal closes the window to what the lane has there; endpoints whose reports leave out acknowledged work count as loaded as this lane loads them; half the saved-up retries are kept for the highest rank; loads are asked for while work waits, in place of trying endpoints last seen full.

--- a/src/systems/dispatch.rs
+++ b/src/systems/dispatch.rs
@@ -6,7 +6,7 @@
 
 use smallvec::SmallVec;
 
-use super::{open, probe, verdict};
+use super::{open, place, probe, verdict};
 use crate::id::Id;
 use crate::packet::{Body, Class, Reason, Verdict};
 use crate::tables::{EndpointRow, Outbox, Request, RequestState, Tables};
@@ -18,6 +18,9 @@
     for service in tables.requests.waiting() {
         greet_unknown(tables, service, now, out);
         drain(tables, service, now, out);
+        if tables.requests.is_waiting(service) {
+            place::refresh(tables, service, now, out);
+        }
     }
 }
 
--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use smallvec::SmallVec;
 
 use super::policies::Parts;
 use super::probe;
@@ -38,6 +39,9 @@
 /// Largest window over the endpoint's slots.
 const WINDOW_LIMIT: f64 = 2.0;
 
+/// Most endpoints asked for their load at once.
+const REFRESH: usize = 16;
+
 /// Longest pause of an endpoint that keeps refusing, as a multiple of the first.
 const PAUSE_LIMIT: u32 = 8;
 
@@ -76,6 +80,7 @@
     class: Class,
     now: Duration,
 ) -> Option<Id> {
+    let lanes = lanes(tables);
     let reserve = tables.snapshot.services.get(&service)?.reserve;
     let pressed = tables.endpoints.pressed(service);
     if class.is_long() && pressed.is_some_and(|pressed| now < pressed + parts.yielding) {
@@ -85,7 +90,7 @@
         let busy = if class.is_long() {
             long_room(row, parts, reserve, now)?
         } else {
-            short_room(row, parts, now)?
+            short_room(row, parts, lanes, now)?
         };
         let share = f64::from(busy + 1) / f64::from(row.spec.slots);
         Some((!row.spec.local, share))
@@ -102,10 +107,15 @@
 }
 
 /// Requests on an endpoint that may take short work: one with a slot free, or
-/// where the window lets this lane send ahead. An old report is forgotten.
-fn short_room(row: &EndpointRow, parts: &Parts, now: Duration) -> Option<u32> {
+/// where the window lets this lane send ahead. An old report is forgotten, and in
+/// place of a doubtful one the other lanes are taken to send as much as this one.
+fn short_room(row: &EndpointRow, parts: &Parts, lanes: u32, now: Duration) -> Option<u32> {
     let is_old = now >= row.heard + parts.hold;
-    let others = if is_old { 0 } else { row.others };
+    let others = match is_doubted(row) {
+        true => row.running * (lanes - 1),
+        false if is_old => 0,
+        false => row.others,
+    };
     let busy = row.running + others;
     let fits = f64::from(row.running + 1) <= row.window;
     let has_room = busy < row.spec.slots + parts.ahead;
@@ -151,11 +161,7 @@
     now: Duration,
     judge: impl Fn(&EndpointRow) -> Option<(bool, f64)>,
 ) -> Option<Id> {
-    let count = tables.endpoints.count(service);
-    if count == 0 {
-        return None;
-    }
-    let start = tables.rng.random_range(0..count);
+    let start = start(tables, service);
     let open = || {
         tables
             .endpoints
@@ -183,6 +189,12 @@
         .map(|choice| choice.id)
 }
 
+/// A random place to begin among the endpoints of a service.
+fn start(tables: &mut Tables, service: Id) -> usize {
+    let count = tables.endpoints.count(service);
+    tables.rng.random_range(0..count.max(1))
+}
+
 /// Share that an endpoint is due: the operators' weight, less while it is new and
 /// less for what it refuses.
 fn weight(row: &EndpointRow, parts: &Parts, now: Duration) -> f64 {
@@ -199,20 +211,30 @@
     mute || (!row.spec.healthy && now >= row.heard + DOUBT)
 }
 
-/// Asks endpoints for their load that are silent, or whose report is old while
-/// requests wait.
+/// Asks endpoints that are silent or reported unhealthy to speak.
 pub(super) fn probe(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    let waiting = tables.requests.waiting();
-    let ids: Vec<Id> = tables
+    let mut ids: SmallVec<[Id; 16]> = SmallVec::new();
+    for row in tables.endpoints.iter() {
+        if row.asked.is_some() || !row.spec.healthy {
+            ids.push(row.spec.id);
+        }
+    }
+    for id in ids {
+        probe::greet(tables, id, now, out);
+    }
+}
+
+/// Asks some endpoints of a service whose reports are old for their load.
+pub(super) fn refresh(tables: &mut Tables, service: Id, now: Duration, out: &mut Outbox) {
+    let start = start(tables, service);
+    let old: SmallVec<[Id; 16]> = tables
         .endpoints
-        .iter()
-        .filter(|row| {
-            let wanted = waiting.contains(&row.service) && now >= row.heard + STALE;
-            wanted || row.asked.is_some() || !row.spec.healthy
-        })
+        .from(service, start)
+        .take(REFRESH)
+        .filter(|row| now >= row.heard + STALE)
         .map(|row| row.spec.id)
         .collect();
-    for id in ids {
+    for id in old {
         probe::greet(tables, id, now, out);
     }
 }
@@ -257,10 +279,7 @@
     };
     row.refused = Some(now);
     row.failures += 1;
-    let is_shed = row.load.busy < row.spec.slots;
-    row.note_shed(is_shed);
-    if !is_shed {
-        row.window = f64::from(row.running.max(1));
-    }
+    row.note_shed(row.load.busy < row.spec.slots);
+    row.window = f64::from(row.running.max(1));
     row.paused = now + PAUSE * row.failures.min(PAUSE_LIMIT);
 }
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -70,7 +70,7 @@
         sample: 16,
         ramp: Duration::from_secs(5),
         silence: Duration::from_millis(150),
-        hold: Duration::from_millis(50),
+        hold: Duration::from_millis(150),
         ahead: 1,
         yielding: Duration::from_millis(100),
         spill: 0.8,
--- a/src/systems/retry.rs
+++ b/src/systems/retry.rs
@@ -9,7 +9,7 @@
 
 use super::{dispatch, place, verdict};
 use crate::packet::{Reason, Verdict};
-use crate::tables::{Outbox, RequestState, Tables};
+use crate::tables::{BURST, Outbox, RequestState, Tables};
 
 /// Time after which something without an acknowledgement is sent again.
 const RESEND: Duration = Duration::from_millis(100);
@@ -17,6 +17,9 @@
 /// Time without any answer after which repeatable work goes to another endpoint.
 const MUTE: Duration = Duration::from_millis(600);
 
+/// Share of the saved-up retries that is kept for work of the highest rank.
+const KEPT: f64 = 0.5;
+
 /// Most dispatches of one request.
 const TRIES: usize = 4;
 
@@ -78,12 +81,30 @@
     if row.dispatches.len() >= TRIES || now >= row.deadline {
         return false;
     }
-    let service = row.service;
-    let funded = tables.budgets.spend(service);
+    let keep = if is_first_rank(tables, slot) {
+        0.0
+    } else {
+        BURST * KEPT
+    };
+    let service = tables.requests.row(slot).service;
+    let funded = tables.budgets.spend(service, keep);
     tables.counters.exhausted += u64::from(!funded);
     funded
 }
 
+/// True for work of the highest rank of its service.
+fn is_first_rank(tables: &Tables, slot: usize) -> bool {
+    let row = tables.requests.row(slot);
+    tables
+        .snapshot
+        .services
+        .get(&row.service)
+        .is_some_and(|service| {
+            let rank = service.classes[row.class.index()].rank;
+            service.classes.iter().all(|other| other.rank <= rank)
+        })
+}
+
 /// True for repeatable work whose endpoint says nothing to this lane.
 fn is_mute(tables: &Tables, slot: usize, now: Duration) -> bool {
     let row = tables.requests.row(slot);
--- a/src/tables/budget.rs
+++ b/src/tables/budget.rs
@@ -25,10 +25,10 @@
         *row = (*row + share).min(BURST);
     }
 
-    /// Spends a retry; false when none is left.
-    pub fn spend(&mut self, service: Id) -> bool {
+    /// Spends a retry; false when none is left above `kept`.
+    pub fn spend(&mut self, service: Id, kept: f64) -> bool {
         let row = self.rows.entry(service).or_insert(BURST);
-        if *row < 1.0 {
+        if *row < kept + 1.0 {
             return false;
         }
         *row -= 1.0;
--- a/src/tables/requests.rs
+++ b/src/tables/requests.rs
@@ -302,6 +302,13 @@
             .flat_map(move |queues| queues[class.index()].iter().map(|(_, slot)| *slot))
     }
 
+    /// True when requests of a service are queued.
+    #[must_use]
+    pub fn is_waiting(&self, service: Id) -> bool {
+        let queues = self.queues.get(&service);
+        queues.is_some_and(|queues| queues.iter().any(|queue| !queue.is_empty()))
+    }
+
     /// Number of queued requests of a class.
     #[must_use]
     pub fn queue_len(&self, service: Id, class: Class) -> usize {
