--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -22,7 +22,7 @@
 const SEAL_BYTES: usize = 16;
 
 /// Key that seals messages between hosts, so that strangers cannot join.
-#[derive(Clone)]
+#[derive(Clone, Eq, PartialEq)]
 pub struct PeerKey([u8; 32]);
 
 impl PeerKey {
