Run once-only work at most once after pauses, long budgets and restarts

A host that paused for longer than a record lives took packets from its socket for fresh ones and ran orders again; so did one that only forwarded them. A caller whose deadline was longer than the service's outlived the record. An endpoint in a new life refused the cancelled dispatch of its earlier life, and the caller was told "not run" of an order that had run. Repeatable work that ran twice gave its caller parts of two answers.

Ruled out: a pause measured from one tick to the next, as it misses packets that came while the process stood between reading and running, and several pauses in a row; records kept whole for minutes, for their memory.

Change: packets are aged by the time since the socket was last read dry, also when they are forwarded. Ended once-only work is known by its hash for ten minutes. Budgets above ten minutes, or three seconds without a ticket, are answered with Unknown. A refusal counts only from the life that was meant. Answers carry their dispatch, go to the caller from the first host they reach, and the record keeps that of the newest dispatch.

Conclusion: what a host may forget depends on the age of the packets it reads, not on its timers. A pause within the send call of a forwarding host of more than the hold of the lease is not covered.

--- a/src/systems/ask.rs
+++ b/src/systems/ask.rs
@@ -8,7 +8,11 @@
 
 use super::{take, verdict};
 use crate::packet::{Body, Class, Packet, Part, Reason, Verdict};
-use crate::tables::{Arrival, Outbox, Request, RequestId, RequestState, Stage, Tables};
+use crate::tables::{Arrival, Outbox, Request, RequestId, RequestState, SPENT, Stage, Tables};
+
+/// Longest deadline of once-only work that a caller without a ticket may set: a
+/// later holder of the lease counts on earlier requests to be past it.
+pub const ONCE_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Deadline of a service that is not configured.
 const DEADLINE: Duration = Duration::from_secs(2);
@@ -40,6 +44,10 @@
     };
     let slot = match tables.requests.find(&id) {
         Some(slot) => slot,
+        None if tables.requests.is_spent(&id) => {
+            doubt(tables, packet, request, Reason::Late, out);
+            return;
+        }
         None => match admit(tables, arrival, request, class, budget, now, out) {
             Some(slot) => slot,
             None => return,
@@ -71,16 +79,10 @@
     let ticketed = arrival
         .ticket
         .is_some_and(|ticket| ticket.home == tables.me);
-    if class.is_once() && !ticketed && !may_dispatch(tables, packet, now) {
-        tables.counters.unknown += 1;
-        out.answer(
-            packet,
-            Body::Ended {
-                request: number,
-                verdict: Verdict::Unknown,
-                reason: Reason::NoLease,
-            },
-        );
+    if class.is_once()
+        && let Some(reason) = objection(tables, packet, ticketed, budget, now)
+    {
+        doubt(tables, packet, number, reason, out);
         return None;
     }
     let limit = tables
@@ -95,6 +97,36 @@
     Some(tables.requests.insert(request))
 }
 
+/// Why this lane may not take once-only work that it holds no record of.
+fn objection(
+    tables: &Tables,
+    packet: &Packet,
+    ticketed: bool,
+    budget: Duration,
+    now: Duration,
+) -> Option<Reason> {
+    let limit = if ticketed { SPENT } else { ONCE_DEADLINE };
+    let covered = budget <= limit;
+    if covered && (ticketed || may_dispatch(tables, packet, now)) {
+        return None;
+    }
+    Some(Reason::NoLease)
+}
+
+/// Tells the caller that a request may have run.
+fn doubt(tables: &mut Tables, packet: &Packet, request: u64, reason: Reason, out: &mut Outbox) {
+    tables.counters.unknown += 1;
+    let verdict = Verdict::Unknown;
+    out.answer(
+        packet,
+        Body::Ended {
+            request,
+            verdict,
+            reason,
+        },
+    );
+}
+
 /// True when this lane may dispatch once-only work of a caller without a ticket.
 fn may_dispatch(tables: &Tables, packet: &Packet, now: Duration) -> bool {
     tables.snapshot.lease.is_held(now) && tables.is_home(&packet.key())
@@ -125,7 +157,7 @@
         RequestState::Ended(verdict, reason) => verdict::tell(row, verdict, reason, out),
         _ => {
             for part in row.answer.iter() {
-                verdict::pass_answer(row, &part, out);
+                verdict::pass_answer(row, row.answered, &part, out);
             }
         }
     }
--- a/src/systems/expire.rs
+++ b/src/systems/expire.rs
@@ -6,14 +6,14 @@
 use crate::packet::{Reason, Verdict};
 use crate::tables::{Outbox, RequestState, Tables};
 
-/// Time past its deadline for which a request's record answers repeats: the
-/// longest life of a packet and the longest pause of a caller.
+/// Time past its deadline for which a request's record answers repeats.
 pub const RECORD: Duration = Duration::from_secs(10);
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     for slot in tables.requests.slots() {
         expire_request(tables, slot, now, out);
     }
+    tables.requests.expire(now);
 }
 
 fn expire_request(tables: &mut Tables, slot: usize, now: Duration, out: &mut Outbox) {
@@ -29,7 +29,7 @@
             verdict::cancel_dispatch(tables, slot, out);
             verdict::end(tables, slot, Verdict::Unknown, Reason::Late, out);
         }
-        _ if now >= row.deadline + RECORD => tables.requests.remove(slot),
+        _ if now >= row.deadline + RECORD => tables.requests.remove(slot, now),
         _ => {}
     }
 }
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -24,10 +24,12 @@
 mod verdict;
 mod wake;
 
+pub use self::ask::ONCE_DEADLINE;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::packet::Packet;
+use crate::packet::{Body, Packet};
 use crate::snapshot::Snapshot;
 use crate::tables::{Arrival, Outbox, Stage, Tables};
 
@@ -50,7 +52,7 @@
 /// The inbox holds at most [`BATCH`] packets; a shorter one says that nothing
 /// more waits to be read.
 pub fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    wake::run(tables, now);
+    let before = wake::run(tables, now);
     route::run(tables, now, out);
     greet::run(tables, out);
     pass::run(tables, now, out);
@@ -59,12 +61,13 @@
     ask::run(tables, now, out);
     settle::run(tables, now, out);
     dispatch::run(tables, now, out);
-    wake::settle(tables);
+    wake::settle(tables, before);
     tables.inbox.clear();
 }
 
 /// Runs the systems that only time drives, at least every [`TICK`].
 pub fn run_timers(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    wake::notice(tables, now);
     recover::run(tables, now, out);
     retry::run(tables, now, out);
     expire::run(tables, now, out);
@@ -86,10 +89,17 @@
     taken
 }
 
-/// Passes a packet on to another lane.
+/// Passes a packet on to another lane; time that a request waited here is taken
+/// off what it has left.
 fn forward(tables: &mut Tables, to: std::net::SocketAddr, packet: &Packet, out: &mut Outbox) {
-    tables.counters.forwarded += 1;
     let mut packet = packet.clone();
+    if let Body::Ask { budget, .. } = &mut packet.body {
+        *budget = budget.saturating_sub(tables.slept);
+        if budget.is_zero() {
+            return;
+        }
+    }
+    tables.counters.forwarded += 1;
     packet.hops += 1;
     out.send(to, packet);
 }
--- a/src/systems/route.rs
+++ b/src/systems/route.rs
@@ -209,13 +209,10 @@
     match packet.body {
         Body::Down { .. } => Stage::Pass,
         _ if ticket.home == tables.me => Stage::Settle,
+        Body::Answer { .. } => route_answer(tables, packet, ticket, out),
         _ if tables.snapshot.is_live(&ticket.home) => {
             go_home(tables, Some(ticket.home), Stage::Settle, packet, out)
         }
-        Body::Answer { .. } => {
-            tables.counters.orphans += 1;
-            Stage::Pass
-        }
         Body::Opened { .. } => Stage::Settle,
         _ => {
             tables.counters.orphans += 1;
@@ -224,6 +221,21 @@
     }
 }
 
+/// An answer goes to the caller from the first host that it reaches, so that it
+/// needs no home, and to the home for its record.
+fn route_answer(tables: &mut Tables, packet: &Packet, ticket: &Ticket, out: &mut Outbox) -> Stage {
+    if tables.snapshot.is_live(&ticket.home) && packet.hops < HOP_LIMIT {
+        forward(tables, ticket.home.addr, packet, out);
+    } else {
+        tables.counters.orphans += 1;
+    }
+    if packet.hops == 0 {
+        Stage::Pass
+    } else {
+        Stage::Spent
+    }
+}
+
 /// Stops all traffic to an endpoint that says it serves another service.
 fn bar(tables: &mut Tables, ticket: &Ticket, reason: Reason, now: Duration) {
     const BARRED: Duration = Duration::from_secs(10);
--- a/src/systems/settle.rs
+++ b/src/systems/settle.rs
@@ -32,8 +32,8 @@
         Body::PartAck { request, index } => acked(tables, *request, *index, now, out),
         Body::Refused {
             dispatch, reason, ..
-        } => refused(tables, *dispatch, *reason, now, out),
-        Body::Answer { dispatch, part, .. } => answered(tables, *dispatch, part, out),
+        } => refused(tables, target, *dispatch, *reason, now, out),
+        Body::Answer { dispatch, part, .. } => answered(tables, packet, *dispatch, part, out),
         _ => tables.counters.foreign += 1,
     }
 }
@@ -127,7 +127,15 @@
     }
 }
 
-fn refused(tables: &mut Tables, dispatch: u64, reason: Reason, now: Duration, out: &mut Outbox) {
+/// A refusal is certain only from the life that the work was meant for.
+fn refused(
+    tables: &mut Tables,
+    from: Target,
+    dispatch: u64,
+    reason: Reason,
+    now: Duration,
+    out: &mut Outbox,
+) {
     let Some(slot) = tables.requests.by_dispatch(dispatch) else {
         tables.counters.orphans += 1;
         return;
@@ -136,22 +144,32 @@
     if row.state != RequestState::Sent || row.dispatch() != dispatch {
         return;
     }
+    let meant = row.target.map_or(0, |target| target.incarnation);
+    let reason = if from.incarnation == meant {
+        reason
+    } else {
+        Reason::EndpointLost
+    };
     tables.counters.refused += 1;
     retry::refused(tables, slot, reason, now, out);
 }
 
-fn answered(tables: &mut Tables, dispatch: u64, part: &Part, out: &mut Outbox) {
+fn answered(tables: &mut Tables, packet: &Packet, dispatch: u64, part: &Part, out: &mut Outbox) {
     let Some(slot) = tables.requests.by_dispatch(dispatch) else {
         tables.counters.orphans += 1;
         return;
     };
-    verdict::release(tables, slot);
+    if tables.requests.row(slot).dispatch() == dispatch {
+        verdict::release(tables, slot);
+    }
     let row = tables.requests.row_mut(slot);
-    if row.state == RequestState::Done || !row.answer.insert(part) {
+    if row.state == RequestState::Done || !row.collect(dispatch, part) {
         return;
     }
-    verdict::pass_answer(row, part, out);
-    if row.answer.is_whole() {
+    if packet.hops == 0 {
+        verdict::pass_answer(row, dispatch, part, out);
+    }
+    if row.answered == dispatch && row.answer.is_whole() {
         row.state = RequestState::Done;
         row.parts.clear();
         tables.counters.done += 1;
--- a/src/systems/verdict.rs
+++ b/src/systems/verdict.rs
@@ -52,12 +52,12 @@
 }
 
 /// Passes a part of the answer to the caller.
-pub(super) fn pass_answer(row: &Request, part: &Part, out: &mut Outbox) {
+pub(super) fn pass_answer(row: &Request, dispatch: u64, part: &Part, out: &mut Outbox) {
     out.answer(
         &packet_of(row),
         Body::Answer {
             request: row.id.number,
-            dispatch: 0,
+            dispatch,
             load: Load {
                 incarnation: 1,
                 ..Load::default()
--- a/src/systems/wake.rs
+++ b/src/systems/wake.rs
@@ -1,7 +1,8 @@
 //! Notices that the process was paused.
 //!
-//! Packets read after a pause may have waited through all of it. The pause is
-//! taken off the time they have left until the socket has been read dry.
+//! Packets read after a pause may have waited through all of it. A packet arrived
+//! after the socket was last read dry, so the time since then bounds how long it
+//! has waited, and is taken off the time that its request has left.
 
 use std::time::Duration;
 
@@ -11,18 +12,30 @@
 /// Shortest gap between ticks that counts as a pause.
 const PAUSE: Duration = Duration::from_millis(250);
 
-pub(super) fn run(tables: &mut Tables, now: Duration) {
-    let gap = now.saturating_sub(tables.ticked + TICK);
-    if gap >= PAUSE {
-        tables.counters.pauses += 1;
-        tables.slept = tables.slept.max(gap);
+/// Starts a tick; returns the time of the one before.
+pub(super) fn run(tables: &mut Tables, now: Duration) -> Duration {
+    notice(tables, now);
+    let waited = now.saturating_sub(tables.dry);
+    tables.slept = if waited < PAUSE {
+        Duration::ZERO
+    } else {
+        waited
+    };
+    std::mem::replace(&mut tables.ticked, now)
+}
+
+/// Notes a pause, so that no timer counts the time in which nothing was read.
+pub(super) fn notice(tables: &mut Tables, now: Duration) {
+    if now >= tables.ticked + TICK + PAUSE && tables.woken < now {
+        tables.counters.pauses += u64::from(tables.woken <= tables.ticked);
+        tables.woken = now;
     }
-    tables.ticked = now;
 }
 
-/// Forgets the pause once the socket has been read dry.
-pub(super) fn settle(tables: &mut Tables) {
+/// A short batch was read from a socket that held no more, at some time after the
+/// tick `before`.
+pub(super) fn settle(tables: &mut Tables, before: Duration) {
     if tables.inbox.len() < BATCH {
-        tables.slept = Duration::ZERO;
+        tables.dry = before;
     }
 }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -9,6 +9,7 @@
 mod flows;
 mod inbox;
 mod requests;
+mod spent;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::inbox::{Arrival, Stage};
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
+pub use self::spent::SPENT;
 
 use crate::id::FlowKey;
 use crate::packet::{Body, Packet};
@@ -49,8 +51,12 @@
     pub rng: SmallRng,
     /// Time of the last tick.
     pub ticked: Duration,
+    /// Time after which every packet of this tick arrived.
+    pub dry: Duration,
     /// Longest time that a packet of this tick may have waited unread.
     pub slept: Duration,
+    /// Time of the last tick after a pause.
+    pub woken: Duration,
 }
 
 impl Tables {
@@ -62,12 +68,14 @@
             snapshot,
             inbox: Vec::new(),
             flows: Flows::default(),
-            requests: Requests::new(me.incarnation),
+            requests: Requests::new(&me),
             endpoints: Endpoints::default(),
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(seed),
             ticked: Duration::ZERO,
+            dry: Duration::ZERO,
             slept: Duration::ZERO,
+            woken: Duration::ZERO,
         }
     }
 
--- a/src/tables/requests.rs
+++ b/src/tables/requests.rs
@@ -10,10 +10,15 @@
 use serde::{Serialize, Serializer};
 use slab::Slab;
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::id::{FlowKey, Id, Incarnation};
+use super::spent::Spent;
+use crate::id::{FlowKey, Id};
 use crate::packet::{Class, Packet, Part, Reason, Verdict};
-use crate::ticket::Target;
+use crate::ticket::{Home, Target};
+
+/// Bits of a dispatch number that the incarnation, in microseconds, may fill.
+const LANE_SHIFT: u32 = 52;
 
 /// A request as its caller names it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -126,9 +131,11 @@
     /// Content of the request.
     #[serde(skip)]
     pub parts: Parts,
-    /// Content of the answer.
+    /// Content of the answer to one dispatch.
     #[serde(skip)]
     pub answer: Parts,
+    /// That dispatch, zero without a part.
+    pub answered: u64,
     /// Its dispatches, the last one at the end.
     pub dispatches: SmallVec<[u64; 2]>,
     /// Endpoint of the last dispatch.
@@ -169,6 +176,7 @@
             deadline,
             parts: Parts::default(),
             answer: Parts::default(),
+            answered: 0,
             dispatches: SmallVec::new(),
             target: None,
             holding: false,
@@ -185,6 +193,21 @@
         self.dispatches.last().copied().unwrap_or(0)
     }
 
+    /// Takes in a part of the answer to a dispatch; false for a repeated part.
+    ///
+    /// Two dispatches of repeatable work may give two answers, whose parts are not
+    /// mixed: the record keeps that of the newest.
+    pub fn collect(&mut self, dispatch: u64, part: &Part) -> bool {
+        if dispatch < self.answered {
+            return true;
+        }
+        if dispatch > self.answered {
+            self.answered = dispatch;
+            self.answer.clear();
+        }
+        self.answer.insert(part)
+    }
+
     /// True when it has an answer or a verdict.
     #[must_use]
     pub fn is_over(&self) -> bool {
@@ -200,19 +223,23 @@
     dispatches: HashMap<u64, usize>,
     queues: HashMap<Id, [BTreeSet<(Duration, usize)>; Class::ALL.len()]>,
     next: u64,
+    spent: Spent,
 }
 
 impl Requests {
     /// No requests; dispatches are numbered from the incarnation on, so that no
-    /// number is used in two lives of a host.
+    /// number is used in two lives of a host. The bits above it tell homes apart for
+    /// callers, whose repeatable work may be answered through two of them.
     #[must_use]
-    pub fn new(incarnation: Incarnation) -> Self {
+    pub fn new(home: &Home) -> Self {
+        let lane = xxh3_64(home.addr.to_string().as_bytes());
         Self {
             rows: Slab::new(),
             index: HashMap::new(),
             dispatches: HashMap::new(),
             queues: HashMap::new(),
-            next: incarnation,
+            next: (lane << LANE_SHIFT) | home.incarnation,
+            spent: Spent::default(),
         }
     }
 
@@ -247,16 +274,30 @@
         slot
     }
 
-    /// Forgets a request and its dispatches.
-    pub fn remove(&mut self, slot: usize) {
+    /// Forgets a request and its dispatches; of once-only work it keeps that it ended.
+    pub fn remove(&mut self, slot: usize, now: Duration) {
         self.unqueue(slot);
         let request = self.rows.remove(slot);
         self.index.remove(&request.id);
+        if request.class.is_once() {
+            self.spent.insert(&request.id, now);
+        }
         for dispatch in &request.dispatches {
             self.dispatches.remove(dispatch);
         }
     }
 
+    /// True for once-only work that ended and has no record any more.
+    #[must_use]
+    pub fn is_spent(&self, id: &RequestId) -> bool {
+        self.spent.contains(id)
+    }
+
+    /// Forgets the once-only work that ended longer ago than [`SPENT`](super::SPENT).
+    pub fn expire(&mut self, now: Duration) {
+        self.spent.expire(now);
+    }
+
     /// Numbers a new dispatch of a request.
     pub fn number(&mut self, slot: usize) -> u64 {
         self.next += 1;
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,400 @@
+//! A small world in one process: hosts with their tables, fakes for endpoints and
+//! callers that follow docs/PROTOCOL.md, a seeded network and a hand-driven clock.
+#![allow(
+    dead_code,
+    missing_docs,
+    clippy::struct_excessive_bools,
+    clippy::too_many_arguments
+)]
+
+mod callers;
+mod ends;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use jacinthhinge::prelude::*;
+use jacinthhinge::systems::{self, BATCH};
+use jacinthhinge::tables::{Arrival, Outbox, Tables};
+use jacinthhinge::wire;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+pub use callers::CallerRow;
+pub use ends::{EndRow, Run};
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn addr(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
+
+pub fn lane(host: usize) -> SocketAddr {
+    addr(&format!("10.0.0.{}:7000", host + 1))
+}
+
+/// Where callers and endpoints send to; the fabric picks a host.
+pub fn fabric() -> SocketAddr {
+    addr("10.0.9.9:1")
+}
+
+/// Faults of the network, drawn for each datagram.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Net {
+    pub loss: f64,
+    pub twice: f64,
+    /// Share of datagrams that take up to `slow` milliseconds.
+    pub late: f64,
+    pub slow: u64,
+    /// True to send every packet through its encoding.
+    pub encoded: bool,
+}
+
+/// False for datagrams that a cut keeps back.
+pub type Filter = Box<dyn Fn(SocketAddr, SocketAddr, &Packet) -> bool>;
+
+pub struct HostRow {
+    pub tables: Tables,
+    pub base: Snapshot,
+    pub view: Vec<Host>,
+    pub changed: Duration,
+    pub lease: Duration,
+    pub leaving: bool,
+    pub up: bool,
+    /// True while the fabric sends to it.
+    pub listed: bool,
+    pub paused: Option<Duration>,
+    /// Packets that a pausing host still reads before it stops.
+    pub gulp: usize,
+    backlog: VecDeque<Arrival>,
+}
+
+pub struct World {
+    pub now: Duration,
+    pub tick: Duration,
+    pub net: Net,
+    pub filter: Filter,
+    pub hosts: Vec<HostRow>,
+    pub ends: Vec<EndRow>,
+    pub callers: Vec<CallerRow>,
+    pub runs: Vec<Run>,
+    /// Packets that reached an endpoint of another service.
+    pub strays: usize,
+    pub base: Snapshot,
+    pub rng: SmallRng,
+    queue: BTreeMap<(Duration, u64), (SocketAddr, SocketAddr, Packet)>,
+    sent: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, hosts: usize) -> Self {
+        let mut base = Snapshot::empty(Keys::new("one", "two"));
+        base.revision = 1;
+        let mut world = Self {
+            now: Duration::from_secs(10),
+            tick: systems::TICK,
+            net: Net::default(),
+            filter: Box::new(|_, _, _| true),
+            hosts: Vec::new(),
+            ends: Vec::new(),
+            callers: Vec::new(),
+            runs: Vec::new(),
+            strays: 0,
+            base,
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            sent: 0,
+        };
+        for host in 0..hosts {
+            let row = world.boot(host);
+            world.hosts.push(row);
+        }
+        world
+    }
+
+    /// A host that has just started, with the configuration of now.
+    fn boot(&self, host: usize) -> HostRow {
+        let me = Home {
+            host: Id::of(&format!("host-{host}")),
+            incarnation: self.micros(),
+            addr: lane(host),
+        };
+        let mut tables = Tables::new(me, Arc::new(self.base.clone()), host as u64);
+        tables.ticked = self.now;
+        tables.dry = self.now;
+        HostRow {
+            tables,
+            base: self.base.clone(),
+            view: Vec::new(),
+            changed: self.now,
+            lease: Duration::ZERO,
+            leaving: false,
+            up: true,
+            listed: true,
+            paused: None,
+            gulp: 0,
+            backlog: VecDeque::new(),
+        }
+    }
+
+    pub fn micros(&self) -> u64 {
+        u64::try_from(self.now.as_micros()).expect("a short run")
+    }
+
+    /// Adds a service with endpoints `a-0`, `a-1` and so on for the service `a`.
+    pub fn service(&mut self, name: &str, ends: usize, slots: u32) {
+        let net = self.base.services.len() + 1;
+        for index in 0..ends {
+            let place = addr(&format!("10.1.{net}.{}:8000", index + 1));
+            let row = EndRow::new(name, index, place, slots, self.micros());
+            self.ends.push(row);
+        }
+        self.configure();
+    }
+
+    /// Makes a configuration of the endpoints as they stand; hosts do not have it yet.
+    pub fn configure(&mut self) {
+        let mut names: Vec<Name> = self.ends.iter().map(|end| end.owner.clone()).collect();
+        names.sort();
+        names.dedup();
+        let services: Vec<Service> = names.iter().map(|name| self.spec(name)).collect();
+        self.base = self.base.clone().with_services(services);
+        self.base.revision += 1;
+    }
+
+    fn spec(&self, name: &Name) -> Service {
+        let policy = Policy {
+            rank: 1,
+            deadline: Duration::from_secs(3),
+            service_time: ms(20),
+        };
+        let ends = self.ends.iter().filter(|end| end.owner == *name);
+        Service {
+            id: Id::of(name),
+            name: name.clone(),
+            endpoints: ends.filter(|end| !end.removed).map(EndRow::spec).collect(),
+            classes: [policy; Class::ALL.len()],
+            drain: Duration::from_secs(20),
+            idle: Duration::from_mins(5),
+            retries: 0.1,
+            reserve: 1,
+        }
+    }
+
+    /// A row of the host list, as others see a host.
+    pub fn entry(&self, host: usize) -> Host {
+        let row = &self.hosts[host];
+        Host {
+            id: row.tables.me.host,
+            name: format!("host-{host}").into(),
+            incarnation: row.tables.me.incarnation,
+            lanes: [lane(host)].into_iter().collect(),
+            leaving: row.leaving,
+        }
+    }
+
+    /// All live hosts see each other, with the newest configuration.
+    pub fn agree(&mut self) {
+        let alive = |host: &usize| self.hosts[*host].up;
+        let alive: Vec<usize> = (0..self.hosts.len()).filter(alive).collect();
+        for host in alive.clone() {
+            self.hosts[host].base = self.base.clone();
+            self.see(host, &alive);
+        }
+        for (host, row) in self.hosts.iter_mut().enumerate() {
+            row.listed = alive.contains(&host);
+        }
+    }
+
+    /// One host comes to believe that just `alive` are alive; its lease ends.
+    pub fn see(&mut self, host: usize, alive: &[usize]) {
+        let view: Vec<Host> = alive.iter().map(|other| self.entry(*other)).collect();
+        let row = &mut self.hosts[host];
+        if row.view != view {
+            row.view = view;
+            row.changed = self.now;
+            row.lease = Duration::ZERO;
+        }
+        self.publish(host);
+    }
+
+    /// Gives the lease of each flow's home until `until`, as one view for all.
+    pub fn grant(&mut self, until: Duration) {
+        for host in 0..self.hosts.len() {
+            self.hosts[host].lease = until;
+            self.publish(host);
+        }
+    }
+
+    pub fn publish(&mut self, host: usize) {
+        let row = &mut self.hosts[host];
+        if !row.up {
+            return;
+        }
+        let mut snapshot = row.base.clone();
+        snapshot.hosts = row.view.clone().into();
+        snapshot.changed = row.changed;
+        snapshot.lease = Lease { until: row.lease };
+        snapshot.leaving = row.leaving;
+        let mut out = Outbox::default();
+        systems::publish(&mut row.tables, Arc::new(snapshot), self.now, &mut out);
+        self.flush(host, out);
+    }
+
+    pub fn kill(&mut self, host: usize) {
+        self.hosts[host].up = false;
+    }
+
+    /// Starts a host anew at its old address, with no memory.
+    pub fn restart(&mut self, host: usize) {
+        self.hosts[host] = self.boot(host);
+    }
+
+    /// Stops a process for `time`; `gulp` packets are read and not yet dealt with.
+    pub fn pause(&mut self, host: usize, time: Duration, gulp: usize) {
+        self.hosts[host].paused = Some(self.now + time);
+        self.hosts[host].gulp = gulp;
+    }
+
+    /// Sends a datagram through the network's faults.
+    pub fn send(&mut self, from: SocketAddr, to: SocketAddr, packet: &Packet) {
+        let to = if to == fabric() { self.spray() } else { to };
+        if !(self.filter)(from, to, packet) || self.rng.random_bool(self.net.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.net.twice));
+        for _ in 0..copies {
+            let late = self.rng.random_bool(self.net.late);
+            let slow = if late { self.net.slow } else { 3 };
+            let at = self.now + ms(self.rng.random_range(1..=slow.max(1)));
+            self.sent += 1;
+            let packet = self.carry(packet);
+            self.queue.insert((at, self.sent), (from, to, packet));
+        }
+    }
+
+    fn carry(&self, packet: &Packet) -> Packet {
+        if !self.net.encoded {
+            return packet.clone();
+        }
+        let bytes = wire::encode_packet(packet);
+        wire::decode_packet(bytes.into()).expect("own packets are well-formed")
+    }
+
+    fn spray(&mut self) -> SocketAddr {
+        let listed = |host: &usize| self.hosts[*host].listed;
+        let hosts: Vec<usize> = (0..self.hosts.len()).filter(listed).collect();
+        match hosts.len() {
+            0 => fabric(),
+            count => lane(hosts[self.rng.random_range(0..count)]),
+        }
+    }
+
+    fn flush(&mut self, host: usize, out: Outbox) {
+        for send in out.sends {
+            self.send(lane(host), send.to, &send.packet);
+        }
+    }
+
+    /// Lets `time` pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            let next = (self.now + self.tick).min(end);
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > next {
+                    break;
+                }
+                let ((at, _), (from, to, packet)) = entry.remove_entry();
+                self.now = self.now.max(at);
+                self.deliver(from, to, packet);
+            }
+            self.now = next;
+            self.drive();
+        }
+    }
+
+    fn drive(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.wake(host);
+            self.tick_host(host);
+        }
+        ends::drive(self);
+        callers::drive(self);
+    }
+
+    fn deliver(&mut self, from: SocketAddr, to: SocketAddr, packet: Packet) {
+        if let Some(host) = (0..self.hosts.len()).find(|host| lane(*host) == to) {
+            self.arrive(host, Arrival::new(from, packet));
+        } else if let Some(end) = self.ends.iter().position(|end| end.addr == to) {
+            ends::take(self, end, from, &packet);
+        } else if let Some(caller) = self.callers.iter().position(|row| row.addr == to) {
+            callers::take(self, caller, &packet);
+        }
+    }
+
+    fn arrive(&mut self, host: usize, arrival: Arrival) {
+        let row = &mut self.hosts[host];
+        if !row.up {
+            return;
+        }
+        if row.paused.is_some() && row.gulp > 0 {
+            row.gulp -= 1;
+            row.tables.inbox.push(arrival);
+        } else if row.paused.is_some() {
+            row.backlog.push_back(arrival);
+        } else {
+            row.tables.inbox.push(arrival);
+            self.run_host(host);
+        }
+    }
+
+    fn run_host(&mut self, host: usize) {
+        let mut out = Outbox::default();
+        systems::run(&mut self.hosts[host].tables, self.now, &mut out);
+        self.flush(host, out);
+    }
+
+    /// Ends a pause: what was read is dealt with, then what waited, in batches.
+    fn wake(&mut self, host: usize) {
+        if self.hosts[host].paused.is_none_or(|until| self.now < until) {
+            return;
+        }
+        self.hosts[host].paused = None;
+        if self.rng.random_bool(0.5) {
+            self.time_host(host);
+        }
+        loop {
+            self.run_host(host);
+            let row = &mut self.hosts[host];
+            let count = row.backlog.len().min(BATCH);
+            if count == 0 {
+                return;
+            }
+            row.tables.inbox = row.backlog.drain(..count).collect();
+        }
+    }
+
+    fn tick_host(&mut self, host: usize) {
+        let row = &self.hosts[host];
+        if row.up && row.paused.is_none() {
+            self.run_host(host);
+            self.time_host(host);
+        }
+    }
+
+    fn time_host(&mut self, host: usize) {
+        let mut out = Outbox::default();
+        systems::run_timers(&mut self.hosts[host].tables, self.now, &mut out);
+        self.flush(host, out);
+    }
+
+    /// Sum of a counter over the hosts.
+    pub fn count(&self, read: fn(&jacinthhinge::tables::Counters) -> u64) -> u64 {
+        self.hosts
+            .iter()
+            .map(|row| read(&row.tables.counters))
+            .sum()
+    }
+}
--- /dev/null
+++ b/tests/regression/cancel_after_restart.rs
@@ -0,0 +1,21 @@
+//! An endpoint that restarted refused a cancelled dispatch of its earlier life, and
+//! the caller was told that its order had not run.
+
+use super::common::ms;
+use super::world_with_home;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn a_new_life_refuses_nothing_of_the_old_one() {
+    let (mut world, flow) = world_with_home(0);
+    world.ends[0].work = ms(500);
+    world.ask(0, flow, 7, Class::Order, ms(2_000), 1);
+    world.run(ms(60));
+    assert_eq!(world.ran(0, 7), 1);
+    let life = world.micros();
+    world.ends[0].restart(life);
+    world.cancel(0, 7);
+    world.run(ms(500));
+    let told = &world.asked(0, 7).told;
+    assert_eq!(told[0].0, Verdict::Unknown, "told {told:?}");
+}
--- /dev/null
+++ b/tests/regression/short_record.rs
@@ -0,0 +1,17 @@
+//! A caller with a deadline longer than the service's went on asking after the
+//! record was gone, and its order ran again.
+
+use super::common::ms;
+use super::world_with_home;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn a_long_budget_does_not_outlive_the_record() {
+    let (mut world, flow) = world_with_home(0);
+    world.callers[0].stubborn = true;
+    world.ends[0].work = ms(4_000);
+    world.filter = Box::new(|_, _, packet| !matches!(packet.body, Body::Answer { .. }));
+    world.ask(0, flow, 7, Class::Order, ms(30_000), 1);
+    world.run(ms(31_000));
+    assert_eq!(world.ran(0, 7), 1);
+}
