Mend what a new operator's wrong files were told

Cause: wrong files were tried as a newcomer would write them. An empty file was accepted; `rank` in [fleet] was told "did you mean drain_limit"; one wrong service raised a second fault in each exception that names it; an address could stand twice, once as IPv4 and once mapped into IPv6. Ruled out: checking scopes only once everything else is right, which would hide faults of exceptions behind unrelated ones. Change: a file without services is refused; misplaced fields are told where they belong; faults come in the order of lines; scopes are checked when the services could be read; mapped addresses are refused. The readers of single fields have a module of their own.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -18,10 +18,15 @@
 
 /// Notes every fault that single fields do not show.
 pub(super) fn check_config(config: &Config, faults: &mut Faults<'_>) {
+    if config.services.is_empty() && faults.is_empty() {
+        faults.add(SERVICE, "no service is described", "add [service.NAME]");
+    }
     check_ids(config, faults);
     check_addresses(config, faults);
     check_zones(config, faults);
-    check_scopes(config, faults);
+    if faults.spare(SERVICE) {
+        check_scopes(config, faults);
+    }
     check_secrets(config, faults);
     if faults.is_empty() {
         check_effective(config, faults);
@@ -86,14 +91,8 @@
 }
 
 fn check_zones(config: &Config, faults: &mut Faults<'_>) {
-    for row in &config.services {
-        if row.zones.is_empty() {
-            let path = field_path(&service_path(row), "zones");
-            faults.add(&path, "no zone is named", "name the zones that serve it");
-        }
-    }
     for (row, endpoint) in endpoints(config) {
-        if !row.zones.contains(&endpoint.zone) {
+        if !row.zones.is_empty() && !row.zones.contains(&endpoint.zone) {
             let fault = format!("`{}` is none of the service's zones", endpoint.zone);
             let remedy = suggest(&endpoint.zone, row.zones.iter().map(|zone| &**zone));
             faults.add(&field_path(&endpoint.path, "zone"), fault, remedy);
--- a/src/config/fault.rs
+++ b/src/config/fault.rs
@@ -6,7 +6,7 @@
 use crate::error::{Error, Result};
 
 /// Least likeness, from zero to one, at which a known name is suggested.
-const LIKENESS: f64 = 0.6;
+const LIKENESS: f64 = 0.75;
 
 /// Collector of faults, each with its place and remedy.
 pub(super) struct Faults<'a> {
@@ -16,6 +16,8 @@
 }
 
 struct Fault {
+    line: Option<usize>,
+    path: String,
     place: String,
     what: String,
     remedy: String,
@@ -33,8 +35,14 @@
 
     /// Notes a fault at the field path `path`.
     pub fn add(&mut self, path: &str, fault: impl Into<String>, remedy: impl Into<String>) {
-        let place = self.place(path);
+        let line = self.line(path);
+        let place = match line {
+            Some(line) => format!("{}:{line}: {path}", self.file),
+            None => format!("{}: {path}", self.file),
+        };
         self.list.push(Fault {
+            line,
+            path: path.to_owned(),
             place,
             what: fault.into(),
             remedy: remedy.into(),
@@ -48,6 +56,8 @@
             None => self.file.to_owned(),
         };
         self.list.push(Fault {
+            line,
+            path: String::new(),
             place,
             what: fault.to_owned(),
             remedy: remedy.to_owned(),
@@ -59,8 +69,14 @@
         self.list.is_empty()
     }
 
+    /// True when no fault was noted at or below `path`.
+    pub fn spare(&self, path: &str) -> bool {
+        !self.list.iter().any(|fault| fault.path.starts_with(path))
+    }
+
     /// One error that tells all faults, a line each.
-    pub fn finish(self) -> Result<()> {
+    pub fn finish(mut self) -> Result<()> {
+        self.list.sort_by_key(|fault| fault.line);
         let mut rest = self.list.into_iter();
         let Some(first) = rest.next() else {
             return Ok(());
@@ -72,13 +88,6 @@
         Err(Error::config(first.place, first.what, remedy))
     }
 
-    fn place(&self, path: &str) -> String {
-        match self.line(path) {
-            Some(line) => format!("{}:{line}: {path}", self.file),
-            None => format!("{}: {path}", self.file),
-        }
-    }
-
     /// Line of the path, or of the nearest table around it.
     fn line(&self, path: &str) -> Option<usize> {
         let mut path = path;
--- /dev/null
+++ b/src/config/field.rs
@@ -0,0 +1,194 @@
+//! Reads single fields, lists and tables, and notes what is wrong with them.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use serde_json::{Map, Value};
+use serde_with::DeserializeAs;
+
+use super::EXCEPTION;
+use super::fault::{Faults, suggest};
+use super::model::ClassValues;
+use super::source::{field_path, item_path};
+use super::units::Text;
+
+/// Items of a list; those that cannot be read are left out.
+pub(super) fn list<T>(
+    value: &Value,
+    path: &str,
+    faults: &mut Faults<'_>,
+    read: impl Fn(&Value, &str, &mut Faults<'_>) -> Option<T>,
+) -> Vec<T> {
+    let Some(list) = value.as_array() else {
+        let remedy = match value {
+            Value::Object(_) => format!("write [[{path}]] with double brackets"),
+            _ => "write a list in brackets".to_owned(),
+        };
+        faults.add(path, wrong_kind(value, "a list"), remedy);
+        return Vec::new();
+    };
+    list.iter()
+        .enumerate()
+        .filter_map(|(index, value)| read(value, &item_path(path, index), faults))
+        .collect()
+}
+
+/// A field that has to be there.
+pub(super) fn required<T>(
+    own: &Map<String, Value>,
+    path: &str,
+    name: &str,
+    faults: &mut Faults<'_>,
+    read: impl FnOnce(&Value, &str, &mut Faults<'_>) -> Option<T>,
+) -> Option<T> {
+    if !own.contains_key(name) {
+        faults.add(
+            path,
+            format!("`{name}` is missing"),
+            format!("add `{name}`"),
+        );
+        return None;
+    }
+    optional(own, path, name, faults, read)
+}
+
+/// A field that may be left out.
+pub(super) fn optional<T>(
+    own: &Map<String, Value>,
+    path: &str,
+    name: &str,
+    faults: &mut Faults<'_>,
+    read: impl FnOnce(&Value, &str, &mut Faults<'_>) -> Option<T>,
+) -> Option<T> {
+    read(own.get(name)?, &field_path(path, name), faults)
+}
+
+/// A table of which only the `known` fields may be there.
+pub(super) fn table<'v>(
+    value: &'v Value,
+    path: &str,
+    known: &[&str],
+    faults: &mut Faults<'_>,
+) -> Option<&'v Map<String, Value>> {
+    let own = any_table(value, path, faults)?;
+    for name in own.keys() {
+        if !known.contains(&name.as_str()) {
+            let fault = format!("unknown field `{name}`");
+            let remedy = match misplaced(name, path) {
+                Some(remedy) => remedy.to_owned(),
+                None => suggest(name, known.iter().copied()),
+            };
+            faults.add(&field_path(path, name), fault, remedy);
+        }
+    }
+    Some(own)
+}
+
+/// Remedy for a field by class that stands outside a class.
+fn misplaced(name: &str, path: &str) -> Option<&'static str> {
+    let by_class = ClassValues::FIELDS.contains(&name);
+    if path.starts_with(EXCEPTION) && (by_class || name == "class") {
+        return Some("name a class in the scope, as in `service/adserve class/photo`");
+    }
+    by_class.then_some("set it for a class, as in `class.photo.rank`")
+}
+
+/// A table of any fields.
+pub(super) fn any_table<'v>(
+    value: &'v Value,
+    path: &str,
+    faults: &mut Faults<'_>,
+) -> Option<&'v Map<String, Value>> {
+    let own = value.as_object();
+    if own.is_none() {
+        faults.add(path, wrong_kind(value, "a table"), "write a table here");
+    }
+    own
+}
+
+/// A text.
+pub(super) fn text<'v>(value: &'v Value, path: &str, faults: &mut Faults<'_>) -> Option<&'v str> {
+    let text = value.as_str();
+    if text.is_none() {
+        faults.add(path, wrong_kind(value, "a text"), "write it in quotes");
+    }
+    text
+}
+
+/// A duration in a range.
+pub(super) fn duration(
+    value: &Value,
+    path: &str,
+    range: &RangeInclusive<Duration>,
+    faults: &mut Faults<'_>,
+) -> Option<Duration> {
+    let Ok(duration) = <Text as DeserializeAs<Duration>>::deserialize_as(value) else {
+        let fault = format!("{value} is no duration");
+        faults.add(
+            path,
+            fault,
+            "write a number and its unit, as in \"250ms\" or \"2s\"",
+        );
+        return None;
+    };
+    if !range.contains(&duration) {
+        let least = humantime::format_duration(*range.start());
+        let most = humantime::format_duration(*range.end());
+        let remedy = format!("write one from {least} to {most}");
+        faults.add(path, format!("{value} is out of range"), remedy);
+        return None;
+    }
+    Some(duration)
+}
+
+/// A number in a range.
+pub(super) fn share(
+    value: &Value,
+    path: &str,
+    range: &RangeInclusive<f64>,
+    faults: &mut Faults<'_>,
+) -> Option<f64> {
+    if !value.is_number() {
+        faults.add(path, wrong_kind(value, "a number"), "write it as in `0.5`");
+        return None;
+    }
+    let number = value.as_f64().filter(|number| range.contains(number));
+    if number.is_none() {
+        let remedy = format!("write a number from {} to {}", range.start(), range.end());
+        faults.add(path, format!("{value} is out of range"), remedy);
+    }
+    number
+}
+
+/// A whole number in a range.
+pub(super) fn count(
+    value: &Value,
+    path: &str,
+    range: &RangeInclusive<u32>,
+    faults: &mut Faults<'_>,
+) -> Option<u32> {
+    if !value.is_number() {
+        faults.add(path, wrong_kind(value, "a number"), "write it as in `3`");
+        return None;
+    }
+    let number = value.as_u64().and_then(|number| u32::try_from(number).ok());
+    let number = number.filter(|number| range.contains(number));
+    if number.is_none() {
+        let (least, most) = (range.start(), range.end());
+        let remedy = format!("write a whole number from {least} to {most}");
+        faults.add(path, format!("{value} is out of range"), remedy);
+    }
+    number
+}
+
+fn wrong_kind(value: &Value, wanted: &str) -> String {
+    let kind = match value {
+        Value::Null => "nothing readable",
+        Value::Bool(_) => "a flag",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a text",
+        Value::Array(_) => "a list",
+        Value::Object(_) => "a table",
+    };
+    format!("{kind} stands where {wanted} belongs")
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -15,6 +15,7 @@
 mod check;
 mod explain;
 mod fault;
+mod field;
 mod model;
 mod read;
 mod resolve;
@@ -22,6 +23,7 @@
 mod units;
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 
 use serde_json::{Map, Value};
 
@@ -220,6 +222,19 @@
     (1..=NAME_LENGTH).contains(&text.len()) && text.bytes().all(fits)
 }
 
+/// Counts of what it describes, as in `2 services, 18 endpoints, 2 exceptions`.
+impl fmt::Display for Config {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let endpoints: usize = self.services.iter().map(|row| row.endpoint.len()).sum();
+        write!(
+            f,
+            "{} services, {endpoints} endpoints, {} exceptions",
+            self.services.len(),
+            self.exceptions.len()
+        )
+    }
+}
+
 /// Part of a configuration that a platform's key holds.
 enum Section<'a> {
     Whole(&'static str),
--- a/src/config/read.rs
+++ b/src/config/read.rs
@@ -7,15 +7,14 @@
 
 use serde::Deserialize;
 use serde_json::{Map, Value};
-use serde_with::DeserializeAs;
 
 use super::fault::{Faults, suggest};
+use super::field::{any_table, count, duration, list, optional, required, share, table, text};
 use super::model::{
     ClassValues, EndpointRow, ExceptionRow, Scope, Secrets, ServiceRow, State, Values, class_name,
     class_named,
 };
-use super::source::{field_path, item_path};
-use super::units::Text;
+use super::source::field_path;
 use super::{Config, EXCEPTION, FLEET, KEYS, NAME_LENGTH, SERVICE, is_name};
 use crate::id::Name;
 use crate::packet::Class;
@@ -48,7 +47,7 @@
         config.services = read_services(services, faults);
     }
     if let Some(exceptions) = root.get(EXCEPTION) {
-        config.exceptions = read_list(exceptions, EXCEPTION, faults, read_exception);
+        config.exceptions = list(exceptions, EXCEPTION, faults, read_exception);
     }
     if let Some(keys) = root.get(KEYS) {
         config.secrets = read_secrets(keys, faults);
@@ -149,19 +148,26 @@
     let values = read_values(value, &path, &known, faults);
     let own = value.as_object()?;
     let zones = required(own, &path, "zones", faults, |value, path, faults| {
-        Some(read_list(value, path, faults, read_name))
+        Some(read_zones(value, path, faults))
     });
     let endpoint = own
         .get("endpoint")
-        .map(|value| read_list(value, &field_path(&path, "endpoint"), faults, read_endpoint));
+        .map(|value| list(value, &field_path(&path, "endpoint"), faults, read_endpoint));
     Some(ServiceRow {
         name,
-        zones: zones?,
+        zones: zones.unwrap_or_default(),
         values,
         endpoint: endpoint.unwrap_or_default(),
     })
 }
 
+fn read_zones(value: &Value, path: &str, faults: &mut Faults<'_>) -> Vec<Name> {
+    if value.as_array().is_some_and(Vec::is_empty) {
+        faults.add(path, "no zone is named", "name the zones that serve it");
+    }
+    list(value, path, faults, read_name)
+}
+
 fn read_endpoint(value: &Value, path: &str, faults: &mut Faults<'_>) -> Option<EndpointRow> {
     if let Some(field) = exception_field(value) {
         let fault = format!("an endpoint sets `{field}` by itself");
@@ -198,6 +204,12 @@
         return None;
     };
     let ip = addr.ip();
+    if ip.to_canonical() != ip {
+        let fault = format!("{addr} is an IPv4 address written as IPv6");
+        let canonical = SocketAddr::new(ip.to_canonical(), addr.port());
+        faults.add(path, fault, format!("write `{canonical}`"));
+        return None;
+    }
     if addr.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
         faults.add(path, format!("{addr} names no single endpoint"), remedy);
         return None;
@@ -388,160 +400,3 @@
     }
     Some(Name::from(name))
 }
-
-fn read_list<T>(
-    value: &Value,
-    path: &str,
-    faults: &mut Faults<'_>,
-    read: impl Fn(&Value, &str, &mut Faults<'_>) -> Option<T>,
-) -> Vec<T> {
-    let Some(list) = value.as_array() else {
-        faults.add(path, wrong_kind(value, "a list"), "write a list here");
-        return Vec::new();
-    };
-    list.iter()
-        .enumerate()
-        .filter_map(|(index, value)| read(value, &item_path(path, index), faults))
-        .collect()
-}
-
-fn required<T>(
-    own: &Map<String, Value>,
-    path: &str,
-    name: &str,
-    faults: &mut Faults<'_>,
-    read: impl FnOnce(&Value, &str, &mut Faults<'_>) -> Option<T>,
-) -> Option<T> {
-    if !own.contains_key(name) {
-        faults.add(
-            path,
-            format!("`{name}` is missing"),
-            format!("add `{name}`"),
-        );
-        return None;
-    }
-    optional(own, path, name, faults, read)
-}
-
-fn optional<T>(
-    own: &Map<String, Value>,
-    path: &str,
-    name: &str,
-    faults: &mut Faults<'_>,
-    read: impl FnOnce(&Value, &str, &mut Faults<'_>) -> Option<T>,
-) -> Option<T> {
-    read(own.get(name)?, &field_path(path, name), faults)
-}
-
-/// A table of which only the `known` fields may be there.
-fn table<'v>(
-    value: &'v Value,
-    path: &str,
-    known: &[&str],
-    faults: &mut Faults<'_>,
-) -> Option<&'v Map<String, Value>> {
-    let own = any_table(value, path, faults)?;
-    for name in own.keys() {
-        if !known.contains(&name.as_str()) {
-            let fault = format!("unknown field `{name}`");
-            let remedy = suggest(name, known.iter().copied());
-            faults.add(&field_path(path, name), fault, remedy);
-        }
-    }
-    Some(own)
-}
-
-fn any_table<'v>(
-    value: &'v Value,
-    path: &str,
-    faults: &mut Faults<'_>,
-) -> Option<&'v Map<String, Value>> {
-    let own = value.as_object();
-    if own.is_none() {
-        faults.add(path, wrong_kind(value, "a table"), "write a table here");
-    }
-    own
-}
-
-fn text<'v>(value: &'v Value, path: &str, faults: &mut Faults<'_>) -> Option<&'v str> {
-    let text = value.as_str();
-    if text.is_none() {
-        faults.add(path, wrong_kind(value, "a text"), "write it in quotes");
-    }
-    text
-}
-
-fn duration(
-    value: &Value,
-    path: &str,
-    range: &RangeInclusive<Duration>,
-    faults: &mut Faults<'_>,
-) -> Option<Duration> {
-    let Ok(duration) = <Text as DeserializeAs<Duration>>::deserialize_as(value) else {
-        let fault = format!("{value} is no duration");
-        faults.add(
-            path,
-            fault,
-            "write a number and its unit, as in \"250ms\" or \"2s\"",
-        );
-        return None;
-    };
-    if !range.contains(&duration) {
-        let least = humantime::format_duration(*range.start());
-        let most = humantime::format_duration(*range.end());
-        let remedy = format!("write one from {least} to {most}");
-        faults.add(path, format!("{value} is out of range"), remedy);
-        return None;
-    }
-    Some(duration)
-}
-
-fn share(
-    value: &Value,
-    path: &str,
-    range: &RangeInclusive<f64>,
-    faults: &mut Faults<'_>,
-) -> Option<f64> {
-    if !value.is_number() {
-        faults.add(path, wrong_kind(value, "a number"), "write it as in `0.5`");
-        return None;
-    }
-    let number = value.as_f64().filter(|number| range.contains(number));
-    if number.is_none() {
-        let remedy = format!("write a number from {} to {}", range.start(), range.end());
-        faults.add(path, format!("{value} is out of range"), remedy);
-    }
-    number
-}
-
-fn count(
-    value: &Value,
-    path: &str,
-    range: &RangeInclusive<u32>,
-    faults: &mut Faults<'_>,
-) -> Option<u32> {
-    if !value.is_number() {
-        faults.add(path, wrong_kind(value, "a number"), "write it as in `3`");
-        return None;
-    }
-    let number = value.as_u64().and_then(|number| u32::try_from(number).ok());
-    let number = number.filter(|number| range.contains(number));
-    if number.is_none() {
-        let (least, most) = (range.start(), range.end());
-        let remedy = format!("write a whole number from {least} to {most}");
-        faults.add(path, format!("{value} is out of range"), remedy);
-    }
-    number
-}
-
-fn wrong_kind(value: &Value, wanted: &str) -> String {
-    let kind = match value {
-        Value::Null => "nothing readable",
-        Value::Bool(_) => "a flag",
-        Value::Number(_) => "a number",
-        Value::String(_) => "a text",
-        Value::Array(_) => "a list",
-        Value::Object(_) => "a table",
-    };
-    format!("{kind} stands where {wanted} belongs")
-}
--- a/src/config/source.rs
+++ b/src/config/source.rs
@@ -21,7 +21,7 @@
     let mut faults = Faults::new(file, HashMap::new());
     for error in errors {
         let line = error.span().map(|span| line_at(text, span.start));
-        faults.add_line(line, error.message(), "write it as TOML");
+        faults.add_line(line, error.message(), remedy(error.message()));
     }
     faults.finish()?;
 
@@ -36,6 +36,14 @@
     })
 }
 
+fn remedy(message: &str) -> &'static str {
+    if message.contains("duplicate") {
+        "remove one of the two"
+    } else {
+        "correct the line, in the form of config/hraunvik.toml"
+    }
+}
+
 /// Path of a field inside `path`.
 pub(super) fn field_path(path: &str, name: &str) -> String {
     if path.is_empty() {
--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -159,7 +159,7 @@
         let values: Map<String, Value> = config.values().into_iter().collect();
         println!("{:#}", Value::Object(values));
     }
-    eprintln!("{}: accepted", check.file.display());
+    eprintln!("{}: accepted: {config}", check.file.display());
     Ok(())
 }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -127,6 +127,9 @@
 #[test]
 fn wrong_fields_are_told_with_place_and_remedy() {
     let cases = [
+        String::new(),
+        with("[service.adserve]\n"),
+        replaced("drain_limit = \"5m\"", "rank = 3"),
         with("[fleet2]\n"),
         replaced("drain_limit", "drain_limt"),
         replaced("slots = 3", "slots = 0"),
@@ -139,25 +142,19 @@
         replaced("\"5m\"", "5"),
         replaced("\"5m\"", "\"5 parsecs\""),
         replaced("\"5m\"", "\"5m"),
-        replaced("name = \"a-2\"", "name = \"a-1\""),
-        replaced("name = \"a-2\"", "name = \"a 2\""),
-        replaced("name = \"a-2\"", ""),
-        replaced("name = \"a-2\"", "name = \"a-2\"\nweight = 2"),
-        replaced("127.0.0.1:22101", "127.0.0.1:21001"),
-        replaced("127.0.0.1:22101", "0.0.0.0:21001"),
-        replaced("127.0.0.1:22101", "sv-a-1:21001"),
-        replaced("zone = \"sv-b\"", "zone = \"sv-c\""),
-        replaced("\"leaving\"", "\"gone\""),
-        replaced("zones = [\"sv-a\"]", "zones = []"),
-        replaced("zones = [\"sv-a\"]", ""),
         with("[fleet.class.confrim]\nrank = 1\n"),
         with("[fleet.class.photo]\ndeadline = \"1s\"\nservice_time = \"2s\"\n"),
-        with("[service.kleurmatch.class.order]\ndeadline = \"4s\"\n"),
         with("[keys]\ncurrent = \"hunter2\"\nother = 7\n"),
         with("[keys]\ncurrent = \"0123456789abcdef\"\nother = \"0123456789abcdef\"\n"),
     ];
     let refusals: Vec<String> = cases.iter().map(|text| refusal(text)).collect();
     insta::assert_snapshot!(refusals.join("\n---\n"), @r#"
+    t.toml: service: no service is described; add [service.NAME]
+    ---
+    t.toml:27: duplicate key; remove one of the two
+    ---
+    t.toml:3: fleet.rank: unknown field `rank`; set it for a class, as in `class.photo.rank`
+    ---
     t.toml:27: fleet2: unknown field `fleet2`; did you mean `fleet`?
     ---
     t.toml:3: fleet.drain_limt: unknown field `drain_limt`; did you mean `drain_limit`?
@@ -180,7 +177,46 @@
     ---
     t.toml:3: fleet.drain_limit: "5 parsecs" is no duration; write a number and its unit, as in "250ms" or "2s"
     ---
-    t.toml:3: invalid basic string, expected `"`; write it as TOML
+    t.toml:3: invalid basic string, expected `"`; correct the line, in the form of config/hraunvik.toml
+    ---
+    t.toml:27: fleet.class.confrim: unknown class `confrim`; did you mean `confirm`?
+    ---
+    t.toml:5: service.adserve.class.photo.service_time: service time is over the deadline; raise `deadline` or lower `service_time`
+    t.toml:20: service.kleurmatch.class.photo.service_time: service time is over the deadline; raise `deadline` or lower `service_time`
+    ---
+    t.toml:28: keys.current: the secret is no text of 16 characters or more; make one with `openssl rand -hex 32`
+    t.toml:29: keys.other: the secret is no text of 16 characters or more; make one with `openssl rand -hex 32`
+    ---
+    t.toml:27: keys: both secrets are the same; make a second secret for `other`
+    "#);
+}
+
+#[test]
+fn wrong_services_are_told_with_place_and_remedy() {
+    let cases = [
+        replaced(
+            "[[service.kleurmatch.endpoint]]",
+            "[service.kleurmatch.endpoint]",
+        ),
+        replaced("127.0.0.1:22101", "[::ffff:127.0.0.1]:22101"),
+        replaced("name = \"a-2\"", "name = \"a-1\""),
+        replaced("name = \"a-2\"", "name = \"a 2\""),
+        replaced("name = \"a-2\"", ""),
+        replaced("name = \"a-2\"", "name = \"a-2\"\nweight = 2"),
+        replaced("127.0.0.1:22101", "127.0.0.1:21001"),
+        replaced("127.0.0.1:22101", "0.0.0.0:21001"),
+        replaced("127.0.0.1:22101", "sv-a-1:21001"),
+        replaced("zone = \"sv-b\"", "zone = \"sv-c\""),
+        replaced("\"leaving\"", "\"gone\""),
+        replaced("zones = [\"sv-a\"]", "zones = []"),
+        replaced("zones = [\"sv-a\"]", ""),
+        with("[service.kleurmatch.class.order]\ndeadline = \"4s\"\n"),
+    ];
+    let refusals: Vec<String> = cases.iter().map(|text| refusal(text)).collect();
+    insta::assert_snapshot!(refusals.join("\n---\n"), @r#"
+    t.toml:23: service.kleurmatch.endpoint: a table stands where a list belongs; write [[service.kleurmatch.endpoint]] with double brackets
+    ---
+    t.toml:25: service.kleurmatch.endpoint[0].addr: [::ffff:127.0.0.1]:22101 is an IPv4 address written as IPv6; write `127.0.0.1:22101`
     ---
     t.toml:15: service.adserve.endpoint[1].name: the name `a-1` stands twice; give one of them another name
     ---
@@ -201,21 +237,10 @@
     t.toml:18: service.adserve.endpoint[1].state: "gone" is no state; write "live" or "leaving"
     ---
     t.toml:21: service.kleurmatch.zones: no zone is named; name the zones that serve it
-    t.toml:26: service.kleurmatch.endpoint[0].zone: `sv-a` is none of the service's zones; none is known; add it first
     ---
     t.toml:20: service.kleurmatch: `zones` is missing; add `zones`
     ---
-    t.toml:27: fleet.class.confrim: unknown class `confrim`; did you mean `confirm`?
-    ---
-    t.toml:5: service.adserve.class.photo.service_time: service time is over the deadline; raise `deadline` or lower `service_time`
-    t.toml:20: service.kleurmatch.class.photo.service_time: service time is over the deadline; raise `deadline` or lower `service_time`
-    ---
     t.toml:28: service.kleurmatch.class.order.deadline: a deadline over 3s outlasts the lease of once-only work; write one up to 3s
-    ---
-    t.toml:28: keys.current: the secret is no text of 16 characters or more; make one with `openssl rand -hex 32`
-    t.toml:29: keys.other: the secret is no text of 16 characters or more; make one with `openssl rand -hex 32`
-    ---
-    t.toml:27: keys: both secrets are the same; make a second secret for `other`
     "#);
 }
 
@@ -228,6 +253,7 @@
         with(&exception("service/kleurmatch endpoint/a-1", "slots = 1")),
         with(&exception("endpoint/a-1", "drain_limit = \"1s\"")),
         with(&exception("class/photo", "slots = 1")),
+        with(&exception("service/adserve", "rank = 1")),
         with(&exception("class/photo endpoint/a-1", "rank = 1")),
         with(&exception("rack/7", "slots = 1")),
         with(&exception("adserve", "slots = 1")),
@@ -254,6 +280,8 @@
     ---
     t.toml:30: exception[0].set.slots: unknown field `slots`; known are rank, deadline, service_time
     ---
+    t.toml:30: exception[0].set.rank: unknown field `rank`; name a class in the scope, as in `service/adserve class/photo`
+    ---
     t.toml:29: exception[0].scope: an endpoint has no values by class; name the service in place of the endpoint
     ---
     t.toml:29: exception[0].scope: unknown kind of scope `rack`; known are zone, service, host, endpoint, class
