--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,7 +4,10 @@
 //! what they decide. It decides nothing itself.
 
 pub mod command;
+pub mod control;
 pub mod lane;
 pub mod metrics;
 pub mod ops;
+pub mod platform;
+pub mod serve;
 pub mod settings;
--- a/src/front/settings.rs
+++ b/src/front/settings.rs
@@ -1,6 +1,5 @@
 //! Settings of a process, from flags and environment variables.
 
-use std::fmt;
 use std::net::SocketAddr;
 
 use axum::http::Uri;
@@ -11,6 +10,7 @@
 use crate::error::{Error, Result};
 use crate::id::Name;
 use crate::ticket::Keys;
+use crate::wire::PeerKey;
 
 /// Prefix of the environment variables.
 const PREFIX: &str = "JACINTHHINGE_";
@@ -63,24 +63,6 @@
     pub log: Option<String>,
 }
 
-/// A secret, which is never shown.
-#[derive(Clone, Eq, PartialEq)]
-pub struct Secret(Name);
-
-impl Secret {
-    /// Its text.
-    #[must_use]
-    pub fn reveal(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Debug for Secret {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Secret(..)")
-    }
-}
-
 /// Settings of `serve` that passed every check.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -100,10 +82,10 @@
     pub platform: Uri,
     /// Control addresses of other hosts to start from.
     pub peers: Vec<SocketAddr>,
-    /// Secret that all hosts share, for messages between them.
-    pub key: Secret,
     /// Ticket keys until the platform gives others.
     pub keys: Keys,
+    /// Key of messages between hosts.
+    pub peer_key: PeerKey,
     /// Address of the statsd server.
     pub statsd: Option<SocketAddr>,
     /// Log level, or levels by module.
@@ -168,7 +150,7 @@
             platform,
             peers,
             keys: keys(&key, other.as_deref())?,
-            key: Secret(Name::from(key)),
+            peer_key: PeerKey::new(&key),
             statsd: statsd.map(|text| addr("--statsd", &text)).transpose()?,
             log,
         })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod control;
 pub mod error;
 pub mod front;
 pub mod id;
