--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -1,22 +1,32 @@
 //! Checks that look at the whole configuration at once.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::fault::{Faults, suggest};
 use super::model::{EndpointRow, Scope, ServiceRow, class_name};
+use super::resolve::Resolver;
 use super::source::field_path;
-use super::{Config, KEYS, SERVICE, resolve};
+use super::{Config, KEYS, SERVICE};
 use crate::id::{Id, Name};
 use crate::packet::Class;
-use crate::snapshot::Service;
+use crate::snapshot::{Policy, Service};
+
+/// Longest deadline of once-only work, which the hold time of a lease covers.
+const ONCE_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Notes every fault that single fields do not show.
 pub(super) fn check_config(config: &Config, faults: &mut Faults<'_>) {
+    if config.services.is_empty() && faults.is_empty() {
+        faults.add(SERVICE, "no service is described", "add [service.NAME]");
+    }
     check_ids(config, faults);
     check_addresses(config, faults);
     check_zones(config, faults);
-    check_scopes(config, faults);
+    if faults.spare(SERVICE) {
+        check_scopes(config, faults);
+    }
     check_secrets(config, faults);
     if faults.is_empty() {
         check_effective(config, faults);
@@ -81,14 +91,8 @@
 }
 
 fn check_zones(config: &Config, faults: &mut Faults<'_>) {
-    for row in &config.services {
-        if row.zones.is_empty() {
-            let path = field_path(&service_path(row), "zones");
-            faults.add(&path, "no zone is named", "name the zones that serve it");
-        }
-    }
     for (row, endpoint) in endpoints(config) {
-        if !row.zones.contains(&endpoint.zone) {
+        if !row.zones.is_empty() && !row.zones.contains(&endpoint.zone) {
             let fault = format!("`{}` is none of the service's zones", endpoint.zone);
             let remedy = suggest(&endpoint.zone, row.zones.iter().map(|zone| &**zone));
             faults.add(&field_path(&endpoint.path, "zone"), fault, remedy);
@@ -97,26 +101,61 @@
 }
 
 fn check_scopes(config: &Config, faults: &mut Faults<'_>) {
+    let known = Known::new(config);
     for row in &config.exceptions {
-        let path = field_path(&row.path, "scope");
-        check_scope(config, &row.scope, &path, faults);
+        known.check_scope(&row.scope, &field_path(&row.path, "scope"), faults);
     }
 }
 
-/// Notes names of a scope that the configuration does not hold.
-pub(super) fn check_scope(config: &Config, scope: &Scope, path: &str, faults: &mut Faults<'_>) {
-    let services: BTreeSet<&str> = config.services.iter().map(|row| &*row.name).collect();
-    let zones: BTreeSet<&str> = config.zones().map(|zone| &**zone).collect();
-    let within: BTreeSet<&str> = endpoints(config)
-        .filter(|(row, endpoint)| is_within(scope, row, endpoint))
-        .map(|(_, endpoint)| &*endpoint.name)
-        .collect();
-    check_known("zone", scope.zone.as_ref(), &zones, path, faults);
-    check_known("service", scope.service.as_ref(), &services, path, faults);
-    check_known("endpoint", scope.endpoint.as_ref(), &within, path, faults);
-    if scope.endpoint.is_some() && scope.class.is_some() {
-        let remedy = "name the service in place of the endpoint";
-        faults.add(path, "an endpoint has no values by class", remedy);
+/// Names that a scope may hold.
+pub(super) struct Known<'a> {
+    zones: BTreeSet<&'a str>,
+    services: BTreeSet<&'a str>,
+    endpoints: BTreeMap<&'a str, (&'a ServiceRow, &'a EndpointRow)>,
+}
+
+impl<'a> Known<'a> {
+    pub fn new(config: &'a Config) -> Self {
+        Self {
+            zones: config.zones().map(|zone| &**zone).collect(),
+            services: config.services.iter().map(|row| &*row.name).collect(),
+            endpoints: endpoints(config)
+                .map(|(row, endpoint)| (&*endpoint.name, (row, endpoint)))
+                .collect(),
+        }
+    }
+
+    /// Notes names of a scope that the configuration does not hold.
+    pub fn check_scope(&self, scope: &Scope, path: &str, faults: &mut Faults<'_>) {
+        check_known("zone", scope.zone.as_ref(), &self.zones, path, faults);
+        check_known(
+            "service",
+            scope.service.as_ref(),
+            &self.services,
+            path,
+            faults,
+        );
+        if let Some(name) = &scope.endpoint {
+            self.check_endpoint(name, scope, path, faults);
+        }
+        if scope.endpoint.is_some() && scope.class.is_some() {
+            let remedy = "name the service in place of the endpoint";
+            faults.add(path, "an endpoint has no values by class", remedy);
+        }
+    }
+
+    fn check_endpoint(&self, name: &Name, scope: &Scope, path: &str, faults: &mut Faults<'_>) {
+        let found = self.endpoints.get(&**name);
+        if found.is_some_and(|(row, endpoint)| is_within(scope, row, endpoint)) {
+            return;
+        }
+        let within: BTreeSet<&str> = self
+            .endpoints
+            .values()
+            .filter(|(row, endpoint)| is_within(scope, row, endpoint))
+            .map(|(_, endpoint)| &*endpoint.name)
+            .collect();
+        check_known("endpoint", Some(name), &within, path, faults);
     }
 }
 
@@ -156,20 +195,20 @@
     }
 }
 
-/// Checks the values in effect on every zone and named host.
+/// Checks the values in effect wherever an exception may change them.
 fn check_effective(config: &Config, faults: &mut Faults<'_>) {
-    let zones: BTreeSet<&Name> = config.zones().collect();
-    let hosts: BTreeSet<&str> = config
-        .exceptions
-        .iter()
-        .filter_map(|row| row.scope.host.as_deref())
-        .chain([""])
-        .collect();
+    let resolver = Resolver::new(config);
+    let anywhere = Name::from("");
     let mut seen = BTreeSet::new();
-    for zone in zones {
-        for host in &hosts {
-            for service in resolve::services(config, host, zone) {
-                check_service(&service, &mut seen, faults);
+    for row in &config.services {
+        let scopes: Vec<&Scope> = resolver.exceptions_of(row).map(|own| &own.scope).collect();
+        let named = scopes.iter().filter_map(|scope| scope.host.as_ref());
+        let hosts: BTreeSet<&Name> = named.chain([&anywhere]).collect();
+        let zoned = scopes.iter().any(|scope| scope.zone.is_some());
+        let count = if zoned { row.zones.len() } else { 1 };
+        for zone in row.zones.iter().take(count) {
+            for host in &hosts {
+                check_service(&resolver.service(row, host, zone), &mut seen, faults);
             }
         }
     }
@@ -177,24 +216,37 @@
 
 fn check_service(service: &Service, seen: &mut BTreeSet<String>, faults: &mut Faults<'_>) {
     let path = field_path(SERVICE, &service.name);
-    let slots = service
-        .endpoints
-        .iter()
-        .map(|endpoint| endpoint.slots)
-        .min();
+    let slots = service.endpoints.iter().map(|endpoint| endpoint.slots);
     let reserve = field_path(&path, "reserve");
-    if slots.is_some_and(|slots| service.reserve >= slots) && seen.insert(reserve.clone()) {
+    if slots.max().is_some_and(|slots| service.reserve >= slots) && seen.insert(reserve.clone()) {
         let fault = format!("reserve {} leaves long work no slot", service.reserve);
-        let remedy = "set `reserve` below the slots of every endpoint";
+        let remedy = "set `reserve` below the slots of an endpoint";
         faults.add(&reserve, fault, remedy);
     }
     for class in Class::ALL {
+        let class_path = format!("{path}.class.{}", class_name(class));
         let policy = service.classes[class.index()];
-        let name = class_name(class);
-        let time = format!("{path}.class.{name}.service_time");
-        if policy.service_time > policy.deadline && seen.insert(time.clone()) {
-            let fault = "service time is over the deadline";
-            faults.add(&time, fault, "raise `deadline` or lower `service_time`");
-        }
+        check_policy(class, policy, &class_path, seen, faults);
+    }
+}
+
+fn check_policy(
+    class: Class,
+    policy: Policy,
+    path: &str,
+    seen: &mut BTreeSet<String>,
+    faults: &mut Faults<'_>,
+) {
+    let time = field_path(path, "service_time");
+    if policy.service_time > policy.deadline && seen.insert(time.clone()) {
+        let fault = "service time is over the deadline";
+        faults.add(&time, fault, "raise `deadline` or lower `service_time`");
+    }
+    let deadline = field_path(path, "deadline");
+    let over = class.is_once() && policy.deadline > ONCE_DEADLINE;
+    if over && seen.insert(deadline.clone()) {
+        let limit = humantime::format_duration(ONCE_DEADLINE);
+        let fault = format!("a deadline over {limit} outlasts the lease of once-only work");
+        faults.add(&deadline, fault, format!("write one up to {limit}"));
     }
 }
--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use smallvec::SmallVec;
 
 use super::policies::Parts;
 use super::probe;
@@ -26,8 +27,20 @@
 /// Age of a load report above which it is asked for again while work waits.
 const STALE: Duration = Duration::from_millis(20);
 
-/// Pause of an endpoint after it refused work with slots free.
-const PAUSE: Duration = Duration::from_millis(20);
+/// Pause of an endpoint after it refused work.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Share of doubtful reports above which an endpoint gets no long work.
+const DOUBT_LIMIT: f64 = 0.2;
+
+/// What an answer adds to the window of an endpoint.
+const WINDOW_STEP: f64 = 0.05;
+
+/// Largest window over the endpoint's slots.
+const WINDOW_LIMIT: f64 = 2.0;
+
+/// Most endpoints asked for their load at once.
+const REFRESH: usize = 16;
 
 /// Longest pause of an endpoint that keeps refusing, as a multiple of the first.
 const PAUSE_LIMIT: u32 = 8;
@@ -59,7 +72,7 @@
     })
 }
 
-/// Endpoint for a request: the least busy of those with a free slot.
+/// Endpoint for a request: the least busy of those that can take it.
 pub(super) fn pick_slot(
     tables: &mut Tables,
     parts: &Parts,
@@ -67,37 +80,51 @@
     class: Class,
     now: Duration,
 ) -> Option<Id> {
+    let lanes = lanes(tables);
     let reserve = tables.snapshot.services.get(&service)?.reserve;
+    let pressed = tables.endpoints.pressed(service);
+    if class.is_long() && pressed.is_some_and(|pressed| now < pressed + parts.yielding) {
+        return None;
+    }
     pick(tables, parts, service, now, |row| {
-        let busy = busy(row, parts, class, now);
-        if row.load.incarnation == 0 || busy >= limit(row, parts, class, reserve) {
-            return None;
-        }
-        Some((
-            !row.spec.local,
-            f64::from(busy + 1) / f64::from(row.spec.slots),
-        ))
+        let busy = if class.is_long() {
+            long_room(row, parts, reserve, now)?
+        } else {
+            short_room(row, parts, lanes, now)?
+        };
+        let share = f64::from(busy + 1) / f64::from(row.spec.slots);
+        Some((!row.spec.local, share))
     })
 }
 
-/// Requests that an endpoint may hold when one of `class` is sent to it.
-fn limit(row: &EndpointRow, parts: &Parts, class: Class, reserve: u32) -> u32 {
-    if class.is_long() {
-        row.spec.slots.saturating_sub(reserve).max(1)
-    } else {
-        row.spec.slots + parts.ahead
-    }
+/// Requests on an endpoint that may take long work. Every lane leaves the reserved
+/// slots to short work by what it knows of all others, so it wants a new report.
+fn long_room(row: &EndpointRow, parts: &Parts, reserve: u32, now: Duration) -> Option<u32> {
+    let limit = row.spec.slots.saturating_sub(reserve).max(1);
+    let busy = (row.running + row.others).max(row.load.busy);
+    let is_known = row.load.incarnation != 0 && now < row.heard + parts.hold;
+    (is_known && !is_doubted(row) && busy < limit).then_some(busy)
 }
 
-/// Requests on an endpoint: this lane's, and others' as last reported. An old
-/// report is forgotten for short work only; long work waits for a new one.
-fn busy(row: &EndpointRow, parts: &Parts, class: Class, now: Duration) -> u32 {
+/// Requests on an endpoint that may take short work: one with a slot free, or
+/// where the window lets this lane send ahead. An old report is forgotten, and in
+/// place of a doubtful one the other lanes are taken to send as much as this one.
+fn short_room(row: &EndpointRow, parts: &Parts, lanes: u32, now: Duration) -> Option<u32> {
     let is_old = now >= row.heard + parts.hold;
-    if is_old && !class.is_long() {
-        row.running
-    } else {
-        row.running + row.others
-    }
+    let others = match is_doubted(row) {
+        true => row.running * (lanes - 1),
+        false if is_old => 0,
+        false => row.others,
+    };
+    let busy = row.running + others;
+    let fits = f64::from(row.running + 1) <= row.window;
+    let has_room = busy < row.spec.slots + parts.ahead;
+    (row.load.incarnation != 0 && fits && has_room).then_some(busy)
+}
+
+/// True for an endpoint whose load reports leave out what it has acknowledged.
+fn is_doubted(row: &EndpointRow) -> bool {
+    row.doubt > DOUBT_LIMIT
 }
 
 /// Flows on an endpoint: as reported, or from this lane's own when the report
@@ -134,11 +161,7 @@
     now: Duration,
     judge: impl Fn(&EndpointRow) -> Option<(bool, f64)>,
 ) -> Option<Id> {
-    let count = tables.endpoints.count(service);
-    if count == 0 {
-        return None;
-    }
-    let start = tables.rng.random_range(0..count);
+    let start = start(tables, service);
     let open = || {
         tables
             .endpoints
@@ -166,6 +189,12 @@
         .map(|choice| choice.id)
 }
 
+/// A random place to begin among the endpoints of a service.
+fn start(tables: &mut Tables, service: Id) -> usize {
+    let count = tables.endpoints.count(service);
+    tables.rng.random_range(0..count.max(1))
+}
+
 /// Share that an endpoint is due: the operators' weight, less while it is new and
 /// less for what it refuses.
 fn weight(row: &EndpointRow, parts: &Parts, now: Duration) -> f64 {
@@ -182,20 +211,30 @@
     mute || (!row.spec.healthy && now >= row.heard + DOUBT)
 }
 
-/// Asks endpoints for their load that are silent, or whose report is old while
-/// requests wait.
+/// Asks endpoints that are silent or reported unhealthy to speak.
 pub(super) fn probe(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    let waiting = tables.requests.waiting();
-    let ids: Vec<Id> = tables
+    let mut ids: SmallVec<[Id; 16]> = SmallVec::new();
+    for row in tables.endpoints.iter() {
+        if row.asked.is_some() || !row.spec.healthy {
+            ids.push(row.spec.id);
+        }
+    }
+    for id in ids {
+        probe::greet(tables, id, now, out);
+    }
+}
+
+/// Asks some endpoints of a service whose reports are old for their load.
+pub(super) fn refresh(tables: &mut Tables, service: Id, now: Duration, out: &mut Outbox) {
+    let start = start(tables, service);
+    let old: SmallVec<[Id; 16]> = tables
         .endpoints
-        .iter()
-        .filter(|row| {
-            let wanted = waiting.contains(&row.service) && now >= row.heard + STALE;
-            wanted || row.asked.is_some() || !row.spec.healthy
-        })
+        .from(service, start)
+        .take(REFRESH)
+        .filter(|row| now >= row.heard + STALE)
         .map(|row| row.spec.id)
         .collect();
-    for id in ids {
+    for id in old {
         probe::greet(tables, id, now, out);
     }
 }
@@ -207,13 +246,23 @@
     };
     row.heard = now;
     row.asked = None;
-    if let Body::Answer { .. } = body {
-        row.failures = 0;
-        row.paused = Duration::ZERO;
-        row.note(false);
+    match body {
+        Body::Answer { .. } => served(row),
+        Body::Refused { .. } | Body::Probed { .. } => row.note_load(),
+        _ => {}
     }
 }
 
+/// Answered work opens the window of an endpoint a little.
+fn served(row: &mut EndpointRow) {
+    row.failures = 0;
+    row.paused = Duration::ZERO;
+    row.note_load();
+    row.note_shed(false);
+    let most = f64::from(row.spec.slots) * WINDOW_LIMIT;
+    row.window = (row.window + WINDOW_STEP).min(most);
+}
+
 /// Counts a failure to answer against an endpoint.
 pub(super) fn blame(tables: &mut Tables, id: Id, now: Duration) {
     if let Some(row) = tables.endpoints.get_mut(id) {
@@ -222,17 +271,15 @@
     }
 }
 
-/// Counts a refusal against an endpoint; one that refuses with slots free is
-/// paused, the longer the more it refuses in a row.
+/// Counts a refusal against an endpoint, which closes its window to what it has
+/// and pauses it, the longer the more it refuses in a row.
 pub(super) fn refused(tables: &mut Tables, id: Id, now: Duration) {
     let Some(row) = tables.endpoints.get_mut(id) else {
         return;
     };
     row.refused = Some(now);
     row.failures += 1;
-    let free = row.load.busy < row.spec.slots;
-    row.note(free);
-    if free {
-        row.paused = now + PAUSE * row.failures.min(PAUSE_LIMIT);
-    }
+    row.note_shed(row.load.busy < row.spec.slots);
+    row.window = f64::from(row.running.max(1));
+    row.paused = now + PAUSE * row.failures.min(PAUSE_LIMIT);
 }
