Run the control thread on sockets and measure its cost

One task owns the control core: heartbeats over UDP, fetches over TCP, reads of the platform over HTTP, all with time and size limits. Strange datagrams are counted and change nothing.

The stamp is now sent relative to the incarnation, which saves about 4 bytes a message, not measured yet.

--- /dev/null
+++ b/examples/control_cost.rs
@@ -0,0 +1,128 @@
+//! What the control thread costs a host, and how fast news travels.
+//!
+//! Runs N control cores in one process, joined by an in-memory queue, and prints
+//! one line for each N. Bytes count IP and UDP headers and what is fetched.
+
+#[path = "../tests/zone/mod.rs"]
+mod zone;
+
+use std::fs;
+use std::time::Instant;
+
+use jacinthhinge::prelude::*;
+use zone::{Zone, names};
+
+const SIZES: [usize; 4] = [4, 16, 64, 108];
+const WARM_UP: Duration = Duration::from_secs(20);
+const QUIET: Duration = Duration::from_secs(20);
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Clock ticks a second, as Linux counts processor time in `/proc`.
+const CLOCK_TICKS: f64 = 100.0;
+
+/// Bytes of a memory page.
+const PAGE_BYTES: f64 = 4096.0;
+
+fn main() {
+    println!(
+        "hosts  bytes/s  messages/s  core %  KiB/host  death s  change s  lease s  churn bytes/s"
+    );
+    for count in SIZES {
+        measure(count);
+    }
+}
+
+fn measure(count: usize) {
+    let before = memory();
+    let mut zone = listed(count);
+    let hosts = float(count);
+    zone.run_for(WARM_UP);
+    let (quiet, cpu) = cost(&mut zone, |zone| zone.run_for(QUIET));
+    let memory = (memory() - before) / hosts / 1024.0;
+    let change = time_of_change(&mut zone);
+    let start = zone.now;
+    zone.net.bytes = 0;
+    let death = time_of_death(&mut zone);
+    let lease = zone.run_till(LIMIT, |zone| zone.all(|node| node.is_leased(zone.now)));
+    let churn = zone.net.bytes;
+    let churned = zone.now.saturating_sub(start).as_secs_f64();
+    println!(
+        "{count:5}  {:7.0}  {:10.1}  {:6.3}  {:8.0}  {:7}  {:8}  {:7}  {:13.0}",
+        float(quiet.0) / hosts / QUIET.as_secs_f64(),
+        float(quiet.1) / hosts / QUIET.as_secs_f64(),
+        cpu / hosts / QUIET.as_secs_f64() * 100.0,
+        memory,
+        seconds(death),
+        seconds(change),
+        seconds(lease),
+        float(churn) / hosts / churned,
+    );
+}
+
+/// A zone with a platform that lists all its hosts.
+fn listed(count: usize) -> Zone {
+    let mut zone = Zone::with_hosts(count);
+    zone.net.measure = true;
+    zone.platform.up = true;
+    zone.list(0..count);
+    zone.set("fleet", Some("1"));
+    zone
+}
+
+/// Bytes, messages and seconds of processor time of a run.
+fn cost(zone: &mut Zone, run: impl Fn(&mut Zone)) -> ((usize, usize), f64) {
+    zone.net.bytes = 0;
+    zone.net.messages = 0;
+    let wall = Instant::now();
+    let start = processor_time();
+    run(zone);
+    let used = processor_time() - start;
+    assert!(used <= wall.elapsed().as_secs_f64() + 0.1);
+    let count = |count: u64| usize::try_from(count).expect("64-bit machine");
+    ((count(zone.net.bytes), count(zone.net.messages)), used)
+}
+
+/// Time until a change that one host hears of is in force everywhere.
+fn time_of_change(zone: &mut Zone) -> Option<Duration> {
+    for node in zone.nodes.values_mut().skip(1) {
+        node.platform = false;
+    }
+    zone.run_for(Duration::from_secs(35));
+    zone.set("fleet", Some("2"));
+    zone.run_till(LIMIT, |zone| zone.all(|node| node.snapshot.revision == 2))
+}
+
+/// Time until a dead host is off the published lists everywhere.
+fn time_of_death(zone: &mut Zone) -> Option<Duration> {
+    zone.kill(0);
+    let rest = names(zone.nodes.keys().copied());
+    zone.run_till(LIMIT, |zone| zone.all(|node| node.hosts() == rest))
+}
+
+fn seconds(time: Option<Duration>) -> String {
+    time.map_or("never".to_owned(), |time| {
+        format!("{:.2}", time.as_secs_f64())
+    })
+}
+
+/// Seconds of processor time that this process has used.
+fn processor_time() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").expect("Linux");
+    let fields = stat.rsplit_once(')').expect("name").1;
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    ticks
+        .map(|ticks| ticks.parse::<f64>().expect("number"))
+        .sum::<f64>()
+        / CLOCK_TICKS
+}
+
+/// Resident bytes of this process.
+fn memory() -> f64 {
+    let statm = fs::read_to_string("/proc/self/statm").expect("Linux");
+    let pages = statm.split_whitespace().nth(1).expect("pages");
+    pages.parse::<f64>().expect("number") * PAGE_BYTES
+}
+
+fn float(count: impl TryInto<u32>) -> f64 {
+    f64::from(count.try_into().unwrap_or(u32::MAX))
+}
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -74,7 +74,7 @@
     #[prost(uint64, tag = "7")]
     roster: u64,
     #[prost(uint64, tag = "8")]
-    sent: u64,
+    sent_micros: u64,
     #[prost(uint64, optional, tag = "9")]
     echo: Option<u64>,
     #[prost(bool, tag = "10")]
@@ -180,7 +180,7 @@
         card: beat.card.as_ref().map(encode_card),
         revision: beat.revision,
         roster: beat.roster,
-        sent: beat.sent.0,
+        sent_micros: beat.sent.0.saturating_sub(beat.incarnation),
         echo: beat.echo.map(|echo| echo.0),
         ping: beat.ping,
         view: beat.vote.view,
@@ -210,7 +210,7 @@
         card: decode_card_of(wire.from, wire.card)?,
         revision: wire.revision,
         roster: wire.roster,
-        sent: Stamp(wire.sent),
+        sent: Stamp(wire.incarnation.saturating_add(wire.sent_micros)),
         echo: wire.echo.map(Stamp),
         ping: wire.ping,
         vote: Vote {
--- /dev/null
+++ b/tests/peer.rs
@@ -0,0 +1,239 @@
+//! The control thread on real sockets, and messages it must not trust.
+
+mod zone;
+
+use std::net::UdpSocket;
+use std::sync::Mutex;
+
+use jacinthhinge::control::lease::Timing;
+use jacinthhinge::control::message::{Fetch, Stamp, Vote};
+use jacinthhinge::control::{Beat, Build, Built, Settings};
+use jacinthhinge::front::control::{self, ControlSettings, Links};
+use jacinthhinge::front::platform::{Platform, parse_hosts, parse_values};
+use jacinthhinge::prelude::*;
+use jacinthhinge::wire::{self, PeerKey};
+use proptest::prelude::*;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// A host on loopback sockets.
+struct Running {
+    peer: SocketAddr,
+    published: Arc<Mutex<Vec<Arc<Snapshot>>>>,
+    leave: watch::Sender<bool>,
+    dumps: mpsc::Sender<oneshot::Sender<serde_json::Value>>,
+    ended: JoinHandle<Result<()>>,
+}
+
+impl Running {
+    fn start(
+        name: &str,
+        peer: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        platform: Option<Platform>,
+    ) -> Self {
+        let published = Arc::new(Mutex::new(Vec::new()));
+        let (leave, leaving) = watch::channel(false);
+        let (dumps, asked) = Links::dump_channel();
+        let swap = Arc::clone(&published);
+        let links = Links {
+            publish: Arc::new(move |snapshot| swap.lock().expect("lock").push(snapshot)),
+            in_flight: Arc::new(|| 0),
+            leave: leaving,
+            dumps: asked,
+        };
+        let settings = ControlSettings {
+            control: settings(name, peer, seeds),
+            key: PeerKey::new("secret"),
+            platform,
+        };
+        let ended = tokio::spawn(control::run(settings, Clock::monotonic(), links));
+        Self {
+            peer,
+            published,
+            leave,
+            dumps,
+            ended,
+        }
+    }
+
+    fn hosts(&self) -> Vec<Name> {
+        let published = self.published.lock().expect("lock");
+        let last = published.last();
+        last.map_or(vec![], |last| {
+            last.hosts
+                .iter()
+                .map(|host| Arc::clone(&host.name))
+                .collect()
+        })
+    }
+
+    async fn dump(&self) -> serde_json::Value {
+        let (reply, answer) = oneshot::channel();
+        self.dumps.send(reply).await.expect("running");
+        answer.await.expect("dump")
+    }
+}
+
+fn settings(name: &str, peer: SocketAddr, seeds: Vec<SocketAddr>) -> Settings {
+    let mut card = zone::card(0);
+    card.name = name.into();
+    card.peer = peer;
+    Settings {
+        card,
+        incarnation: 1,
+        seeds,
+        keys: Keys::new("current", "other"),
+        timing: Timing::default(),
+        drain: Duration::from_secs(5),
+        build: Build::new(|_| Ok(Built::default())),
+        random: 7,
+    }
+}
+
+/// A loopback address whose port is free for UDP and TCP.
+fn free_addr() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback");
+    socket.local_addr().expect("address")
+}
+
+async fn until(holds: impl Fn() -> bool) {
+    let waited = tokio::time::timeout(LIMIT, async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    waited.await.expect("not in time");
+}
+
+#[tokio::test]
+async fn hosts_meet_leave_and_end_over_sockets() {
+    let (one, two) = (free_addr(), free_addr());
+    let first = Running::start("sv-a-1", one, vec![two], None);
+    let second = Running::start("sv-a-2", two, vec![one], None);
+    until(|| first.hosts().len() == 2 && second.hosts().len() == 2).await;
+    second.leave.send(true).expect("running");
+    let ended = tokio::time::timeout(LIMIT, second.ended).await;
+    ended
+        .expect("ended in time")
+        .expect("no panic")
+        .expect("no error");
+    until(|| first.hosts().len() == 1).await;
+    let counters = first.dump().await["counters"].clone();
+    assert_eq!(counters["rejected"], 0, "{counters}");
+    assert_eq!(counters["deaths"], 1, "{counters}");
+}
+
+#[tokio::test]
+async fn strange_datagrams_are_counted_and_change_nothing() {
+    let host = Running::start("sv-a-1", free_addr(), vec![], None);
+    until(|| host.hosts().len() == 1).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback");
+    let foreign = wire::encode_beat(&beat(), &PeerKey::new("another"));
+    let whole = wire::encode_beat(&beat(), &PeerKey::new("secret"));
+    let strange = [&foreign[..], &whole[..whole.len() / 2], b"x", &[7; 9_000]];
+    for datagram in strange {
+        socket.send_to(datagram, host.peer).expect("sent");
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let dump = host.dump().await;
+    assert_eq!(dump["counters"]["rejected"], 4);
+    assert_eq!(dump["counters"]["beats_in"], 0);
+    assert_eq!(dump["members"], serde_json::json!({}));
+}
+
+#[tokio::test]
+async fn fetch_needs_the_key() {
+    let host = Running::start("sv-a-1", free_addr(), vec![], None);
+    until(|| host.hosts().len() == 1).await;
+    let ask = Fetch {
+        members: true,
+        ..Fetch::default()
+    };
+    let fetched = control::fetch(host.peer, ask, &PeerKey::new("secret")).await;
+    assert_eq!(fetched.expect("answer").members.len(), 1);
+    let refused = control::fetch(host.peer, ask, &PeerKey::new("another")).await;
+    assert_eq!(refused.expect_err("no answer").classify(), Category::Peer);
+}
+
+#[tokio::test]
+async fn silent_platform_is_an_error_in_time() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let addr = listener.local_addr().expect("address");
+    let platform = Platform::new(&format!("http://{addr}"));
+    let answer = tokio::time::timeout(LIMIT, platform.hosts()).await;
+    let err = answer.expect("in time").expect_err("no answer");
+    assert_eq!(err.classify(), Category::Platform);
+}
+
+#[test]
+fn platform_answers_are_parsed_or_refused() {
+    let values = br#"{"revision":3,"values":[{"key":"fleet","revision":2,"value":{"a":1}},
+        {"key":"keys","revision":3,"value":null}]}"#;
+    let update = parse_values(values).expect("values");
+    assert_eq!(update.values[0].value.json.as_deref(), Some(r#"{"a":1}"#));
+    assert_eq!(update.values[1].value.json, None);
+    let hosts = br#"{"revision":9,"hosts":[{"name":"h","zone":"sv-a","state":"leaving",
+        "peer":"127.0.0.1:7"}]}"#;
+    assert!(parse_hosts(hosts).expect("hosts").hosts[0].1.leaving);
+    for nonsense in [
+        &b""[..],
+        b"{}",
+        b"[]",
+        br#"{"revision":-1,"values":[]}"#,
+        b"\xff",
+    ] {
+        let err = parse_values(nonsense).expect_err("nonsense");
+        assert_eq!(err.classify(), Category::Platform);
+        assert!(parse_hosts(nonsense).is_err());
+    }
+}
+
+fn beat() -> Beat {
+    Beat {
+        from: zone::id(3),
+        incarnation: 5,
+        version: 2,
+        leaving: true,
+        card: Some(zone::card(3)),
+        revision: 11,
+        roster: 4,
+        sent: Stamp(77),
+        echo: Some(Stamp(66)),
+        ping: true,
+        vote: Vote {
+            view: 8,
+            settled: true,
+            base: 9,
+        },
+        news: smallvec::smallvec![],
+    }
+}
+
+#[test]
+fn heartbeat_survives_its_encoding() {
+    let key = PeerKey::new("secret");
+    let bytes = wire::encode_beat(&beat(), &key);
+    assert_eq!(wire::decode_beat(&bytes, &key).expect("heartbeat"), beat());
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_panic_or_pass_for_a_message(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let key = PeerKey::new("secret");
+        prop_assert!(wire::decode_beat(&bytes, &key).is_err());
+        prop_assert!(wire::decode_fetch(&bytes, &key).is_err());
+        prop_assert!(wire::decode_fetched(&bytes, &key).is_err());
+    }
+
+    #[test]
+    fn no_altered_heartbeat_passes(at in 0..100_usize, bit in 0..8_u8) {
+        let key = PeerKey::new("secret");
+        let mut bytes = wire::encode_beat(&beat(), &key).to_vec();
+        let at = at % bytes.len();
+        bytes[at] ^= 1 << bit;
+        prop_assert!(wire::decode_beat(&bytes, &key).is_err());
+    }
+}
