Do not panic when the reader of the output has gone

Cause: 'dump ADDR | head' ended in a panic on a closed pipe, and an error of the operating system was told twice. Change: a closed pipe ends the output quietly; the innermost cause is told once. Conclusion: exit status 0 on a closed pipe, by test.

--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -1,14 +1,15 @@
 //! The commands of the program.
 
+use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use axum::body::Bytes;
 use axum::http::{StatusCode, Uri};
 use bpaf::{Args, Bpaf, ParseFailure};
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
@@ -110,7 +111,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("error: {report:#}");
+            eprintln!("error: {report}");
             exit_code(report.current_context())
         }
     }
@@ -141,38 +142,55 @@
     let config = read_file(&check.file)?;
     if let Some(scope) = &check.explain {
         for value in config.explain(scope)? {
-            println!("{} = {}  ({})", value.field, value.value, value.from);
+            show(&format!(
+                "{} = {}  ({})",
+                value.field, value.value, value.from
+            ))?;
         }
     }
     if let Some(other) = &check.diff {
         let other = read_file(other)?;
-        other.diff(&config).iter().for_each(show_difference);
+        for difference in other.diff(&config) {
+            show_difference(&difference)?;
+        }
         Config::check_change(&other, &config)?;
     }
     if check.values {
         let values: Map<String, Value> = config.values().into_iter().collect();
-        println!("{:#}", Value::Object(values));
+        show(&format!("{:#}", Value::Object(values)))?;
     }
     eprintln!("{}: accepted: {config}", check.file.display());
     Ok(())
 }
 
-fn show_difference(difference: &Difference) {
+/// Prints a line; that no one reads on, as under `head`, is no error.
+fn show(line: &str) -> Result<()> {
+    match writeln!(io::stdout(), "{line}") {
+        Err(source) if source.kind() != io::ErrorKind::BrokenPipe => {
+            Err(Error::io("print the output", source))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn show_difference(difference: &Difference) -> Result<()> {
     let none = "(none)";
     let old = difference.old.as_deref().unwrap_or(none);
     let new = difference.new.as_deref().unwrap_or(none);
-    println!("{}: {old} -> {new}", difference.place);
+    show(&format!("{}: {old} -> {new}", difference.place))
 }
 
-fn read_file(path: &PathBuf) -> Result<Config, Report<Error>> {
+fn read_file(path: &Path) -> Result<Config, Report<Error>> {
     let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).change_context_lazy(|| unreadable(&name))?;
+    let text = std::fs::read_to_string(path).map_err(|source| unreadable(&name, source))?;
     Ok(Config::parse(&name, &text)?)
 }
 
 #[cold]
-fn unreadable(name: &str) -> Error {
-    Error::config(name, "it cannot be read", "check the path and permissions")
+fn unreadable(name: &str, source: io::Error) -> Report<Error> {
+    let fault = format!("it cannot be read: {source}");
+    let error = Error::config(name, fault, "check the path and permissions");
+    Report::new(source).change_context(error)
 }
 
 fn run_dump(dump: &Dump) -> Result<(), Report<Error>> {
@@ -189,8 +207,7 @@
         .build()
         .map_err(|source| Error::io("start a runtime", source))?;
     let text = runtime.block_on(fetch(addr, uri))?;
-    println!("{text}");
-    Ok(())
+    Ok(show(&text)?)
 }
 
 #[cold]
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -119,6 +119,19 @@
     }
 }
 
+#[test]
+fn output_that_no_one_reads_on_is_no_error() {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let output = Command::new(env!("CARGO_BIN_EXE_jacinthhinge"))
+        .args(["check", "config/hraunvik.toml", "--values"])
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .stdout(writer)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(0));
+}
+
 #[test]
 fn help_and_version_succeed() {
     for (arguments, expected) in [
