--- /dev/null
+++ b/src/config/resolve.rs
@@ -0,0 +1,227 @@
+//! Works out the values in effect from defaults and exceptions.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+
+use super::Config;
+use super::model::{ClassValues, EndpointRow, ExceptionRow, Scope, ServiceRow, State, Values};
+use crate::id::{Id, Name};
+use crate::packet::Class;
+use crate::snapshot::{Endpoint, Policy, Service};
+
+/// Values in effect where neither the fleet nor a service sets them.
+static BUILTIN: LazyLock<Values> = LazyLock::new(|| {
+    let service = Service::new("");
+    let endpoint = Endpoint::new("", SocketAddr::from(([0; 4], 0)));
+    Values {
+        drain_limit: Some(service.drain),
+        idle_limit: Some(service.idle),
+        retry_share: Some(service.retries),
+        slots: Some(endpoint.slots),
+        conns: Some(endpoint.conns),
+        reserve: Some(service.reserve),
+        weight: Some(endpoint.weight),
+        class: Class::ALL.map(|class| (class, builtin_class(class))).into(),
+    }
+});
+
+/// A set of values, and where it was written.
+#[derive(Clone, Copy)]
+pub(super) struct Layer<'a> {
+    pub origin: Origin<'a>,
+    pub values: &'a Values,
+}
+
+/// Where a value was written.
+#[derive(Clone, Copy)]
+pub(super) enum Origin<'a> {
+    Builtin,
+    Fleet,
+    Service(&'a Name),
+    Exception(&'a ExceptionRow),
+}
+
+/// A configuration with its exceptions indexed by what they name.
+pub(super) struct Resolver<'a> {
+    config: &'a Config,
+    wide: Vec<&'a ExceptionRow>,
+    by_service: Index<'a>,
+    by_endpoint: Index<'a>,
+}
+
+type Index<'a> = HashMap<&'a Name, Vec<&'a ExceptionRow>>;
+
+impl<'a> Resolver<'a> {
+    pub fn new(config: &'a Config) -> Self {
+        let mut resolver = Self {
+            config,
+            wide: Vec::new(),
+            by_service: Index::new(),
+            by_endpoint: Index::new(),
+        };
+        for row in &config.exceptions {
+            resolver.add(row);
+        }
+        resolver
+    }
+
+    fn add(&mut self, row: &'a ExceptionRow) {
+        let list = match (&row.scope.endpoint, &row.scope.service) {
+            (Some(name), _) => self.by_endpoint.entry(name).or_default(),
+            (None, Some(name)) => self.by_service.entry(name).or_default(),
+            (None, None) => &mut self.wide,
+        };
+        list.push(row);
+    }
+
+    /// Exceptions that may cover a scope of this service and endpoint.
+    ///
+    /// Rows of equal narrowness are in one list, so they keep the file's order.
+    fn candidates(
+        &self,
+        service: Option<&Name>,
+        endpoint: Option<&Name>,
+    ) -> impl Iterator<Item = &'a ExceptionRow> {
+        let by_service = service.and_then(|name| self.by_service.get(name));
+        let by_endpoint = endpoint.and_then(|name| self.by_endpoint.get(name));
+        let named = by_service.into_iter().chain(by_endpoint).flatten();
+        self.wide.iter().chain(named).copied()
+    }
+
+    /// Exceptions that may change the values of a service or its endpoints.
+    pub fn exceptions_of(&self, row: &'a ServiceRow) -> impl Iterator<Item = &'a ExceptionRow> {
+        let endpoints = row.endpoint.iter();
+        let by_endpoint = endpoints.filter_map(|own| self.by_endpoint.get(&own.name));
+        self.candidates(Some(&row.name), None)
+            .chain(by_endpoint.flatten().copied())
+    }
+
+    /// Layers that apply at a scope, the widest first.
+    pub fn layers(&self, service: Option<&'a ServiceRow>, at: &Scope) -> Vec<Layer<'a>> {
+        let mut layers = vec![
+            Layer {
+                origin: Origin::Builtin,
+                values: &BUILTIN,
+            },
+            Layer {
+                origin: Origin::Fleet,
+                values: &self.config.fleet,
+            },
+        ];
+        layers.extend(service.map(|row| Layer {
+            origin: Origin::Service(&row.name),
+            values: &row.values,
+        }));
+        let mut exceptions: Vec<&ExceptionRow> = self
+            .candidates(at.service.as_ref(), at.endpoint.as_ref())
+            .filter(|row| row.scope.covers(at))
+            .collect();
+        exceptions.sort_by_key(|row| row.scope.narrowness());
+        layers.extend(exceptions.into_iter().map(|row| Layer {
+            origin: Origin::Exception(row),
+            values: &row.set,
+        }));
+        layers
+    }
+
+    /// A service in effect on `host` of `zone`.
+    pub fn service(&self, row: &'a ServiceRow, host: &Name, zone: &Name) -> Service {
+        let at = Scope {
+            zone: Some(zone.clone()),
+            service: Some(row.name.clone()),
+            host: Some(host.clone()),
+            ..Scope::default()
+        };
+        let layers = self.layers(Some(row), &at);
+        let endpoints = row
+            .endpoint
+            .iter()
+            .map(|own| self.endpoint(row, own, host, zone))
+            .collect();
+        Service {
+            id: Id::of(&row.name),
+            name: row.name.clone(),
+            endpoints,
+            classes: Class::ALL.map(|class| self.policy(row, &at, class)),
+            drain: pick(&layers, |values| values.drain_limit),
+            idle: pick(&layers, |values| values.idle_limit),
+            retries: pick(&layers, |values| values.retry_share),
+            reserve: pick(&layers, |values| values.reserve),
+        }
+    }
+
+    fn endpoint(
+        &self,
+        row: &'a ServiceRow,
+        own: &EndpointRow,
+        host: &Name,
+        zone: &Name,
+    ) -> Endpoint {
+        let at = Scope {
+            zone: Some(own.zone.clone()),
+            service: Some(row.name.clone()),
+            host: Some(host.clone()),
+            endpoint: Some(own.name.clone()),
+            class: None,
+        };
+        let layers = self.layers(Some(row), &at);
+        Endpoint {
+            id: Id::of(&own.name),
+            name: own.name.clone(),
+            addr: own.addr,
+            zone: own.zone.clone(),
+            slots: pick(&layers, |values| values.slots),
+            conns: pick(&layers, |values| values.conns),
+            weight: pick(&layers, |values| values.weight),
+            draining: own.state == State::Leaving,
+            healthy: !self.config.is_unhealthy(&row.name, &own.name),
+            local: own.zone == *zone,
+        }
+    }
+
+    fn policy(&self, row: &'a ServiceRow, at: &Scope, class: Class) -> Policy {
+        let at = Scope {
+            class: Some(class),
+            ..at.clone()
+        };
+        let layers = self.layers(Some(row), &at);
+        Policy {
+            rank: pick(&layers, |values| values.of_class(class, |own| own.rank)),
+            deadline: pick(&layers, |values| values.of_class(class, |own| own.deadline)),
+            service_time: pick(&layers, |values| {
+                values.of_class(class, |own| own.service_time)
+            }),
+        }
+    }
+}
+
+/// Services in effect on `host` of `zone`.
+pub(super) fn services(config: &Config, host: &str, zone: &str) -> Vec<Service> {
+    let resolver = Resolver::new(config);
+    let (host, zone) = (Name::from(host), Name::from(zone));
+    config
+        .services
+        .iter()
+        .filter(|row| row.zones.contains(&zone))
+        .map(|row| resolver.service(row, &host, &zone))
+        .collect()
+}
+
+fn builtin_class(class: Class) -> ClassValues {
+    let policy = Policy::of(class);
+    ClassValues {
+        rank: Some(policy.rank),
+        deadline: Some(policy.deadline),
+        service_time: Some(policy.service_time),
+    }
+}
+
+/// The narrowest value; the built-in layer sets every field.
+fn pick<T: Default>(layers: &[Layer<'_>], get: impl Fn(&Values) -> Option<T>) -> T {
+    layers
+        .iter()
+        .rev()
+        .find_map(|layer| get(layer.values))
+        .unwrap_or_default()
+}
