Keep flows and requests through replaced hosts, lost probes and reused addresses

Cause: scripted changes of hosts and endpoints, new with this commit, broke flows of callers without ticket, and requests of leaving hosts. - A host that started with a configuration in hand had no endpoints to ask, and one without any refused every ticket. - Hosts dropped endpoints' answers for a home in a life they did not know yet. - A held ping went on to the endpoint. - Two lost probes reset a healthy flow, and a woken host counted its own pause as the silence of its flows. - One reassigned endpoint ended the recovery of a flow that another held, and a reset from an endpoint that does not hold the flow ended it. - Repeats of a running order went past the leaving home to the next, which told the caller "unknown". - A packet under the number of another service's flow reached that service.

Ruled out: longer limits before a flow counts as silent, as they delay the reset of those that are; a copy of records at the next home, for its control traffic.

Conclusion: what any host may hear first must reach the home that it names.

--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -51,6 +51,19 @@
     pub leaving: bool,
 }
 
+impl Host {
+    /// Lane that is home to the flows of a hash; `None` without lanes.
+    fn lane(&self, hash: u64) -> Option<Home> {
+        let count = u64::try_from(self.lanes.len()).ok()?;
+        let lane = usize::try_from(hash.checked_rem(count)?).ok()?;
+        Some(Home {
+            host: self.id,
+            incarnation: self.incarnation,
+            addr: self.lanes[lane],
+        })
+    }
+}
+
 /// Right to dispatch once-only work of callers without a ticket.
 ///
 /// It is held while a majority of the zone's hosts has agreed with this host's
@@ -168,13 +181,18 @@
             .hosts
             .iter()
             .max_by_key(|host| (!host.leaving, rendezvous(hash, host.id)))?;
-        let count = host.lanes.len();
-        let lane = usize::try_from(hash % u64::try_from(count).ok()?).ok()?;
-        Some(Home {
-            host: host.id,
-            incarnation: host.incarnation,
-            addr: host.lanes[lane],
-        })
+        host.lane(hash)
+    }
+
+    /// Home that a flow had before that host began to leave; `None` if it stays.
+    #[must_use]
+    pub fn elder(&self, key: &FlowKey) -> Option<Home> {
+        let hash = key.hash();
+        let host = self
+            .hosts
+            .iter()
+            .max_by_key(|host| rendezvous(hash, host.id))?;
+        host.leaving.then(|| host.lane(hash)).flatten()
     }
 
     /// True when `home` still runs in the life it names.
--- a/src/systems/ask.rs
+++ b/src/systems/ask.rs
@@ -43,6 +43,10 @@
         number: request,
     };
     let slot = match tables.requests.find(&id) {
+        Some(slot) if tables.requests.row(slot).service != packet.service => {
+            tables.counters.foreign += 1;
+            return;
+        }
         Some(slot) => slot,
         None if tables.requests.is_spent(&id) => {
             doubt(tables, packet, request, Reason::Late, out);
--- a/src/systems/flow.rs
+++ b/src/systems/flow.rs
@@ -17,6 +17,10 @@
     let packet = &arrival.packet;
     let key = packet.key();
     let target = arrival.ticket.and_then(|ticket| ticket.target);
+    if tables.flows.is_foreign(packet) {
+        tables.counters.foreign += 1;
+        return;
+    }
     if arrival.ticket.is_some() && target.is_none() {
         ping_greeting(tables, packet, out);
         return;
@@ -52,7 +56,8 @@
     }
 }
 
-fn serve(tables: &mut Tables, packet: &Packet, now: Duration, out: &mut Outbox) {
+/// Does what a caller's packet of an open flow says.
+pub(super) fn serve(tables: &mut Tables, packet: &Packet, now: Duration, out: &mut Outbox) {
     let key = packet.key();
     let Some(target) = tables.flows.get(&key).and_then(|flow| flow.target) else {
         return;
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -71,8 +71,8 @@
     recover::run(tables, now, out);
     retry::run(tables, now, out);
     expire::run(tables, now, out);
+    probe::run(tables, now, out);
     let swept = tables.flows.sweep(SWEEP);
-    probe::run(tables, &swept, now, out);
     idle::run(tables, &swept, now, out);
     drain::run(tables, &swept, now, out);
 }
--- a/src/systems/open.rs
+++ b/src/systems/open.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{pass, place, recover, take};
+use super::{flow, pass, place, recover, take};
 use crate::id::FlowKey;
 use crate::packet::{Body, Packet, Reason};
 use crate::tables::{Arrival, Flow, FlowState, Outbox, Stage, Tables};
@@ -27,6 +27,10 @@
 fn open(tables: &mut Tables, arrival: &Arrival, now: Duration, out: &mut Outbox) {
     let packet = &arrival.packet;
     let key = packet.key();
+    if tables.flows.is_foreign(packet) {
+        tables.counters.foreign += 1;
+        return;
+    }
     match tables.flows.get_mut(&key) {
         Some(flow) if flow.state == FlowState::Open => {
             flow.heard = now;
@@ -118,7 +122,7 @@
         confirm(tables, key, out);
     }
     for packet in held {
-        send_endpoint(tables, &packet, Some(target), packet.body.clone(), out);
+        flow::serve(tables, &packet, now, out);
     }
 }
 
@@ -157,7 +161,8 @@
     place(tables, key, now, out);
 }
 
-/// Sends `body` to the endpoint `target` with a ticket that names this home.
+/// Sends `body` to the endpoint `target` with a ticket that names this home, unless
+/// another service has its address.
 pub(super) fn send_endpoint(
     tables: &mut Tables,
     packet: &Packet,
@@ -169,6 +174,10 @@
         pass::reset(tables, packet, Reason::FlowLost, out);
         return;
     };
+    if pass::is_foreign(tables, packet, &target) {
+        tables.counters.reassigned += 1;
+        return;
+    }
     let sealed = tables.ticket(Side::Endpoint, packet, tables.me, Some(target));
     out.send(target.addr, packet.reply(sealed, body));
 }
--- a/src/systems/pass.rs
+++ b/src/systems/pass.rs
@@ -55,13 +55,17 @@
     target: &Target,
     now: Duration,
 ) -> bool {
-    let owner = tables.snapshot.addresses.get(&target.addr);
-    let moved = owner.is_some_and(|owner| *owner != packet.service);
     let barred = tables
         .endpoints
         .get(target.endpoint)
         .is_some_and(|row| now < row.barred);
-    moved || barred
+    is_foreign(tables, packet, target) || barred
+}
+
+/// True when the target's address belongs to another service than the packet.
+pub(super) fn is_foreign(tables: &Tables, packet: &Packet, target: &Target) -> bool {
+    let owner = tables.snapshot.addresses.get(&target.addr);
+    owner.is_some_and(|owner| *owner != packet.service)
 }
 
 /// Turns a caller's flow away.
--- a/src/systems/probe.rs
+++ b/src/systems/probe.rs
@@ -12,9 +12,12 @@
 use crate::packet::{Body, Packet, Reason};
 use crate::tables::{FlowState, Outbox, Tables};
 
-/// Shortest time between two probes of a flow.
+/// Shortest time between two probes of a flow that answers them.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 
+/// Time after which a probe without an answer is sent again.
+const PROBE_AGAIN: Duration = Duration::from_millis(200);
+
 /// Time without an answer to probes after which a flow is silent.
 const SILENT: Duration = Duration::from_secs(3);
 
@@ -24,9 +27,9 @@
 /// Shortest time between two requests for an endpoint's load.
 const GREET_EVERY: Duration = Duration::from_millis(100);
 
-pub(super) fn run(tables: &mut Tables, swept: &[FlowKey], now: Duration, out: &mut Outbox) {
-    for key in swept {
-        judge(tables, key, now, out);
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for key in tables.flows.doubted() {
+        judge(tables, &key, now, out);
     }
 }
 
@@ -35,11 +38,20 @@
     let Some(flow) = tables.flows.get_mut(key) else {
         return;
     };
-    if flow.state != FlowState::Open || now < flow.sent + PROBE_EVERY {
+    if flow.state != FlowState::Open || flow.probed.is_some() || now < flow.sent + PROBE_EVERY {
         return;
     }
+    flow.probed = Some(now);
+    tables.flows.doubt(key);
+    ask(tables, key, now, out);
+}
+
+/// Sends a probe to the endpoint of a flow.
+fn ask(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+    let Some(flow) = tables.flows.get_mut(key) else {
+        return;
+    };
     flow.sent = now;
-    flow.probed.get_or_insert(now);
     let target = flow.target;
     let packet = open::packet_of(flow);
     open::send_endpoint(tables, &packet, target, Body::Probe, out);
@@ -78,8 +90,13 @@
     let (Some(probed), Some(target)) = (flow.probed, flow.target) else {
         return;
     };
+    let sent = flow.sent;
+    let probed = probed.max(tables.woken);
     let mute = now.saturating_sub(probed);
     if mute < SILENT {
+        if now >= sent + PROBE_AGAIN {
+            ask(tables, key, now, out);
+        }
         return;
     }
     let answers_others = tables
--- a/src/systems/recover.rs
+++ b/src/systems/recover.rs
@@ -106,7 +106,7 @@
     let Some(flow) = tables.flows.get(key) else {
         return;
     };
-    let age = now.saturating_sub(flow.since);
+    let age = now.saturating_sub(flow.since.max(tables.woken));
     let due = now >= flow.sent + ASK_EVERY;
     let limit = if flow.wanted { NEW_LIMIT } else { ASK_LIMIT };
     match flow.state {
--- a/src/systems/route.rs
+++ b/src/systems/route.rs
@@ -9,11 +9,16 @@
 
 use super::forward;
 use crate::packet::{Body, HOP_LIMIT, Packet, Reason, Verdict};
-use crate::tables::{Arrival, Outbox, Stage, Tables};
+use crate::tables::{Arrival, Outbox, RequestId, Stage, Tables};
 use crate::ticket::{Home, Side, Ticket};
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     let mut inbox = std::mem::take(&mut tables.inbox);
+    if tables.snapshot.services.is_empty() {
+        // A host that has just started knows neither keys nor services, so that it
+        // would turn away every flow of others.
+        inbox.clear();
+    }
     for arrival in &mut inbox {
         tables.counters.packets += 1;
         arrival.stage = route(tables, arrival, now, out);
@@ -120,13 +125,33 @@
     let stage = match packet.body {
         Body::Greet => return Stage::Greet,
         Body::Open => Stage::Open,
-        Body::Ask { .. } | Body::Cancel { .. } => Stage::Ask,
+        Body::Ask { request, .. } | Body::Cancel { request, .. } => {
+            return route_request(tables, packet, request, out);
+        }
         _ => Stage::Flow,
     };
     let home = tables.snapshot.home(&packet.key());
     go_home(tables, home, stage, packet, out)
 }
 
+/// A request without a ticket stays with a home that leaves until that is gone, if
+/// it was taken there.
+fn route_request(tables: &mut Tables, packet: &Packet, number: u64, out: &mut Outbox) -> Stage {
+    let flow = packet.key();
+    if tables.requests.find(&RequestId { flow, number }).is_some() {
+        return Stage::Ask;
+    }
+    let elder = tables.snapshot.elder(&flow);
+    if packet.hops == 0
+        && let Some(addr) = elsewhere(tables, elder)
+    {
+        forward(tables, addr, packet, out);
+        return Stage::Spent;
+    }
+    let home = tables.snapshot.home(&flow);
+    go_home(tables, home, Stage::Ask, packet, out)
+}
+
 fn route_ticketed(
     tables: &mut Tables,
     packet: &Packet,
@@ -195,6 +220,14 @@
     Stage::Pass
 }
 
+/// A reset goes to the home, which knows whether it is for the flow's endpoint of now.
+fn route_reset(tables: &mut Tables, packet: &Packet, ticket: &Ticket, out: &mut Outbox) -> Stage {
+    if tables.snapshot.is_live(&ticket.home) {
+        return go_home(tables, Some(ticket.home), Stage::Settle, packet, out);
+    }
+    Stage::Pass
+}
+
 fn route_endpoint(
     tables: &mut Tables,
     packet: &Packet,
@@ -204,36 +237,37 @@
 ) -> Stage {
     if let Body::Reset { reason } = packet.body {
         bar(tables, ticket, reason, now);
-        return route_close(tables, packet, ticket, out);
+        return route_reset(tables, packet, ticket, out);
     }
     match packet.body {
         Body::Down { .. } => Stage::Pass,
         _ if ticket.home == tables.me => Stage::Settle,
         Body::Answer { .. } => route_answer(tables, packet, ticket, out),
-        _ if tables.snapshot.is_live(&ticket.home) => {
-            go_home(tables, Some(ticket.home), Stage::Settle, packet, out)
-        }
-        Body::Opened { .. } => Stage::Settle,
-        _ => {
-            tables.counters.orphans += 1;
-            Stage::Spent
-        }
+        Body::Opened { .. } => route_opened(tables, packet, ticket, out),
+        _ => go_home(tables, Some(ticket.home), Stage::Settle, packet, out),
+    }
+}
+
+/// An opened flow whose home is gone is taken over. A home that is not listed yet is
+/// told as well.
+fn route_opened(tables: &mut Tables, packet: &Packet, ticket: &Ticket, out: &mut Outbox) -> Stage {
+    let stage = go_home(tables, Some(ticket.home), Stage::Settle, packet, out);
+    if tables.snapshot.is_live(&ticket.home) || packet.hops > 0 {
+        stage
+    } else {
+        Stage::Settle
     }
 }
 
 /// An answer goes to the caller from the first host that it reaches, so that it
 /// needs no home, and to the home for its record.
 fn route_answer(tables: &mut Tables, packet: &Packet, ticket: &Ticket, out: &mut Outbox) -> Stage {
-    if tables.snapshot.is_live(&ticket.home) && packet.hops < HOP_LIMIT {
-        forward(tables, ticket.home.addr, packet, out);
-    } else {
+    if packet.hops > 0 {
         tables.counters.orphans += 1;
+        return Stage::Spent;
     }
-    if packet.hops == 0 {
-        Stage::Pass
-    } else {
-        Stage::Spent
-    }
+    forward(tables, ticket.home.addr, packet, out);
+    Stage::Pass
 }
 
 /// Stops all traffic to an endpoint that says it serves another service.
--- a/src/systems/settle.rs
+++ b/src/systems/settle.rs
@@ -19,6 +19,10 @@
         tables.counters.foreign += 1;
         return;
     };
+    if tables.flows.is_foreign(packet) {
+        tables.counters.foreign += 1;
+        return;
+    }
     if let Some(load) = load_of(&packet.body) {
         tables.endpoints.report(target.endpoint, load, now);
         target.incarnation = load.incarnation;
@@ -27,8 +31,11 @@
         Body::Opened { .. } => opened(tables, packet, target, now, out),
         Body::OpenRefused { .. } => open::refuse(tables, &packet.key(), target, out, now),
         Body::Probed { known, .. } => probed(tables, packet, target, *known, now, out),
-        Body::Close => closed(tables, packet, None, out),
-        Body::Reset { reason } => closed(tables, packet, Some(*reason), out),
+        Body::Close => closed(tables, packet, target, None, out),
+        Body::Reset {
+            reason: Reason::Reassigned,
+        } => reassigned(tables, packet, target, now, out),
+        Body::Reset { reason } => closed(tables, packet, target, Some(*reason), out),
         Body::PartAck { request, index } => acked(tables, *request, *index, now, out),
         Body::Refused {
             dispatch, reason, ..
@@ -97,15 +104,45 @@
     }
 }
 
+/// The address of an endpoint serves another service; a flow that it does not hold
+/// goes on elsewhere.
+fn reassigned(
+    tables: &mut Tables,
+    packet: &Packet,
+    target: Target,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    let key = packet.key();
+    match tables.flows.get(&key).map(|flow| flow.state) {
+        Some(FlowState::Recovering) => recover::answer(tables, &key, target, false, now, out),
+        Some(FlowState::Opening) => open::refuse(tables, &key, target, out, now),
+        None if tables.requests.is_sent(&key, target.endpoint) => {}
+        _ => closed(tables, packet, target, Some(Reason::Reassigned), out),
+    }
+}
+
 /// The endpoint ended the flow; the caller is told.
-fn closed(tables: &mut Tables, packet: &Packet, reason: Option<Reason>, out: &mut Outbox) {
+fn closed(
+    tables: &mut Tables,
+    packet: &Packet,
+    target: Target,
+    reason: Option<Reason>,
+    out: &mut Outbox,
+) {
+    let key = packet.key();
+    if tables
+        .flows
+        .get(&key)
+        .is_some_and(|flow| is_other(flow, &target))
+    {
+        return;
+    }
     if let Some(flow) = tables.flows.remove(&packet.key()) {
         recover::forget(tables, &flow);
     }
-    if packet.hops > 0 {
-        return;
-    }
     let body = match reason {
+        None if packet.hops > 0 => return,
         None => Body::Close,
         Some(reason) => {
             tables.counters.resets += 1;
--- a/src/tables/flows.rs
+++ b/src/tables/flows.rs
@@ -93,6 +93,7 @@
     rows: Slab<Flow>,
     index: HashMap<FlowKey, usize>,
     pending: Vec<FlowKey>,
+    doubted: Vec<FlowKey>,
     cursor: usize,
 }
 
@@ -120,6 +121,13 @@
         self.index.get(key).map(|slot| &mut self.rows[*slot])
     }
 
+    /// True when the packet names another service than the flow of its key.
+    #[must_use]
+    pub fn is_foreign(&self, packet: &Packet) -> bool {
+        let flow = self.get(&packet.key());
+        flow.is_some_and(|flow| flow.service != packet.service)
+    }
+
     /// Adds or replaces a flow.
     pub fn insert(&mut self, flow: Flow) {
         self.remove(&flow.key);
@@ -154,6 +162,22 @@
         self.pending.clone()
     }
 
+    /// Notes that a flow has been probed and waits for the answer.
+    pub fn doubt(&mut self, key: &FlowKey) {
+        self.doubted.push(*key);
+    }
+
+    /// Keys of the flows that wait for the answer to a probe.
+    pub fn doubted(&mut self) -> Vec<FlowKey> {
+        let (rows, index) = (&self.rows, &self.index);
+        let is_doubted = |key: &FlowKey| {
+            let slot = index.get(key);
+            slot.is_some_and(|slot| rows[*slot].probed.is_some())
+        };
+        self.doubted.retain(is_doubted);
+        self.doubted.clone()
+    }
+
     /// Keys of the next `share` of the table, going round it.
     pub fn sweep(&mut self, share: usize) -> Vec<FlowKey> {
         let size = self.rows.capacity();
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -63,13 +63,15 @@
     /// Empty tables for the lane `me`.
     #[must_use]
     pub fn new(me: Home, snapshot: Arc<Snapshot>, seed: u64) -> Self {
+        let mut endpoints = Endpoints::default();
+        endpoints.sync(&snapshot, Duration::ZERO);
         Self {
             me,
             snapshot,
             inbox: Vec::new(),
             flows: Flows::default(),
             requests: Requests::new(&me),
-            endpoints: Endpoints::default(),
+            endpoints,
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(seed),
             ticked: Duration::ZERO,
--- a/src/tables/requests.rs
+++ b/src/tables/requests.rs
@@ -343,6 +343,16 @@
             .flat_map(move |queues| queues[class.index()].iter().map(|(_, slot)| *slot))
     }
 
+    /// True when an endpoint has a request of the flow in hand.
+    #[must_use]
+    pub fn is_sent(&self, flow: &FlowKey, endpoint: Id) -> bool {
+        self.rows.iter().any(|(_, row)| {
+            row.id.flow == *flow
+                && row.state == RequestState::Sent
+                && row.target.is_some_and(|target| target.endpoint == endpoint)
+        })
+    }
+
     /// Slots of all requests.
     #[must_use]
     pub fn slots(&self) -> Vec<usize> {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,8 +7,8 @@
     clippy::too_many_arguments
 )]
 
-mod callers;
-mod ends;
+pub mod callers;
+pub mod ends;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -19,8 +19,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-pub use callers::CallerRow;
-pub use ends::{EndRow, Run};
+use self::callers::CallerRow;
+use self::ends::{EndRow, Run};
 
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -82,6 +82,8 @@
     /// Packets that reached an endpoint of another service.
     pub strays: usize,
     pub base: Snapshot,
+    /// Time for which the flows of a leaving endpoint run on.
+    pub drain: Duration,
     pub rng: SmallRng,
     queue: BTreeMap<(Duration, u64), (SocketAddr, SocketAddr, Packet)>,
     sent: u64,
@@ -102,6 +104,7 @@
             runs: Vec::new(),
             strays: 0,
             base,
+            drain: Duration::from_mins(10),
             rng: SmallRng::seed_from_u64(seed),
             queue: BTreeMap::new(),
             sent: 0,
@@ -175,7 +178,7 @@
             name: name.clone(),
             endpoints: ends.filter(|end| !end.removed).map(EndRow::spec).collect(),
             classes: [policy; Class::ALL.len()],
-            drain: Duration::from_secs(20),
+            drain: self.drain,
             idle: Duration::from_mins(5),
             retries: 0.1,
             reserve: 1,
--- /dev/null
+++ b/tests/flows.rs
@@ -0,0 +1,387 @@
+//! Established flows survive planned changes and deaths of balancers, silent ones
+//! are reset, and no packet reaches another service.
+
+mod common;
+
+use common::callers::{CallerRow, Phase};
+use common::ends::EndRow;
+use common::{World, addr, fabric, lane, ms};
+use jacinthhinge::prelude::*;
+
+const FLOWS: u64 = 40;
+
+/// Four hosts before three endpoints, and open flows of a caller that echoes
+/// tickets and of one that cannot.
+fn streams(seed: u64) -> World {
+    let mut world = World::new(seed, 4);
+    world.service("adserve", 3, 3);
+    world.agree();
+    for (caller, echo) in [(0, true), (1, false)] {
+        world.caller(echo);
+        for flow in 1..=FLOWS {
+            world.open(caller, flow, "adserve", true);
+        }
+    }
+    world.run(ms(7_000));
+    assert_eq!(world.phases(|phase| phase == Phase::Open), 80);
+    world
+}
+
+/// Flows broken and flows that bring nothing down, with and without ticket.
+fn harm(world: &mut World) -> [(usize, usize); 2] {
+    world.run(ms(1_500));
+    let last: Vec<Vec<u64>> = world.callers.iter().map(seqs).collect();
+    world.run(ms(1_500));
+    for row in &world.callers {
+        let ends = row
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.phase != Phase::Open);
+        let ends = ends.map(|(number, flow)| (number, flow.phase, flow.ended));
+        println!("echo={} {:?}", row.echo, ends.collect::<Vec<_>>());
+    }
+    [0, 1].map(|caller| {
+        let flows = world.callers[caller].flows.values();
+        let mute = flows.zip(&last[caller]).filter(|(flow, seq)| {
+            flow.phase == Phase::Open && flow.downs.last().is_none_or(|down| down <= seq)
+        });
+        let mute = mute.count();
+        (broken(&world.callers[caller]), mute)
+    })
+}
+
+fn seqs(row: &CallerRow) -> Vec<u64> {
+    row.flows.values().map(|flow| flow.seq).collect()
+}
+
+fn broken(row: &CallerRow) -> usize {
+    let phases = row.flows.values().map(|flow| flow.phase);
+    phases
+        .filter(|phase| matches!(phase, Phase::Broken(_)))
+        .count()
+}
+
+const UNHARMED: [(usize, usize); 2] = [(0, 0), (0, 0)];
+
+#[test]
+fn flows_survive_the_rolling_replacement_of_all_hosts() {
+    let mut world = streams(1);
+    for host in 0..4 {
+        world.hosts[host].leaving = true;
+        world.agree();
+        world.run(ms(2_500));
+        world.kill(host);
+        world.agree();
+        world.run(ms(1_000));
+        world.restart(host);
+        world.agree();
+        world.run(ms(1_000));
+    }
+    assert_eq!(harm(&mut world), UNHARMED);
+}
+
+#[test]
+fn flows_survive_changes_of_endpoints_that_reach_hosts_unevenly() {
+    let mut world = streams(2);
+    world.ends[0].leaving = true;
+    world.service("adserve", 0, 3);
+    let mut fresh = EndRow::new("adserve", 9, addr("10.1.7.7:8000"), 3, 5);
+    fresh.incarnation = world.micros();
+    world.ends.push(fresh);
+    world.configure();
+    for host in 0..4 {
+        world.hosts[host].base = world.base.clone();
+        world.publish(host);
+        world.run(ms(700));
+    }
+    world.ends[0].removed = true;
+    world.configure();
+    world.agree();
+    assert_eq!(harm(&mut world), UNHARMED);
+}
+
+/// The host dies; the others learn it three seconds later.
+fn death(world: &mut World, host: usize) {
+    world.kill(host);
+    world.run(ms(3_000));
+    world.agree();
+}
+
+#[test]
+fn flows_survive_the_death_of_a_host() {
+    let mut world = streams(3);
+    death(&mut world, 2);
+    world.run(ms(2_500));
+    assert_eq!(harm(&mut world), UNHARMED);
+    death(&mut world, 0);
+    world.run(ms(2_500));
+    assert_eq!(harm(&mut world), UNHARMED);
+}
+
+#[test]
+fn flows_survive_a_host_that_crashes_and_comes_back() {
+    let mut world = streams(4);
+    world.kill(1);
+    world.run(ms(1_000));
+    world.restart(1);
+    world.see(1, &[0, 1, 2, 3]);
+    world.run(ms(2_000));
+    world.agree();
+    world.run(ms(2_500));
+    assert_eq!(harm(&mut world), UNHARMED);
+}
+
+#[test]
+fn a_host_without_configuration_turns_no_flow_away() {
+    let mut world = streams(5);
+    world.kill(1);
+    world.restart(1);
+    let empty = Snapshot::empty(Keys::new("", ""));
+    world.hosts[1].base = empty;
+    world.hosts[1].tables.snapshot = Arc::new(Snapshot::empty(Keys::new("", "")));
+    world.run(ms(4_000));
+    world.agree();
+    assert_eq!(harm(&mut world), UNHARMED);
+}
+
+#[test]
+fn flows_of_a_paused_host_survive_its_wake() {
+    let mut world = streams(6);
+    world.pause(2, ms(9_000), 2);
+    world.run(ms(11_000));
+    assert_eq!(harm(&mut world), UNHARMED);
+}
+
+#[test]
+fn flows_of_an_endpoint_that_restarts_are_reset_in_seconds() {
+    let mut world = streams(7);
+    let held = world.ends[1].flows.len();
+    let life = world.micros();
+    world.ends[1].restart(life);
+    world.run(ms(3_000));
+    assert!(held > 0);
+    assert_eq!(world.broken(), held);
+}
+
+#[test]
+fn silent_flows_are_reset_and_idle_ones_left_alone() {
+    let mut world = streams(8);
+    for flow in 1..=FLOWS {
+        // Some flows only ping, and of those without ticket some only send.
+        let [first, second] = [0, 1].map(|caller| (caller, flow));
+        for (caller, flow) in [first, second] {
+            let row = world.callers[caller].flows.get_mut(&flow).expect("a flow");
+            row.every = (flow % 2 == 0).then_some(ms(500));
+            row.pings = caller == 0 || flow % 2 == 1;
+        }
+    }
+    world.run(ms(60_000));
+    assert_eq!(world.broken(), 0);
+    let deaf = [3, 4, 5, 6];
+    for end in &mut world.ends {
+        end.deaf.extend(deaf);
+    }
+    world.run(ms(8_000));
+    let broken: Vec<u64> = world.callers.iter().flat_map(lost).collect();
+    assert_eq!(broken, [3, 4, 5, 6, 3, 4, 5, 6]);
+}
+
+fn lost(row: &CallerRow) -> Vec<u64> {
+    let broken = |phase| matches!(phase, Phase::Broken(_));
+    let flows = row.flows.iter().filter(|(_, flow)| broken(flow.phase));
+    flows.map(|(number, _)| *number).collect()
+}
+
+#[test]
+fn healthy_flows_survive_a_lossy_network() {
+    let mut world = streams(9);
+    world.net.loss = 0.03;
+    world.net.twice = 0.05;
+    world.run(ms(180_000));
+    assert_eq!(world.broken(), 0);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work_and_ends_at_the_drain_limit() {
+    for told in [true, false] {
+        let mut world = streams(10);
+        world.drain = ms(20_000);
+        world.configure();
+        world.agree();
+        let held = world.ends[0].flows.len();
+        if told {
+            world.ends[0].leaving = true;
+            world.configure();
+            world.agree();
+        } else {
+            world.ends[0].draining = true;
+        }
+        world.run(ms(2_000));
+        let (placed, runs) = (world.ends[0].placed, world.runs.len());
+        for flow in 100..200 {
+            world.open(0, flow, "adserve", true);
+            world.ask(1, 1, flow, Class::Lookup, ms(2_000), 1);
+            world.run(ms(50));
+        }
+        let late = world.runs[runs..].iter().filter(|run| run.end == 0);
+        assert_eq!(late.count(), 0, "told={told}");
+        assert_eq!(world.ends[0].placed, placed, "told={told}");
+        assert_eq!(world.broken(), 0);
+        world.run(ms(18_000));
+        assert_eq!(world.broken(), held, "told={told}");
+    }
+}
+
+#[test]
+fn a_leaving_host_cuts_no_request() {
+    for echo in [true, false] {
+        let mut world = World::new(11, 4);
+        world.service("bestel", 4, 60);
+        world.agree();
+        world.grant(world.now + ms(60_000));
+        world.caller(echo);
+        for end in &mut world.ends {
+            end.work = ms(900);
+        }
+        for flow in 1..=FLOWS {
+            world.open(0, flow, "bestel", false);
+        }
+        world.run(ms(300));
+        for flow in 1..=FLOWS {
+            world.ask(0, flow, flow, Class::Order, ms(2_500), 2);
+        }
+        world.run(ms(300));
+        world.hosts[1].leaving = true;
+        world.agree();
+        let before = world.hosts[1].tables.in_flight(world.now);
+        assert!(before > 0);
+        world.run(ms(3_500));
+        assert_eq!(world.hosts[1].tables.in_flight(world.now), 0);
+        let asks = world.callers[0].asks.values();
+        let cut = asks.filter(|ask| ask.answer.is_none() || !ask.told.is_empty());
+        assert_eq!(cut.count(), 0, "echo={echo}");
+        assert_eq!(world.runs.len(), 40, "echo={echo}");
+    }
+}
+
+#[test]
+fn answers_reach_callers_whose_home_died() {
+    for echo in [true, false] {
+        let mut world = World::new(12, 4);
+        world.service("bestel", 4, 60);
+        world.agree();
+        world.grant(world.now + ms(60_000));
+        world.caller(echo);
+        world.open(0, 1, "bestel", false);
+        world.run(ms(300));
+        world.ends[0].parts = 5;
+        world.ask(0, 1, 1, Class::Order, ms(2_500), 1);
+        for _ in 0..3 {
+            world.run(ms(8));
+        }
+        assert_eq!(
+            (world.ran(0, 1), world.asked(0, 1).answer.is_some()),
+            (1, false)
+        );
+        let home = world.hosts[0].tables.snapshot.home(&FlowKey {
+            caller: world.callers[0].addr,
+            flow: 1,
+        });
+        let home = home.expect("a home").addr;
+        let dead = (0..4).find(|host| lane(*host) == home).expect("a host");
+        world.kill(dead);
+        world.hosts[dead].listed = false;
+        world.run(ms(500));
+        assert!(world.asked(0, 1).answer.is_some(), "echo={echo}");
+    }
+}
+
+#[test]
+fn a_bad_ticket_reaches_no_service() {
+    let mut world = streams(13);
+    world.service("kleurmatch", 2, 2);
+    world.agree();
+    let ticket = world.flow(0, 1).ticket.clone();
+    let other = world.flow(0, 2).ticket.clone();
+    let mut bad = vec![
+        (Id::of("kleurmatch"), ticket.clone()),
+        (Id::of("adserve"), other),
+    ];
+    for cut in 0..ticket.len() {
+        let mut flipped = ticket.to_vec();
+        flipped[cut] ^= 4;
+        bad.push((Id::of("adserve"), flipped.into()));
+        bad.push((Id::of("adserve"), ticket.slice(..cut.max(1))));
+    }
+    let (ups, strays) = (world.count(|c| c.passed), world.strays);
+    for row in &mut world.callers {
+        row.flows.values_mut().for_each(|flow| flow.every = None);
+        row.flows.values_mut().for_each(|flow| flow.pings = false);
+    }
+    world.run(ms(100));
+    let ups = ups.max(world.count(|c| c.passed));
+    for (service, ticket) in &bad {
+        let body = Body::Up {
+            seq: 1,
+            data: Bytes::new(),
+        };
+        let from = world.callers[0].addr;
+        let packet = Packet {
+            service: *service,
+            caller: from,
+            flow: 1,
+            hops: 0,
+            ticket: ticket.clone(),
+            body,
+        };
+        world.send(from, fabric(), &packet);
+    }
+    world.run(ms(500));
+    assert_eq!(world.count(|c| c.forged), bad.len() as u64);
+    assert_eq!((world.count(|c| c.passed), world.strays), (ups, strays));
+}
+
+#[test]
+fn flows_survive_a_rotation_of_keys_in_two_steps() {
+    let mut world = streams(14);
+    for keys in [Keys::new("one", "three"), Keys::new("three", "one")] {
+        world.base.keys = keys;
+        for host in 0..4 {
+            world.hosts[host].base = world.base.clone();
+            world.publish(host);
+            world.run(ms(1_300));
+        }
+        world.run(ms(2_500));
+    }
+    world.base.keys = Keys::new("three", "four");
+    world.agree();
+    assert_eq!(harm(&mut world), UNHARMED);
+}
+
+#[test]
+fn an_address_that_changes_service_gets_nothing_of_the_old_one() {
+    let mut world = streams(15);
+    world.service("kleurmatch", 1, 2);
+    world.agree();
+    world.run(ms(300));
+    let held = world.ends[0].flows.len();
+    world.ends[0].owner = "kleurmatch".into();
+    world.ends[0].service = "kleurmatch".into();
+    let life = world.micros();
+    world.ends[0].restart(life);
+    world.configure();
+    for host in 0..3 {
+        world.hosts[host].base = world.base.clone();
+        world.publish(host);
+    }
+    // One host still has the old configuration; the endpoint's answer stops it.
+    world.run(ms(3_000));
+    assert_eq!(world.broken(), held);
+    let strays = world.strays;
+    println!("packets refused by the endpoint itself: {strays}");
+    world.run(ms(5_000));
+    assert_eq!(world.strays, strays);
+    world.agree();
+    world.run(ms(15_000));
+    assert_eq!((world.strays, world.broken()), (strays, held));
+}
--- /dev/null
+++ b/tests/regression/boot_without_keys.rs
@@ -0,0 +1,17 @@
+//! A host that had started and held no configuration refused the tickets and the
+//! services of every flow.
+
+use super::common::ms;
+use super::world_with_home;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn a_host_without_configuration_is_silent() {
+    let (mut world, _) = world_with_home(3, 0);
+    world.open(0, 1_000, "bestel", true);
+    world.run(ms(500));
+    world.restart(1);
+    world.hosts[1].tables.snapshot = Arc::new(Snapshot::empty(Keys::new("", "")));
+    world.run(ms(3_000));
+    assert_eq!(world.broken(), 0);
+}
--- a/tests/regression/cancel_after_restart.rs
+++ b/tests/regression/cancel_after_restart.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn a_new_life_refuses_nothing_of_the_old_one() {
-    let (mut world, flow) = world_with_home(0);
+    let (mut world, flow) = world_with_home(1, 0);
     world.ends[0].work = ms(500);
     world.ask(0, flow, 7, Class::Order, ms(2_000), 1);
     world.run(ms(60));
--- /dev/null
+++ b/tests/regression/foreign_flow.rs
@@ -0,0 +1,22 @@
+//! A packet that named another service under the number of an open flow went to
+//! that flow's endpoint once its address had left the configuration.
+
+use super::common::ms;
+use super::world_with_flows;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn a_flow_takes_no_packet_of_another_service() {
+    let mut world = world_with_flows(4);
+    world.service("kleurmatch", 1, 1);
+    for end in &mut world.ends[..3] {
+        end.removed = true;
+    }
+    world.configure();
+    world.agree();
+    let strays = world.strays;
+    let flow = world.callers[0].flows.get_mut(&5).expect("a flow");
+    flow.service = Id::of("kleurmatch");
+    world.run(ms(2_000));
+    assert_eq!((world.strays, world.broken()), (strays, 0));
+}
--- /dev/null
+++ b/tests/regression/held_ping.rs
@@ -0,0 +1,26 @@
+//! A ping that was held while its flow was recovered went on to the endpoint, which
+//! knows no such packet.
+
+use super::common::ms;
+use super::world_with_flows;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn a_held_ping_is_answered_by_its_host() {
+    let mut world = world_with_flows(5);
+    for flow in world.callers[0].flows.values_mut() {
+        flow.every = None;
+    }
+    world.filter = Box::new(|_, to, packet| {
+        let is_end = to.to_string().starts_with("10.1.");
+        assert!(
+            !is_end || packet.body != Body::Ping,
+            "a ping for an endpoint"
+        );
+        true
+    });
+    world.kill(2);
+    world.agree();
+    world.run(ms(4_000));
+    assert_eq!(world.broken(), 0);
+}
--- /dev/null
+++ b/tests/regression/leaving_home.rs
@@ -0,0 +1,27 @@
+//! The repeats of a running order went past the leaving home that had taken it, to
+//! the next one, which told its caller that the outcome was unknown.
+
+use super::common::ms;
+use super::world_with_flows;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn a_leaving_home_keeps_its_requests() {
+    let mut world = world_with_flows(6);
+    world.grant(world.now + ms(60_000));
+    world.ends.iter_mut().for_each(|end| end.slots = 9);
+    world.ends.iter_mut().for_each(|end| end.work = ms(900));
+    for flow in 1..=6 {
+        world.ask(0, flow, flow, Class::Order, ms(2_500), 1);
+    }
+    world.run(ms(300));
+    world.hosts[0].leaving = true;
+    world.agree();
+    world.run(ms(3_000));
+    let told: Vec<_> = world.callers[0]
+        .asks
+        .values()
+        .map(|ask| &ask.told)
+        .collect();
+    assert!(told.iter().all(|told| told.is_empty()), "{told:?}");
+}
--- /dev/null
+++ b/tests/regression/lost_probe.rs
@@ -0,0 +1,21 @@
+//! Two lost probes in a row reset a healthy flow.
+
+use super::common::ms;
+use super::world_with_flows;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn a_flow_is_probed_often_before_it_counts_as_silent() {
+    for offset in [0, 500, 1_000, 1_500] {
+        let mut world = world_with_flows(7);
+        for flow in world.callers[0].flows.values_mut() {
+            flow.every = None;
+        }
+        world.run(ms(2_000 + offset));
+        world.filter = Box::new(|_, _, packet| packet.body != Body::Probe || packet.flow > 3);
+        world.run(ms(2_700));
+        world.filter = Box::new(|_, _, _| true);
+        world.run(ms(5_000));
+        assert_eq!(world.broken(), 0, "offset={offset}");
+    }
+}
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -3,18 +3,26 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod boot_without_endpoints;
+mod boot_without_keys;
 mod cancel_after_restart;
+mod foreign_flow;
+mod held_ping;
+mod leaving_home;
+mod lost_probe;
 mod mixed_answers;
 mod pause_past_record;
+mod reassigned_probe;
 mod short_record;
+mod unlisted_home;
 
 use common::{World, ms};
 use jacinthhinge::prelude::*;
 
 /// Two hosts before one endpoint, a caller with a ticket of the home `host`, and
 /// the number of its flow.
-fn world_with_home(host: usize) -> (World, u64) {
-    let mut world = World::new(1, 2);
+fn world_with_home(seed: u64, host: usize) -> (World, u64) {
+    let mut world = World::new(seed, 2);
     world.service("bestel", 1, 1);
     world.agree();
     world.caller(true);
@@ -32,3 +40,17 @@
     world.run(ms(300));
     (world, flow)
 }
+
+/// Four hosts before three endpoints, and twenty open flows of a caller that cannot
+/// echo tickets.
+fn world_with_flows(seed: u64) -> World {
+    let mut world = World::new(seed, 4);
+    world.service("adserve", 3, 3);
+    world.agree();
+    world.caller(false);
+    for flow in 1..=20 {
+        world.open(0, flow, "adserve", true);
+    }
+    world.run(ms(7_000));
+    world
+}
--- a/tests/regression/pause_past_record.rs
+++ b/tests/regression/pause_past_record.rs
@@ -6,29 +6,38 @@
 use super::world_with_home;
 use jacinthhinge::prelude::*;
 
-fn pause(host: usize, gulp: usize) {
-    let (mut world, flow) = world_with_home(0);
-    let ask = |packet: &Packet| matches!(packet.body, Body::Ask { .. });
+fn pause(seed: u64, host: usize, gulp: usize) {
+    let (mut world, flow) = world_with_home(seed, 0);
+    let caller = world.callers[0].addr;
+    let is_answer = |packet: &Packet| matches!(packet.body, Body::Answer { .. });
+    let is_ask = |packet: &Packet| matches!(packet.body, Body::Ask { .. });
+    world.filter = Box::new(move |_, to, packet| to != caller || !is_answer(packet));
     world.ask(0, flow, 7, Class::Order, ms(2_000), 1);
-    world.filter = Box::new(|_, _, packet| !matches!(packet.body, Body::Answer { .. }));
-    world.run(ms(100));
+    world.run(ms(400));
     assert_eq!(world.ran(0, 7), 1);
     world.pause(host, ms(40_000), gulp);
-    let to = lane(host);
-    world.filter = Box::new(move |_, at, packet| !ask(packet) || at == to || at == lane(0));
+    let (paused, home) = (lane(host), lane(0));
+    world.filter = Box::new(move |_, to, packet| {
+        let passes = to == paused || to == home;
+        (!is_ask(packet) || passes) && (to != caller || !is_answer(packet))
+    });
     world.run(ms(45_000));
     assert_eq!(world.ran(0, 7), 1);
 }
 
 #[test]
 fn a_paused_home_takes_nothing_stale() {
-    pause(0, 0);
-    pause(0, 1);
-    pause(0, 3);
+    for seed in 0..10 {
+        pause(seed, 0, 0);
+        pause(seed, 0, 1);
+        pause(seed, 0, 3);
+    }
 }
 
 #[test]
 fn a_paused_host_forwards_nothing_stale() {
-    pause(1, 0);
-    pause(1, 1);
+    for seed in 0..10 {
+        pause(seed, 1, 0);
+        pause(seed, 1, 1);
+    }
 }
--- /dev/null
+++ b/tests/regression/unlisted_home.rs
@@ -0,0 +1,16 @@
+//! Hosts dropped the endpoints' answers for a home in a life that they did not know
+//! yet, so that it found no flow again.
+
+use super::common::ms;
+use super::world_with_flows;
+
+#[test]
+fn answers_reach_a_home_that_others_do_not_list() {
+    let mut world = world_with_flows(9);
+    world.restart(1);
+    world.hosts[1].listed = false;
+    world.see(1, &[0, 1, 2, 3]);
+    world.run(ms(4_000));
+    assert_eq!(world.broken(), 0);
+    assert!(world.hosts[1].tables.counters.recovered > 0);
+}
