Compare designs by broken flows, and show that encoding loses and trusts nothing

Change: `survival_table` replaces two hosts, adds an endpoint and lets one leave, unevenly over the hosts. tests/wire.rs generates packets, tickets and bytes.

--- a/tests/flows.rs
+++ b/tests/flows.rs
@@ -3,10 +3,15 @@
 
 mod common;
 
+use std::collections::{BTreeSet, HashMap};
+
 use common::callers::{CallerRow, Phase};
 use common::ends::EndRow;
 use common::{World, addr, fabric, lane, ms};
+use jacinthhinge::id::rendezvous;
 use jacinthhinge::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 
 const FLOWS: u64 = 40;
 
@@ -385,3 +390,91 @@
     world.run(ms(15_000));
     assert_eq!((world.strays, world.broken()), (strays, held));
 }
+
+/// What the two usual designs do with a packet.
+#[derive(Clone, Copy)]
+enum Design {
+    Tables,
+    Hashing,
+}
+
+/// Flows broken under the script of [`survival_table`], when each host decides by
+/// its own table or by hashing alone.
+fn broken_by(design: Design) -> usize {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut views = vec![vec![0_u64, 1, 2]; 4];
+    let mut tables = vec![HashMap::new(); 4];
+    let mut broken = BTreeSet::new();
+    let mut choose = |views: &[Vec<u64>], tables: &mut [HashMap<u64, u64>], flow: u64| {
+        let host = rng.random_range(0..4_usize);
+        let view = &views[host];
+        match design {
+            Design::Hashing => *view
+                .iter()
+                .max_by_key(|end| rendezvous(flow, Id(**end)))
+                .expect("an endpoint"),
+            Design::Tables => {
+                let own = view[rng.random_range(0..view.len())];
+                *tables[host].entry(flow).or_insert(own)
+            }
+        }
+    };
+    let holders: Vec<u64> = (0..2 * FLOWS)
+        .map(|flow| choose(&views, &mut tables, flow))
+        .collect();
+    for step in 0..6 {
+        match step {
+            0 | 4 => tables[step / 2].clear(),
+            1 => views[..2].fill(vec![0, 1, 2, 3]),
+            2 => views.fill(vec![0, 1, 2, 3]),
+            3 => views[1..].fill(vec![1, 2, 3]),
+            _ => views.fill(vec![1, 2, 3]),
+        }
+        for (flow, holder) in (0..).zip(&holders) {
+            if choose(&views, &mut tables, flow) != *holder {
+                broken.insert(flow);
+            }
+        }
+    }
+    broken.len()
+}
+
+/// Replaces two hosts, adds an endpoint and lets one leave, unevenly over the hosts.
+#[test]
+fn survival_table() {
+    let mut world = streams(16);
+    for step in 0..6 {
+        match step {
+            0 | 4 => {
+                world.kill(step / 2);
+                world.run(ms(3_000));
+                world.restart(step / 2);
+            }
+            1 => {
+                let life = world.micros();
+                let place = addr("10.1.1.9:8000");
+                world.ends.push(EndRow::new("adserve", 9, place, 3, life));
+            }
+            3 => world.ends[0].leaving = true,
+            _ => {}
+        }
+        world.configure();
+        if matches!(step, 1 | 3) {
+            for host in 0..2 {
+                world.hosts[host].base = world.base.clone();
+                world.publish(host);
+            }
+        } else {
+            world.agree();
+        }
+        world.run(ms(2_500));
+    }
+    let chosen = harm(&mut world);
+    let (tables, hashing) = (broken_by(Design::Tables), broken_by(Design::Hashing));
+    println!("broken flows of 80, under one script:");
+    println!("| per-host tables only | {tables} |");
+    println!("| hashing only | {hashing} |");
+    println!("| tickets and recovery | {} |", world.broken());
+    assert_eq!(chosen, UNHARMED);
+    assert!(tables > 0 && hashing > 0);
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,236 @@
+//! Packets and tickets survive their encoding, and bytes that are none change nothing.
+
+use jacinthhinge::packet::{PACKET_BYTES, PART_BYTES, PART_COUNT};
+use jacinthhinge::prelude::*;
+use jacinthhinge::systems;
+use jacinthhinge::tables::{Arrival, Outbox, Tables};
+use jacinthhinge::wire::{decode_packet, decode_ticket, encode_packet, encode_ticket};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const REASONS: [Reason; 12] = [
+    Reason::BadTicket,
+    Reason::NoService,
+    Reason::Reassigned,
+    Reason::FlowLost,
+    Reason::Silent,
+    Reason::Overload,
+    Reason::Late,
+    Reason::Cancelled,
+    Reason::HomeLost,
+    Reason::NoLease,
+    Reason::EndpointLost,
+    Reason::Draining,
+];
+
+fn data() -> impl Strategy<Value = Bytes> {
+    vec(any::<u8>(), 0..=PART_BYTES).prop_map(Bytes::from)
+}
+
+fn place() -> impl Strategy<Value = SocketAddr> {
+    prop_oneof![
+        any::<([u8; 4], u16)>().prop_map(SocketAddr::from),
+        any::<([u16; 8], u16)>().prop_map(SocketAddr::from),
+    ]
+}
+
+fn load() -> impl Strategy<Value = Load> {
+    (1..u64::MAX, any::<u32>(), any::<u32>(), any::<bool>()).prop_map(
+        |(incarnation, busy, conns, draining)| Load {
+            incarnation,
+            busy,
+            conns,
+            draining,
+        },
+    )
+}
+
+fn part() -> impl Strategy<Value = Part> {
+    (1..=PART_COUNT, any::<prop::sample::Index>(), data()).prop_map(|(total, index, data)| Part {
+        index: u32::try_from(index.index(total as usize)).expect("a part"),
+        total,
+        data,
+    })
+}
+
+fn reason() -> impl Strategy<Value = Reason> {
+    prop::sample::select(REASONS.to_vec())
+}
+
+/// Micros that a budget may hold.
+fn budget() -> impl Strategy<Value = Duration> {
+    any::<u64>().prop_map(Duration::from_micros)
+}
+
+fn endpoint_body() -> impl Strategy<Value = Body> {
+    let ids = any::<(u64, u64)>();
+    prop_oneof![
+        load().prop_map(|load| Body::Opened { load }),
+        load().prop_map(|load| Body::OpenRefused { load }),
+        (any::<u64>(), data()).prop_map(|(seq, data)| Body::Down { seq, data }),
+        (any::<bool>(), load()).prop_map(|(known, load)| Body::Probed { known, load }),
+        reason().prop_map(|reason| Body::Reset { reason }),
+        any::<(u64, u32)>().prop_map(|(request, index)| Body::PartAck { request, index }),
+        (ids, reason(), load()).prop_map(|((request, dispatch), reason, load)| Body::Refused {
+            request,
+            dispatch,
+            reason,
+            load
+        }),
+        (ids, load(), part()).prop_map(|((request, dispatch), load, part)| Body::Answer {
+            request,
+            dispatch,
+            load,
+            part
+        }),
+    ]
+}
+
+fn other_body() -> impl Strategy<Value = Body> {
+    let class = prop::sample::select(Class::ALL.to_vec());
+    let ask = (any::<u64>(), class.clone(), budget(), part());
+    let work = (any::<(u64, u64, u64)>(), class, budget(), part());
+    let verdict = prop_oneof![Just(Verdict::NotRun), Just(Verdict::Unknown)];
+    prop_oneof![
+        prop::sample::select(vec![
+            Body::Greet,
+            Body::Greeted,
+            Body::Open,
+            Body::Ping,
+            Body::Pong,
+            Body::Close,
+            Body::Probe
+        ]),
+        (any::<u64>(), data()).prop_map(|(seq, data)| Body::Up { seq, data }),
+        ask.prop_map(|(request, class, budget, part)| Body::Ask {
+            request,
+            class,
+            budget,
+            part
+        }),
+        work.prop_map(
+            |((request, dispatch, expect), class, budget, part)| Body::Work {
+                request,
+                dispatch,
+                expect,
+                class,
+                budget,
+                part
+            }
+        ),
+        (any::<u64>(), verdict, reason()).prop_map(|(request, verdict, reason)| Body::Ended {
+            request,
+            verdict,
+            reason
+        }),
+        any::<(u64, u64)>().prop_map(|(request, dispatch)| Body::Cancel { request, dispatch }),
+    ]
+}
+
+fn ticket() -> impl Strategy<Value = Ticket> {
+    let home = (any::<u64>(), any::<u64>(), place()).prop_map(|(host, incarnation, addr)| Home {
+        host: Id(host),
+        incarnation,
+        addr,
+    });
+    let target =
+        (any::<u64>(), place(), any::<u64>()).prop_map(|(endpoint, addr, incarnation)| Target {
+            endpoint: Id(endpoint),
+            addr,
+            incarnation,
+        });
+    let side = prop_oneof![Just(Side::Caller), Just(Side::Endpoint)];
+    let flow = (place(), any::<u64>()).prop_map(|(caller, flow)| FlowKey { caller, flow });
+    let parts = (side, any::<u64>(), flow, home, prop::option::of(target));
+    parts.prop_map(|(side, service, flow, home, target)| Ticket {
+        side,
+        service: Id(service),
+        flow,
+        home,
+        target,
+    })
+}
+
+fn packet(body: impl Strategy<Value = Body>) -> impl Strategy<Value = Packet> {
+    let ticket = ticket().prop_map(|ticket| Keys::new("three", "four").seal(&ticket));
+    let parts = (any::<u64>(), place(), any::<u64>(), 0..4_u32, ticket, body);
+    parts.prop_map(|(service, caller, flow, hops, ticket, body)| Packet {
+        service: Id(service),
+        caller,
+        flow,
+        hops,
+        ticket,
+        body,
+    })
+}
+
+fn tables() -> Tables {
+    let home = Home {
+        host: Id::of("host-0"),
+        incarnation: 1,
+        addr: SocketAddr::from(([10, 0, 0, 1], 7_000)),
+    };
+    Tables::new(home, Arc::new(Snapshot::empty(Keys::new("one", "two"))), 1)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_packet_survives_and_fits(packet in packet(prop_oneof![endpoint_body(), other_body()])) {
+        let bytes = encode_packet(&packet);
+        prop_assert!(bytes.len() <= PACKET_BYTES, "{} bytes", bytes.len());
+        prop_assert_eq!(decode_packet(bytes.into()).expect("a packet"), packet);
+    }
+
+    #[test]
+    fn any_ticket_survives(ticket in ticket()) {
+        let bytes = encode_ticket(&ticket);
+        prop_assert_eq!(decode_ticket(&bytes).expect("a ticket"), ticket);
+    }
+
+    #[test]
+    fn any_bytes_are_a_packet_or_a_typed_error(bytes in vec(any::<u8>(), 0..1_500)) {
+        if let Err(error) = decode_packet(bytes.clone().into()) {
+            prop_assert!(error.is_packet());
+        }
+        prop_assert!(Keys::new("one", "two").open(&bytes).is_err_and(|error| error.is_packet()));
+    }
+
+    #[test]
+    fn a_spoilt_packet_is_a_packet_or_a_typed_error(
+        packet in packet(prop_oneof![endpoint_body(), other_body()]),
+        cut in any::<prop::sample::Index>(),
+        flip in any::<(prop::sample::Index, u8)>(),
+    ) {
+        let mut bytes = encode_packet(&packet);
+        let at = flip.0.index(bytes.len());
+        bytes[at] ^= flip.1;
+        bytes.truncate(cut.index(bytes.len()) + 1);
+        if let Err(error) = decode_packet(bytes.into()) {
+            prop_assert!(error.is_packet());
+        }
+    }
+
+    #[test]
+    fn an_endpoint_without_its_ticket_changes_no_table(packet in packet(endpoint_body())) {
+        let service = Service {
+            id: Id::of("adserve"),
+            name: "adserve".into(),
+            endpoints: Vec::new(),
+            classes: [Policy { rank: 1, deadline: Duration::from_secs(2), service_time: Duration::ZERO }; Class::ALL.len()],
+            drain: Duration::ZERO,
+            idle: Duration::ZERO,
+            retries: 0.0,
+            reserve: 0,
+        };
+        let mut tables = tables();
+        tables.snapshot = Arc::new(Snapshot::empty(Keys::new("one", "two")).with_services([service]));
+        let mut out = Outbox::default();
+        tables.inbox.push(Arrival::new(packet.caller, packet));
+        systems::run(&mut tables, Duration::from_millis(1), &mut out);
+        prop_assert!(tables.flows.is_empty() && tables.requests.is_empty());
+        prop_assert!(out.sends.is_empty());
+        prop_assert_eq!(tables.counters.forged, 1);
+    }
+}
