Script scenarios over the decision core through two front ends

Cause: the promises need proofs that operators can read, and the core has to serve another front end.

Change: tests/scenarios.rs is one adapter from a small language to typed events. Each is played with packets handed over as they are and through their encoding, and both must give the same outcomes.

--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,275 @@
+//! Scripted scenarios: a small language over the decision core.
+//!
+//! Each script of tests/scenarios/ is played twice, with packets handed over as they
+//! are and through their encoding; both front ends must give the same outcomes.
+
+mod common;
+
+use std::fmt::Write;
+use std::str::FromStr;
+
+use common::callers::Phase;
+use common::{World, fabric, ms};
+use datadriven::TestCase;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenarios", |file| {
+        let mut worlds = [false, true].map(|encoded| {
+            let mut world = World::new(1, 0);
+            world.net.encoded = encoded;
+            world
+        });
+        file.run(|case| {
+            let [plain, encoded] = worlds
+                .each_mut()
+                .map(|world| play(world, &mut case.clone()));
+            assert_eq!(plain, encoded, "the two front ends differ");
+            plain
+        });
+    });
+}
+
+fn get<T: FromStr>(case: &mut TestCase, name: &str, default: T) -> T
+where
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    let value = case.try_take_arg(name);
+    value.expect("an argument").unwrap_or(default)
+}
+
+fn name(case: &mut TestCase, name: &str) -> String {
+    case.take_arg(name).expect("a name")
+}
+
+fn span(case: &mut TestCase, name: &str, default: Duration) -> Duration {
+    let text: Option<String> = case.try_take_arg(name).expect("a time");
+    text.map_or(default, |text| {
+        humantime::parse_duration(&text).expect("a time")
+    })
+}
+
+fn class(case: &mut TestCase) -> Class {
+    let text = get(case, "class", String::from("order"));
+    serde_json::from_value(text.into()).expect("a class")
+}
+
+fn play(world: &mut World, case: &mut TestCase) -> String {
+    let mut text = String::new();
+    match case.directive.as_str() {
+        "show" => text = show(world, &name(case, "what")),
+        "run" => world.run(span(case, "for", ms(1_000))),
+        "endpoint" => endpoint(world, case),
+        "open" | "greet" | "ask" | "cancel" | "forge" => call(world, case),
+        _ => host(world, case),
+    }
+    case.expect_empty().expect("known arguments");
+    text
+}
+
+/// Directives about hosts and what they know.
+fn host(world: &mut World, case: &mut TestCase) {
+    let host: usize = get(case, "host", 0);
+    match case.directive.as_str() {
+        "hosts" => {
+            let encoded = world.net.encoded;
+            *world = World::new(get(case, "seed", 1), get(case, "n", 4));
+            world.net.encoded = encoded;
+        }
+        "service" => {
+            let (ends, slots) = (get(case, "endpoints", 3), get(case, "slots", 3));
+            world.drain = span(case, "drain", world.drain);
+            world.service(&name(case, "name"), ends, slots);
+            world.agree();
+        }
+        "caller" => {
+            let echo = name(case, "ticket") == "yes";
+            world.caller(echo);
+        }
+        "agree" => world.agree(),
+        "configure" => {
+            world.hosts[host].base = world.base.clone();
+            world.publish(host);
+        }
+        "see" => {
+            let alive: Vec<usize> = case.take_args("alive").expect("hosts");
+            world.see(host, &alive);
+        }
+        "lease" => {
+            let until = world.now + span(case, "for", ms(60_000));
+            world.grant(until);
+        }
+        "kill" => world.kill(host),
+        "restart" => world.restart(host),
+        "leave" => world.hosts[host].leaving = true,
+        "pause" => {
+            let time = span(case, "for", ms(5_000));
+            world.pause(host, time, get(case, "gulp", 0));
+        }
+        "rotate" => {
+            world.base.keys = Keys::new(&name(case, "current"), &name(case, "other"));
+        }
+        "net" => {
+            world.net.loss = get(case, "loss", 0.0);
+            world.net.twice = get(case, "twice", 0.0);
+            world.net.late = get(case, "late", 0.0);
+            world.net.slow = get(case, "slow", 500);
+        }
+        "cut" => {
+            let (from, to) = (name(case, "from"), name(case, "to"));
+            world.filter = Box::new(move |a, b, _| !(within(a, &from) && within(b, &to)));
+        }
+        "heal" => world.filter = Box::new(|_, _, _| true),
+        other => panic!("unknown directive {other}"),
+    }
+}
+
+fn within(addr: SocketAddr, prefix: &str) -> bool {
+    addr.to_string().starts_with(prefix)
+}
+
+/// Directives about an endpoint.
+fn endpoint(world: &mut World, case: &mut TestCase) {
+    let name = name(case, "name");
+    let life = world.micros();
+    let end = world.ends.iter_mut().find(|end| *end.name == name);
+    let end = end.expect("an endpoint");
+    end.work = span(case, "work", end.work);
+    end.shed = get(case, "shed", end.shed);
+    end.parts = get(case, "parts", end.parts);
+    end.deaf.extend(
+        case.try_take_args::<u64>("deaf")
+            .expect("flows")
+            .unwrap_or_default(),
+    );
+    if let Some(service) = case.try_take_arg::<String>("service").expect("a service") {
+        end.owner = service.as_str().into();
+        end.service = service.as_str().into();
+        end.restart(life);
+    }
+    let is_set = |case: &mut TestCase, flag| case.take_flag(flag).expect("a flag");
+    end.draining |= is_set(case, "drain");
+    end.leaving |= is_set(case, "leave");
+    end.leaving &= !is_set(case, "stay");
+    end.removed |= is_set(case, "remove");
+    end.up &= !is_set(case, "kill");
+    if is_set(case, "restart") {
+        end.restart(life);
+    }
+    world.configure();
+}
+
+/// Directives about callers.
+fn call(world: &mut World, case: &mut TestCase) {
+    let caller = get(case, "caller", 0);
+    let flow: u64 = get(case, "flow", 1);
+    let to: u64 = get(case, "to", flow);
+    let request = get(case, "request", flow);
+    match case.directive.as_str() {
+        "open" | "greet" => {
+            let (service, stream) = (name(case, "service"), case.directive == "open");
+            for flow in flow..=to {
+                world.open(caller, flow, &service, stream);
+            }
+        }
+        "ask" => {
+            let (budget, parts) = (span(case, "budget", ms(2_000)), get(case, "parts", 1));
+            let class = class(case);
+            for step in 0..=(to - flow) {
+                world.ask(caller, flow + step, request + step, class, budget, parts);
+            }
+        }
+        "cancel" => world.cancel(caller, request),
+        _ => {
+            let service = Id::of(&name(case, "service"));
+            let mut ticket = world.flow(caller, flow).ticket.to_vec();
+            if let Some(byte) = ticket.get_mut(get(case, "byte", usize::MAX)) {
+                *byte ^= 1;
+            }
+            ticket.truncate(get(case, "length", ticket.len()));
+            let from = world.callers[caller].addr;
+            let body = Body::Up {
+                seq: 1_000,
+                data: Bytes::new(),
+            };
+            let packet = Packet {
+                service,
+                caller: from,
+                flow: get(case, "as", flow),
+                hops: 0,
+                ticket: ticket.into(),
+                body,
+            };
+            world.send(from, fabric(), &packet);
+        }
+    }
+}
+
+fn show(world: &World, what: &str) -> String {
+    let mut text = String::new();
+    match what {
+        "flows" => {
+            for row in &world.callers {
+                let count = |want: fn(Phase) -> bool| {
+                    row.flows.values().filter(|flow| want(flow.phase)).count()
+                };
+                let open = count(|phase| phase == Phase::Open);
+                let opening = count(|phase| phase == Phase::Opening);
+                let echo = if row.echo { "ticket" } else { "no ticket" };
+                write!(text, "{echo}: open={open} opening={opening}").expect("text");
+                for (flow, state) in &row.flows {
+                    if let Phase::Broken(reason) = state.phase {
+                        write!(text, " {flow}={reason:?}").expect("text");
+                    }
+                }
+                text.push('\n');
+            }
+        }
+        "outcomes" => {
+            for (caller, row) in world.callers.iter().enumerate() {
+                for (request, ask) in &row.asks {
+                    let answer = ask.answer.is_some();
+                    let (ran, told) = (world.ran(caller, *request), ask.told.last());
+                    writeln!(
+                        text,
+                        "{caller}/{request}: ran={ran} answered={answer} told={told:?}"
+                    )
+                    .expect("text");
+                }
+            }
+        }
+        "executed" => writeln!(text, "{}", world.runs.len()).expect("text"),
+        "strays" => writeln!(text, "{}", world.strays).expect("text"),
+        "endpoints" => {
+            for end in &world.ends {
+                writeln!(
+                    text,
+                    "{}: flows={} placed={}",
+                    end.name,
+                    end.flows.len(),
+                    end.placed
+                )
+                .expect("text");
+            }
+        }
+        "inflight" => {
+            for (host, row) in world.hosts.iter().enumerate() {
+                writeln!(text, "host-{host}: {}", row.tables.in_flight(world.now)).expect("text");
+            }
+        }
+        "counters" => {
+            let forged = world.count(|counters| counters.forged);
+            let resets = world.count(|counters| counters.resets);
+            let recovered = world.count(|counters| counters.recovered);
+            let pauses = world.count(|counters| counters.pauses);
+            writeln!(
+                text,
+                "forged={forged} resets={resets} recovered={recovered} pauses={pauses}"
+            )
+            .expect("text");
+        }
+        other => panic!("nothing to show as {other}"),
+    }
+    text
+}
