--- a/tests/common/ends.rs
+++ b/tests/common/ends.rs
@@ -211,6 +211,13 @@
         if let Some(reason) = refusal {
             job.stage = Stage::Refused(reason);
         } else if job.parts.is_whole() {
+            for part in job.parts.iter() {
+                assert_eq!(
+                    part.data,
+                    format!("{request}.{}", part.index),
+                    "mixed parts"
+                );
+            }
             job.stage = Stage::Running(world.now + time);
             job.serial = serial;
             world.runs.push(Run {
--- a/tests/flows.rs
+++ b/tests/flows.rs
@@ -7,7 +7,7 @@
 
 use common::callers::{CallerRow, Phase};
 use common::ends::EndRow;
-use common::{World, addr, fabric, lane, ms};
+use common::{Net, World, addr, fabric, lane, ms};
 use jacinthhinge::id::rendezvous;
 use jacinthhinge::prelude::*;
 use rand::rngs::SmallRng;
@@ -391,6 +391,43 @@
     assert_eq!((world.strays, world.broken()), (strays, held));
 }
 
+#[test]
+fn uploads_and_answers_arrive_whole_through_a_lossy_network() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 4);
+        world.service("creative-intake", 2, 30);
+        world.agree();
+        world.grant(world.now + ms(60_000));
+        world.net = Net {
+            loss: 0.1,
+            twice: 0.2,
+            late: 0.3,
+            slow: 200,
+            encoded: seed % 2 == 0,
+        };
+        for end in &mut world.ends {
+            end.parts = 30;
+        }
+        for (caller, echo) in [(0, true), (1, false)] {
+            world.caller(echo);
+            world.open(caller, 1, "creative-intake", false);
+        }
+        world.run(ms(1_500));
+        for (caller, request) in [(0, 1), (1, 1), (0, 2), (1, 2)] {
+            world.ask(caller, 1, request, Class::Upload, ms(3_000), 150);
+            world.ask(caller, 1, request + 10, Class::Order, ms(3_000), 10);
+        }
+        world.run(ms(4_000));
+        for row in &world.callers {
+            for (request, ask) in &row.asks {
+                let answer = ask.answer.as_ref().expect("an answer");
+                assert_eq!(answer.len(), 30, "seed={seed} request={request}");
+                assert!(answer.iter().all(|part| *part == answer[0]));
+            }
+        }
+    }
+}
+
 /// What the two usual designs do with a packet.
 #[derive(Clone, Copy)]
 enum Design {
