Let former homes close no flow, and name the endpoint's life in repeated opens

Cause: a host that others held for dead for eight seconds was home again, and the host that had stood in closed its idle rows' flows at the endpoints five minutes later, though they lived on. A repeated open of a flow whose endpoint had left the configuration was answered with incarnation zero, which cannot be read.

Ruled out: closing only as the rendezvous home with the lease, since a ticket may name another home; asking all hosts first, as its cost grows with the fleet.

The answer to an open takes the life from the flow's target.

Conclusion: an endpoint with callers that vanish without a close keeps their places until its own idle time.

--- a/src/systems/idle.rs
+++ b/src/systems/idle.rs
@@ -1,22 +1,25 @@
 //! Forgets flows without traffic.
+//!
+//! Only the row is dropped. A host that was home to a flow for a while cannot tell
+//! whether the flow lives on with another, so it closes nothing at the endpoint,
+//! which forgets by itself the flows that no host has asked it for.
 
 use std::time::Duration;
 
-use super::{open, recover};
+use super::recover;
 use crate::id::FlowKey;
-use crate::packet::Body;
-use crate::tables::{FlowState, Outbox, Tables};
+use crate::tables::{FlowState, Tables};
 
 /// Idle limit of a service that is not configured.
 const IDLE: Duration = Duration::from_mins(5);
 
-pub(super) fn run(tables: &mut Tables, swept: &[FlowKey], now: Duration, out: &mut Outbox) {
+pub(super) fn run(tables: &mut Tables, swept: &[FlowKey], now: Duration) {
     for key in swept {
-        expire(tables, key, now, out);
+        expire(tables, key, now);
     }
 }
 
-fn expire(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
+fn expire(tables: &mut Tables, key: &FlowKey, now: Duration) {
     let Some(flow) = tables.flows.get(key) else {
         return;
     };
@@ -28,8 +31,6 @@
     if flow.state != FlowState::Open || now < flow.heard + idle {
         return;
     }
-    let (packet, target) = (open::packet_of(flow), flow.target);
-    open::send_endpoint(tables, &packet, target, Body::Close, out);
     if let Some(flow) = tables.flows.remove(key) {
         recover::forget(tables, &flow);
     }
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -73,7 +73,7 @@
     expire::run(tables, now, out);
     probe::run(tables, now, out);
     let swept = tables.flows.sweep(SWEEP);
-    idle::run(tables, &swept, now, out);
+    idle::run(tables, &swept, now);
     drain::run(tables, &swept, now, out);
 }
 
--- a/src/systems/open.rs
+++ b/src/systems/open.rs
@@ -8,7 +8,7 @@
 
 use super::{flow, pass, place, recover, take};
 use crate::id::FlowKey;
-use crate::packet::{Body, Packet, Reason};
+use crate::packet::{Body, Load, Packet, Reason};
 use crate::tables::{Arrival, Flow, FlowState, Outbox, Stage, Tables};
 use crate::ticket::{Side, Target};
 
@@ -132,11 +132,14 @@
         return;
     };
     let packet = packet_of(flow);
-    let load = flow
-        .target
-        .and_then(|target| tables.endpoints.get(target.endpoint))
-        .map(|row| row.load)
-        .unwrap_or_default();
+    let Some(target) = flow.target else {
+        return;
+    };
+    let row = tables.endpoints.get(target.endpoint);
+    let load = Load {
+        incarnation: target.incarnation,
+        ..row.map(|row| row.load).unwrap_or_default()
+    };
     let ticket = tables.ticket(Side::Caller, &packet, tables.me, flow.target);
     out.send(packet.caller, packet.reply(ticket, Body::Opened { load }));
 }
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -13,7 +13,9 @@
 mod mixed_answers;
 mod pause_past_record;
 mod reassigned_probe;
+mod removed_endpoint;
 mod short_record;
+mod stale_home;
 mod unlisted_home;
 
 use common::{World, ms};
--- /dev/null
+++ b/tests/regression/removed_endpoint.rs
@@ -0,0 +1,24 @@
+//! The answer to a repeated open named no life of the endpoint once that had left
+//! the configuration, and could not be read.
+
+use super::common::ms;
+use super::world_with_flows;
+use jacinthhinge::prelude::*;
+
+#[test]
+fn a_repeated_open_names_the_life_of_a_removed_endpoint() {
+    let mut world = world_with_flows(11);
+    world.net.encoded = true;
+    for end in &mut world.ends[..2] {
+        end.removed = true;
+    }
+    world.configure();
+    world.agree();
+    for flow in 1..=20 {
+        world.up(0, flow, Body::Open);
+    }
+    world.run(ms(3_000));
+    assert_eq!(world.broken(), 0);
+    let flows: usize = world.ends.iter().map(|end| end.flows.len()).sum();
+    assert_eq!(flows, 20);
+}
--- /dev/null
+++ b/tests/regression/stale_home.rs
@@ -0,0 +1,18 @@
+//! A host that had been home to flows for a while closed them at their endpoints
+//! when its own rows had gone idle, though they lived on with another home.
+
+use super::common::ms;
+use super::world_with_flows;
+
+#[test]
+fn a_former_home_closes_no_flow() {
+    let mut world = world_with_flows(10);
+    for host in [0, 1, 3] {
+        world.see(host, &[0, 1, 3]);
+    }
+    world.hosts[2].listed = false;
+    world.run(ms(8_000));
+    world.agree();
+    world.run(ms(330_000));
+    assert_eq!(world.broken(), 0);
+}
