--- a/tests/flows.rs
+++ b/tests/flows.rs
@@ -10,6 +10,7 @@
 use common::{Net, World, addr, fabric, lane, ms};
 use jacinthhinge::id::rendezvous;
 use jacinthhinge::prelude::*;
+use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -515,3 +516,98 @@
     assert_eq!(chosen, UNHARMED);
     assert!(tables > 0 && hashing > 0);
 }
+
+#[derive(Clone, Debug)]
+enum Change {
+    Restart(usize),
+    Death(usize),
+    Leave(usize),
+    Pause(usize, u64),
+    See(usize, usize),
+    Configure(usize),
+    EndLeave(usize),
+    Rotate,
+    Net(f64, f64),
+    Agree,
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    let host = 0..4_usize;
+    prop_oneof![
+        host.clone().prop_map(Change::Restart),
+        host.clone().prop_map(Change::Death),
+        host.clone().prop_map(Change::Leave),
+        (host.clone(), 100..6_000_u64).prop_map(|(host, time)| Change::Pause(host, time)),
+        (host.clone(), 1..16_usize).prop_map(|(host, mask)| Change::See(host, mask)),
+        host.prop_map(Change::Configure),
+        (0..3_usize).prop_map(Change::EndLeave),
+        Just(Change::Rotate),
+        (0.0..0.05, 0.0..0.2).prop_map(|(loss, twice)| Change::Net(loss, twice)),
+        Just(Change::Agree),
+    ]
+}
+
+fn apply(world: &mut World, change: &Change) {
+    match *change {
+        Change::Restart(host) => {
+            world.restart(host);
+            world.see(host, &[0, 1, 2, 3]);
+        }
+        Change::Death(host) => {
+            death(world, host);
+            world.restart(host);
+            world.agree();
+        }
+        Change::Leave(host) => {
+            world.hosts[host].leaving = true;
+            world.agree();
+        }
+        Change::Pause(host, time) => world.pause(host, ms(time), 2),
+        Change::See(host, mask) => {
+            let alive = (0..4).filter(|other| *other == host || mask >> other & 1 == 1);
+            world.see(host, &alive.collect::<Vec<_>>());
+        }
+        Change::Configure(host) => {
+            world.hosts[host].base = world.base.clone();
+            world.publish(host);
+        }
+        Change::EndLeave(end) => {
+            world.ends[end].leaving ^= true;
+            world.configure();
+        }
+        Change::Rotate => {
+            // Every host has the other key before it becomes the current one.
+            if world.base.keys == Keys::new("one", "two") {
+                world.base.keys = Keys::new("one", "three");
+                world.agree();
+                world.base.keys = Keys::new("three", "one");
+            }
+        }
+        Change::Net(loss, twice) => {
+            world.net.loss = loss;
+            world.net.twice = twice;
+        }
+        Change::Agree => world.agree(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn flows_survive_random_changes(
+        seed in any::<u64>(),
+        changes in prop::collection::vec((0..2_500_u64, change()), 1..10),
+    ) {
+        let mut world = streams(seed);
+        for (wait, change) in &changes {
+            world.run(ms(*wait));
+            apply(&mut world, change);
+        }
+        world.run(ms(7_000));
+        world.net = Net::default();
+        world.agree();
+        world.run(ms(3_000));
+        prop_assert_eq!(harm(&mut world), UNHARMED);
+    }
+}
