--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -75,9 +75,9 @@
     retry::run(tables, now, out);
     expire::run(tables, now, out);
     place::probe(tables, now, out);
+    probe::run(tables, now, out);
     let swept = tables.flows.sweep(SWEEP);
-    probe::run(tables, &swept, now, out);
-    idle::run(tables, &swept, now, out);
+    idle::run(tables, &swept, now);
     drain::run(tables, &swept, now, out);
 }
 
--- a/src/systems/open.rs
+++ b/src/systems/open.rs
@@ -6,9 +6,9 @@
 
 use std::time::Duration;
 
-use super::{pass, recover, take};
+use super::{flow, pass, recover, take};
 use crate::id::FlowKey;
-use crate::packet::{Body, Packet, Reason};
+use crate::packet::{Body, Load, Packet, Reason};
 use crate::tables::{Arrival, Flow, FlowState, Outbox, Stage, Tables};
 use crate::ticket::{Side, Target};
 
@@ -27,6 +27,10 @@
 fn open(tables: &mut Tables, arrival: &Arrival, now: Duration, out: &mut Outbox) {
     let packet = &arrival.packet;
     let key = packet.key();
+    if tables.flows.is_foreign(packet) {
+        tables.counters.foreign += 1;
+        return;
+    }
     match tables.flows.get_mut(&key) {
         Some(flow) if flow.state == FlowState::Open => {
             flow.heard = now;
@@ -121,7 +125,7 @@
         confirm(tables, key, out);
     }
     for packet in held {
-        send_endpoint(tables, &packet, Some(target), packet.body.clone(), out);
+        flow::serve(tables, &packet, now, out);
     }
 }
 
@@ -131,11 +135,14 @@
         return;
     };
     let packet = packet_of(flow);
-    let load = flow
-        .target
-        .and_then(|target| tables.endpoints.get(target.endpoint))
-        .map(|row| row.load)
-        .unwrap_or_default();
+    let Some(target) = flow.target else {
+        return;
+    };
+    let row = tables.endpoints.get(target.endpoint);
+    let load = Load {
+        incarnation: target.incarnation,
+        ..row.map(|row| row.load).unwrap_or_default()
+    };
     let ticket = tables.ticket(Side::Caller, &packet, tables.me, flow.target);
     out.send(packet.caller, packet.reply(ticket, Body::Opened { load }));
 }
@@ -160,7 +167,8 @@
     place(tables, key, now, out);
 }
 
-/// Sends `body` to the endpoint `target` with a ticket that names this home.
+/// Sends `body` to the endpoint `target` with a ticket that names this home, unless
+/// another service has its address.
 pub(super) fn send_endpoint(
     tables: &mut Tables,
     packet: &Packet,
@@ -172,6 +180,10 @@
         pass::reset(tables, packet, Reason::FlowLost, out);
         return;
     };
+    if pass::is_foreign(tables, packet, &target) {
+        tables.counters.reassigned += 1;
+        return;
+    }
     let sealed = tables.ticket(Side::Endpoint, packet, tables.me, Some(target));
     out.send(target.addr, packet.reply(sealed, body));
 }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -70,15 +70,17 @@
     /// Empty tables for the lane `me`.
     #[must_use]
     pub fn new(me: Home, snapshot: Arc<Snapshot>, seed: u64) -> Self {
+        let mut endpoints = Endpoints::default();
+        endpoints.sync(&snapshot, Duration::ZERO);
         Self {
             me,
             snapshot,
             inbox: Vec::new(),
             flows: Flows::default(),
             requests: Requests::new(&me),
-            endpoints: Endpoints::default(),
             budgets: Budgets::default(),
             policies: Arc::new(Policies::shipped()),
+            endpoints,
             counters: Counters::default(),
             rng: SmallRng::seed_from_u64(seed),
             ticked: Duration::ZERO,
--- a/src/tables/requests.rs
+++ b/src/tables/requests.rs
@@ -358,6 +358,16 @@
             .map_or(0, |queues| queues[class.index()].len())
     }
 
+    /// True when an endpoint has a request of the flow in hand.
+    #[must_use]
+    pub fn is_sent(&self, flow: &FlowKey, endpoint: Id) -> bool {
+        self.rows.iter().any(|(_, row)| {
+            row.id.flow == *flow
+                && row.state == RequestState::Sent
+                && row.target.is_some_and(|target| target.endpoint == endpoint)
+        })
+    }
+
     /// Slots of all requests.
     #[must_use]
     pub fn slots(&self) -> Vec<usize> {
