--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -1,6 +1,7 @@
 //! The lease: at most one host may dispatch once-only work for a flow.
 //!
-//! Set `LEASE_SEED` to a printed seed to run its cases again.
+//! Set `LEASE_SEED` to a printed seed to run its cases again, and `LEASE_CASES`
+//! to run more of them.
 
 mod zone;
 
@@ -274,11 +275,15 @@
     zone.list(listed);
 }
 
-fn run_cases(name: &str, hosts: usize, cases: u32, timing: Timing) -> Result<(), TestError<Case>> {
+fn run_cases(name: &str, hosts: usize, timing: Timing) -> Result<(), TestError<Case>> {
     let seed = std::env::var("LEASE_SEED")
         .ok()
         .and_then(|seed| seed.parse().ok());
     let seed: u64 = seed.unwrap_or_else(|| rand::rng().random());
+    let more = std::env::var("LEASE_CASES")
+        .ok()
+        .and_then(|count| count.parse().ok());
+    let cases = more.unwrap_or(CASES);
     println!("{name}: {cases} cases, LEASE_SEED={seed}");
     let mut bytes = [0; 32];
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
@@ -295,13 +300,13 @@
 
 fn one_home_dispatches(hosts: usize) {
     let timing = scaled(LEASE + GAP);
-    if let Err(err) = run_cases("one home dispatches", hosts, CASES, timing) {
+    if let Err(err) = run_cases("one home dispatches", hosts, timing) {
         panic!("{err}");
     }
 }
 
 fn ablated_rule_fails(name: &str, timing: Timing) {
-    let outcome = run_cases(name, 4, CASES, timing);
+    let outcome = run_cases(name, 4, timing);
     let Err(TestError::Fail(reason, _)) = outcome else {
         panic!("{name}: no counterexample");
     };
