--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,252 @@
+//! Checks that look at the whole configuration at once.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::fault::{Faults, suggest};
+use super::model::{EndpointRow, Scope, ServiceRow, class_name};
+use super::resolve::Resolver;
+use super::source::field_path;
+use super::{Config, KEYS, SERVICE};
+use crate::id::{Id, Name};
+use crate::packet::Class;
+use crate::snapshot::{Policy, Service};
+
+/// Longest deadline of once-only work, which the hold time of a lease covers.
+const ONCE_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Notes every fault that single fields do not show.
+pub(super) fn check_config(config: &Config, faults: &mut Faults<'_>) {
+    if config.services.is_empty() && faults.is_empty() {
+        faults.add(SERVICE, "no service is described", "add [service.NAME]");
+    }
+    check_ids(config, faults);
+    check_addresses(config, faults);
+    check_zones(config, faults);
+    if faults.spare(SERVICE) {
+        check_scopes(config, faults);
+    }
+    check_secrets(config, faults);
+    if faults.is_empty() {
+        check_effective(config, faults);
+    }
+}
+
+/// Path of a service.
+pub(super) fn service_path(row: &ServiceRow) -> String {
+    field_path(SERVICE, &row.name)
+}
+
+/// Every endpoint with its service.
+pub(super) fn endpoints(config: &Config) -> impl Iterator<Item = (&ServiceRow, &EndpointRow)> {
+    config
+        .services
+        .iter()
+        .flat_map(|row| row.endpoint.iter().map(move |endpoint| (row, endpoint)))
+}
+
+fn check_ids(config: &Config, faults: &mut Faults<'_>) {
+    let mut services = HashMap::new();
+    for row in &config.services {
+        check_id(&row.name, &service_path(row), &mut services, faults);
+    }
+    let mut names = HashMap::new();
+    for (_, endpoint) in endpoints(config) {
+        let path = field_path(&endpoint.path, "name");
+        check_id(&endpoint.name, &path, &mut names, faults);
+    }
+}
+
+fn check_id<'a>(
+    name: &'a Name,
+    path: &str,
+    seen: &mut HashMap<Id, &'a Name>,
+    faults: &mut Faults<'_>,
+) {
+    let Some(first) = seen.insert(Id::of(name), name) else {
+        return;
+    };
+    let fault = if first == name {
+        format!("the name `{name}` stands twice")
+    } else {
+        format!("`{name}` and `{first}` have the same id")
+    };
+    faults.add(path, fault, "give one of them another name");
+}
+
+fn check_addresses(config: &Config, faults: &mut Faults<'_>) {
+    let mut seen: HashMap<SocketAddr, (&ServiceRow, &EndpointRow)> = HashMap::new();
+    for (row, endpoint) in endpoints(config) {
+        let Some((first, other)) = seen.insert(endpoint.addr, (row, endpoint)) else {
+            continue;
+        };
+        let fault = format!(
+            "address {} already belongs to endpoint `{}` of service `{}`",
+            endpoint.addr, other.name, first.name
+        );
+        let remedy = "give each endpoint its own address";
+        faults.add(&field_path(&endpoint.path, "addr"), fault, remedy);
+    }
+}
+
+fn check_zones(config: &Config, faults: &mut Faults<'_>) {
+    for (row, endpoint) in endpoints(config) {
+        if !row.zones.is_empty() && !row.zones.contains(&endpoint.zone) {
+            let fault = format!("`{}` is none of the service's zones", endpoint.zone);
+            let remedy = suggest(&endpoint.zone, row.zones.iter().map(|zone| &**zone));
+            faults.add(&field_path(&endpoint.path, "zone"), fault, remedy);
+        }
+    }
+}
+
+fn check_scopes(config: &Config, faults: &mut Faults<'_>) {
+    let known = Known::new(config);
+    for row in &config.exceptions {
+        known.check_scope(&row.scope, &field_path(&row.path, "scope"), faults);
+    }
+}
+
+/// Names that a scope may hold.
+pub(super) struct Known<'a> {
+    zones: BTreeSet<&'a str>,
+    services: BTreeSet<&'a str>,
+    endpoints: BTreeMap<&'a str, (&'a ServiceRow, &'a EndpointRow)>,
+}
+
+impl<'a> Known<'a> {
+    pub fn new(config: &'a Config) -> Self {
+        Self {
+            zones: config.zones().map(|zone| &**zone).collect(),
+            services: config.services.iter().map(|row| &*row.name).collect(),
+            endpoints: endpoints(config)
+                .map(|(row, endpoint)| (&*endpoint.name, (row, endpoint)))
+                .collect(),
+        }
+    }
+
+    /// Notes names of a scope that the configuration does not hold.
+    pub fn check_scope(&self, scope: &Scope, path: &str, faults: &mut Faults<'_>) {
+        check_known("zone", scope.zone.as_ref(), &self.zones, path, faults);
+        check_known(
+            "service",
+            scope.service.as_ref(),
+            &self.services,
+            path,
+            faults,
+        );
+        if let Some(name) = &scope.endpoint {
+            self.check_endpoint(name, scope, path, faults);
+        }
+        if scope.endpoint.is_some() && scope.class.is_some() {
+            let remedy = "name the service in place of the endpoint";
+            faults.add(path, "an endpoint has no values by class", remedy);
+        }
+    }
+
+    fn check_endpoint(&self, name: &Name, scope: &Scope, path: &str, faults: &mut Faults<'_>) {
+        let found = self.endpoints.get(&**name);
+        if found.is_some_and(|(row, endpoint)| is_within(scope, row, endpoint)) {
+            return;
+        }
+        let within: BTreeSet<&str> = self
+            .endpoints
+            .values()
+            .filter(|(row, endpoint)| is_within(scope, row, endpoint))
+            .map(|(_, endpoint)| &*endpoint.name)
+            .collect();
+        check_known("endpoint", Some(name), &within, path, faults);
+    }
+}
+
+fn is_within(scope: &Scope, row: &ServiceRow, endpoint: &EndpointRow) -> bool {
+    let service = scope.service.as_ref().is_none_or(|name| *name == row.name);
+    let zone = scope
+        .zone
+        .as_ref()
+        .is_none_or(|name| *name == endpoint.zone);
+    service && zone
+}
+
+fn check_known(
+    kind: &str,
+    name: Option<&Name>,
+    known: &BTreeSet<&str>,
+    path: &str,
+    faults: &mut Faults<'_>,
+) {
+    let Some(name) = name else {
+        return;
+    };
+    if !known.contains(&**name) {
+        let fault = format!("no {kind} `{name}` is in scope");
+        faults.add(path, fault, suggest(name, known.iter().copied()));
+    }
+}
+
+fn check_secrets(config: &Config, faults: &mut Faults<'_>) {
+    let same = config
+        .secrets
+        .as_ref()
+        .is_some_and(|secrets| secrets.current == secrets.other);
+    if same {
+        let remedy = "make a second secret for `other`";
+        faults.add(KEYS, "both secrets are the same", remedy);
+    }
+}
+
+/// Checks the values in effect wherever an exception may change them.
+fn check_effective(config: &Config, faults: &mut Faults<'_>) {
+    let resolver = Resolver::new(config);
+    let anywhere = Name::from("");
+    let mut seen = BTreeSet::new();
+    for row in &config.services {
+        let scopes: Vec<&Scope> = resolver.exceptions_of(row).map(|own| &own.scope).collect();
+        let named = scopes.iter().filter_map(|scope| scope.host.as_ref());
+        let hosts: BTreeSet<&Name> = named.chain([&anywhere]).collect();
+        let zoned = scopes.iter().any(|scope| scope.zone.is_some());
+        let count = if zoned { row.zones.len() } else { 1 };
+        for zone in row.zones.iter().take(count) {
+            for host in &hosts {
+                check_service(&resolver.service(row, host, zone), &mut seen, faults);
+            }
+        }
+    }
+}
+
+fn check_service(service: &Service, seen: &mut BTreeSet<String>, faults: &mut Faults<'_>) {
+    let path = field_path(SERVICE, &service.name);
+    let slots = service.endpoints.iter().map(|endpoint| endpoint.slots);
+    let reserve = field_path(&path, "reserve");
+    if slots.max().is_some_and(|slots| service.reserve >= slots) && seen.insert(reserve.clone()) {
+        let fault = format!("reserve {} leaves long work no slot", service.reserve);
+        let remedy = "set `reserve` below the slots of an endpoint";
+        faults.add(&reserve, fault, remedy);
+    }
+    for class in Class::ALL {
+        let class_path = format!("{path}.class.{}", class_name(class));
+        let policy = service.classes[class.index()];
+        check_policy(class, policy, &class_path, seen, faults);
+    }
+}
+
+fn check_policy(
+    class: Class,
+    policy: Policy,
+    path: &str,
+    seen: &mut BTreeSet<String>,
+    faults: &mut Faults<'_>,
+) {
+    let time = field_path(path, "service_time");
+    if policy.service_time > policy.deadline && seen.insert(time.clone()) {
+        let fault = "service time is over the deadline";
+        faults.add(&time, fault, "raise `deadline` or lower `service_time`");
+    }
+    let deadline = field_path(path, "deadline");
+    let over = class.is_once() && policy.deadline > ONCE_DEADLINE;
+    if over && seen.insert(deadline.clone()) {
+        let limit = humantime::format_duration(ONCE_DEADLINE);
+        let fault = format!("a deadline over {limit} outlasts the lease of once-only work");
+        faults.add(&deadline, fault, format!("write one up to {limit}"));
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,4 +1,13 @@
 //! Sockets, threads, timers and settings.
+//!
+//! The front end turns datagrams into typed packets, runs the systems and sends
+//! what they decide. It decides nothing itself.
 
+pub mod command;
 pub mod control;
+pub mod lane;
+pub mod metrics;
+pub mod ops;
 pub mod platform;
+pub mod serve;
+pub mod settings;
--- /dev/null
+++ b/src/systems/dispatch.rs
@@ -0,0 +1,170 @@
+//! Gives queued requests to endpoints with a free slot.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::{open, place, probe, verdict};
+use crate::id::Id;
+use crate::packet::{Body, Class, Reason, Verdict};
+use crate::tables::{EndpointRow, Outbox, Request, RequestState, Tables};
+
+/// Parts of a request sent before the endpoint has acknowledged any.
+const WINDOW: usize = 64;
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for service in tables.requests.waiting() {
+        greet_unknown(tables, service, now, out);
+        drain(tables, service, now, out);
+        if tables.requests.is_waiting(service) {
+            place::refresh(tables, service, now, out);
+        }
+    }
+}
+
+/// The most urgent queued request of the class of highest rank.
+pub(super) fn order(tables: &Tables, service: Id, stuck: &[Class]) -> Option<usize> {
+    let policy = tables.snapshot.services.get(&service);
+    let rank = |class: &Class| policy.map_or(0, |policy| policy.classes[class.index()].rank);
+    Class::ALL
+        .iter()
+        .filter(|class| !stuck.contains(class))
+        .filter_map(|class| Some((rank(class), tables.requests.queued(service, *class).next()?)))
+        .max_by_key(|(rank, slot)| (*rank, Reverse(tables.requests.row(*slot).deadline)))
+        .map(|(_, slot)| slot)
+}
+
+/// An endpoint that has not spoken is asked for its incarnation first.
+fn greet_unknown(tables: &mut Tables, service: Id, now: Duration, out: &mut Outbox) {
+    let unknown: Vec<Id> = tables
+        .endpoints
+        .of(service)
+        .filter(|row| row.load.incarnation == 0)
+        .map(|row| row.spec.id)
+        .collect();
+    for id in unknown {
+        probe::greet(tables, id, now, out);
+    }
+}
+
+fn drain(tables: &mut Tables, service: Id, now: Duration, out: &mut Outbox) {
+    let policies = Arc::clone(&tables.policies);
+    let mut stuck: SmallVec<[Class; Class::ALL.len()]> = SmallVec::new();
+    while let Some(slot) = (policies.order)(tables, service, &stuck) {
+        if !(policies.keep)(tables, slot, now) {
+            verdict::end_unsent(tables, slot, Reason::Late, out);
+            continue;
+        }
+        let class = tables.requests.row(slot).class;
+        let Some(endpoint) = (policies.pick_slot)(tables, service, class, now) else {
+            if !class.is_long() {
+                tables.endpoints.press(service, now);
+            }
+            stuck.push(class);
+            continue;
+        };
+        tables.requests.unqueue(slot);
+        if may_run(tables, slot, now) {
+            send(tables, slot, endpoint, now, out);
+        } else {
+            verdict::end(tables, slot, Verdict::Unknown, Reason::NoLease, out);
+        }
+    }
+}
+
+/// Once-only work of a caller without a ticket needs the lease at this very moment.
+fn may_run(tables: &Tables, slot: usize, now: Duration) -> bool {
+    let row = tables.requests.row(slot);
+    let free = row.ticketed || !row.class.is_once();
+    free || (tables.snapshot.lease.is_held(now) && tables.is_home(&row.id.flow))
+}
+
+/// Dispatches a request to an endpoint.
+fn send(tables: &mut Tables, slot: usize, endpoint: Id, now: Duration, out: &mut Outbox) {
+    let Some(target) = tables.endpoints.get(endpoint).map(EndpointRow::target) else {
+        return;
+    };
+    tables.requests.number(slot);
+    let row = tables.requests.row_mut(slot);
+    row.state = RequestState::Sent;
+    row.target = Some(target);
+    row.started = now;
+    row.holding = true;
+    row.acked = vec![false; row.parts.total()];
+    let (service, class) = (row.service, row.class);
+    let time = tables
+        .snapshot
+        .services
+        .get(&service)
+        .map_or(Duration::ZERO, |service| {
+            service.classes[class.index()].service_time
+        });
+    tables.endpoints.acquire(endpoint, time, now);
+    if let Some(row) = tables.endpoints.get_mut(endpoint) {
+        row.asked.get_or_insert(now);
+    }
+    transmit(tables, slot, now, out);
+}
+
+/// Sends the first parts that the endpoint has not acknowledged, or part zero as a
+/// question when it holds all of them.
+pub(super) fn transmit(tables: &mut Tables, slot: usize, now: Duration, out: &mut Outbox) {
+    tables.counters.dispatched += 1;
+    let row = tables.requests.row_mut(slot);
+    row.sent = now;
+    let packet = verdict::packet_of(row);
+    let target = row.target;
+    for body in work(row, now) {
+        open::send_endpoint(tables, &packet, target, body, out);
+    }
+}
+
+/// Notes that the endpoint holds a part, and sends more when it holds a window's worth.
+pub(super) fn acknowledge(
+    tables: &mut Tables,
+    slot: usize,
+    index: usize,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    let row = tables.requests.row_mut(slot);
+    let is_first = row.holding && !row.acked.iter().any(|acked| *acked);
+    let Some(acked) = row.acked.get_mut(index) else {
+        return;
+    };
+    if is_first
+        && let Some(target) = row.target
+        && let Some(endpoint) = tables.endpoints.get_mut(target.endpoint)
+    {
+        endpoint.acked += 1;
+    }
+    if std::mem::replace(acked, true) || row.state != RequestState::Sent {
+        return;
+    }
+    let held = row.acked.iter().filter(|acked| **acked).count();
+    if held < row.acked.len() && held.is_multiple_of(WINDOW) {
+        transmit(tables, slot, now, out);
+    }
+}
+
+fn work(row: &Request, now: Duration) -> Vec<Body> {
+    let all = row.acked.iter().all(|acked| *acked);
+    let expect = row.target.map_or(0, |target| target.incarnation);
+    row.parts
+        .iter()
+        .zip(&row.acked)
+        .enumerate()
+        .filter(|(index, (_, acked))| !**acked || (all && *index == 0))
+        .take(WINDOW)
+        .map(|(_, (part, _))| Body::Work {
+            request: row.id.number,
+            dispatch: row.dispatch(),
+            expect,
+            class: row.class,
+            budget: row.deadline.saturating_sub(now),
+            part,
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/systems/place.rs
@@ -0,0 +1,293 @@
+//! Chooses the endpoint of a flow or a request.
+//!
+//! What this lane has seen itself weighs more than what is reported: an endpoint
+//! that does not answer is passed over whatever its health, one that answers is
+//! used. An endpoint's own load report fills in the work of other lanes.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use smallvec::SmallVec;
+
+use super::policies::Parts;
+use super::probe;
+use crate::id::Id;
+use crate::packet::{Body, Class};
+use crate::tables::{EndpointRow, Outbox, Tables};
+
+/// Share that a new or restarted endpoint starts with.
+const RAMP_START: f64 = 0.1;
+
+/// Share of its due that an endpoint keeps however often it refuses.
+const SHED_FLOOR: f64 = 0.05;
+
+/// Time without an answer after which a report of bad health is believed.
+const DOUBT: Duration = Duration::from_secs(1);
+
+/// Age of a load report above which long work does not go by it, and it is asked
+/// for again while work waits.
+const STALE: Duration = Duration::from_millis(20);
+
+/// Pause of an endpoint after it refused work.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Share of doubtful reports above which an endpoint gets no long work.
+const DOUBT_LIMIT: f64 = 0.2;
+
+/// What an answer adds to the window of an endpoint.
+const WINDOW_STEP: f64 = 0.05;
+
+/// Largest window over the endpoint's slots.
+const WINDOW_LIMIT: f64 = 2.0;
+
+/// Most endpoints asked for their load at once.
+const REFRESH: usize = 16;
+
+/// Longest pause of an endpoint that keeps refusing, as a multiple of the first.
+const PAUSE_LIMIT: u32 = 8;
+
+/// A choice among endpoints: lower scores first, remote ones only when no local fits.
+struct Choice {
+    id: Id,
+    remote: bool,
+    score: f64,
+}
+
+/// Endpoint for a new flow: the least full of those with room.
+pub(super) fn pick_conn(
+    tables: &mut Tables,
+    parts: &Parts,
+    service: Id,
+    refused: &[Id],
+    now: Duration,
+) -> Option<Id> {
+    let lanes = lanes(tables);
+    pick(tables, parts, service, now, |row| {
+        let conns = conns(row, lanes);
+        if conns >= row.spec.conns || refused.contains(&row.spec.id) {
+            return None;
+        }
+        let share = f64::from(conns + 1) / f64::from(row.spec.conns);
+        let remote = !row.spec.local || share > parts.spill;
+        Some((remote, share))
+    })
+}
+
+/// Endpoint for a request: the least busy of those that can take it.
+pub(super) fn pick_slot(
+    tables: &mut Tables,
+    parts: &Parts,
+    service: Id,
+    class: Class,
+    now: Duration,
+) -> Option<Id> {
+    let lanes = lanes(tables);
+    let reserve = tables.snapshot.services.get(&service)?.reserve;
+    let pressed = tables.endpoints.pressed(service);
+    if class.is_long() && pressed.is_some_and(|pressed| now < pressed + parts.yielding) {
+        return None;
+    }
+    pick(tables, parts, service, now, |row| {
+        let busy = if class.is_long() {
+            long_room(row, reserve, now)?
+        } else {
+            short_room(row, parts, lanes, now)?
+        };
+        let recent = row.recent_slots(now) * f64::from(lanes) * parts.balance;
+        let share = (f64::from(busy + 1) + recent) / f64::from(row.spec.slots);
+        Some((!row.spec.local, share))
+    })
+}
+
+/// Requests on an endpoint that may take long work. Every lane leaves the reserved
+/// slots to short work by what it knows of all others, so it wants a new report.
+fn long_room(row: &EndpointRow, reserve: u32, now: Duration) -> Option<u32> {
+    let limit = row.spec.slots.saturating_sub(reserve).max(1);
+    let busy = (row.running + row.others).max(row.load.busy);
+    let is_known = row.load.incarnation != 0 && now < row.heard + STALE;
+    (is_known && !is_doubted(row) && busy < limit).then_some(busy)
+}
+
+/// Requests on an endpoint that may take short work: one with a slot free, or
+/// where the window lets this lane send ahead. An old report is forgotten, and in
+/// place of a doubtful one the other lanes are taken to send as much as this one.
+fn short_room(row: &EndpointRow, parts: &Parts, lanes: u32, now: Duration) -> Option<u32> {
+    let is_old = now >= row.heard + parts.hold;
+    let others = match is_doubted(row) {
+        true => row.running * (lanes - 1),
+        false if is_old => 0,
+        false => row.others,
+    };
+    let busy = row.running + others;
+    let fits = f64::from(row.running + 1) <= row.window;
+    let has_room = busy < row.spec.slots + parts.ahead;
+    (row.load.incarnation != 0 && fits && has_room).then_some(busy)
+}
+
+/// True for an endpoint whose load reports leave out what it has acknowledged.
+fn is_doubted(row: &EndpointRow) -> bool {
+    row.doubt > DOUBT_LIMIT
+}
+
+/// Flows on an endpoint: as reported, or from this lane's own when the report
+/// tells of far fewer than an even spread over the lanes would make.
+fn conns(row: &EndpointRow, lanes: u32) -> u32 {
+    let reported = row.load.conns + row.fresh;
+    let spread = (row.flows + row.fresh) * lanes;
+    if reported < spread / 2 {
+        spread
+    } else {
+        reported
+    }
+}
+
+fn lanes(tables: &Tables) -> u32 {
+    let lanes: usize = tables
+        .snapshot
+        .hosts
+        .iter()
+        .map(|host| host.lanes.len())
+        .sum();
+    u32::try_from(lanes.max(1)).unwrap_or(u32::MAX)
+}
+
+/// Best endpoint by `judge`, which gives `None` for one without room.
+///
+/// A sample from a random place on is looked at, so that the cost does not grow
+/// with the service and equal endpoints take turns. Silent ones are used only
+/// when all of the sample are silent, so that a service is never empty.
+fn pick(
+    tables: &mut Tables,
+    parts: &Parts,
+    service: Id,
+    now: Duration,
+    judge: impl Fn(&EndpointRow) -> Option<(bool, f64)>,
+) -> Option<Id> {
+    let start = start(tables, service);
+    let open = || {
+        tables
+            .endpoints
+            .from(service, start)
+            .filter(|row| row.is_open(now))
+            .take(parts.sample)
+    };
+    let answers = open().any(|row| !is_silent(row, parts, now));
+    open()
+        .filter(|row| !answers || !is_silent(row, parts, now))
+        .filter(|row| now >= row.paused)
+        .filter_map(|row| {
+            let (remote, share) = judge(row)?;
+            Some(Choice {
+                id: row.spec.id,
+                remote,
+                score: share / weight(row, parts, now),
+            })
+        })
+        .min_by(|a, b| {
+            (a.remote, a.score)
+                .partial_cmp(&(b.remote, b.score))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        })
+        .map(|choice| choice.id)
+}
+
+/// A random place to begin among the endpoints of a service.
+fn start(tables: &mut Tables, service: Id) -> usize {
+    let count = tables.endpoints.count(service);
+    tables.rng.random_range(0..count.max(1))
+}
+
+/// Share that an endpoint is due: the operators' weight, less while it is new and
+/// less for what it refuses.
+fn weight(row: &EndpointRow, parts: &Parts, now: Duration) -> f64 {
+    let age = now.saturating_sub(row.since).as_secs_f64();
+    let ramp = (age / parts.ramp.as_secs_f64().max(f64::EPSILON)).clamp(RAMP_START, 1.0);
+    let kept = (1.0 - row.shed).max(SHED_FLOOR);
+    row.spec.weight * ramp * kept
+}
+
+/// True when an endpoint has left this lane without any answer for a while.
+pub(super) fn is_mute(row: &EndpointRow, now: Duration) -> bool {
+    row.asked
+        .is_some_and(|asked| now >= asked + Parts::SHIPPED.silence)
+}
+
+/// True when an endpoint leaves this lane without answers, or is reported
+/// unhealthy and has not proved the opposite.
+fn is_silent(row: &EndpointRow, parts: &Parts, now: Duration) -> bool {
+    let mute = row.asked.is_some_and(|asked| now >= asked + parts.silence);
+    mute || (!row.spec.healthy && now >= row.heard + DOUBT)
+}
+
+/// Asks endpoints that are silent or reported unhealthy to speak.
+pub(super) fn probe(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    let mut ids: SmallVec<[Id; 16]> = SmallVec::new();
+    for row in tables.endpoints.iter() {
+        if row.asked.is_some() || !row.spec.healthy {
+            ids.push(row.spec.id);
+        }
+    }
+    for id in ids {
+        probe::greet(tables, id, now, out);
+    }
+}
+
+/// Asks some endpoints of a service whose reports are old for their load.
+pub(super) fn refresh(tables: &mut Tables, service: Id, now: Duration, out: &mut Outbox) {
+    let start = start(tables, service);
+    let old: SmallVec<[Id; 16]> = tables
+        .endpoints
+        .from(service, start)
+        .take(REFRESH)
+        .filter(|row| now >= row.heard + STALE)
+        .map(|row| row.spec.id)
+        .collect();
+    for id in old {
+        probe::greet(tables, id, now, out);
+    }
+}
+
+/// Notes that an endpoint has spoken, and what of.
+pub(super) fn heard(tables: &mut Tables, id: Id, body: &Body, now: Duration) {
+    let Some(row) = tables.endpoints.get_mut(id) else {
+        return;
+    };
+    row.heard = now;
+    row.asked = None;
+    match body {
+        Body::Answer { .. } => served(row),
+        Body::Refused { .. } | Body::Probed { .. } => row.note_load(),
+        _ => {}
+    }
+}
+
+/// Answered work opens the window of an endpoint a little.
+fn served(row: &mut EndpointRow) {
+    row.failures = 0;
+    row.paused = Duration::ZERO;
+    row.note_load();
+    row.note_shed(false);
+    let most = f64::from(row.spec.slots) * WINDOW_LIMIT;
+    row.window = (row.window + WINDOW_STEP).min(most);
+}
+
+/// Counts a failure to answer against an endpoint.
+pub(super) fn blame(tables: &mut Tables, id: Id, now: Duration) {
+    if let Some(row) = tables.endpoints.get_mut(id) {
+        row.failures += 1;
+        row.refused = Some(now);
+    }
+}
+
+/// Counts a refusal against an endpoint, which closes its window to what it has
+/// and pauses it, the longer the more it refuses in a row.
+pub(super) fn refused(tables: &mut Tables, id: Id, now: Duration) {
+    let Some(row) = tables.endpoints.get_mut(id) else {
+        return;
+    };
+    row.refused = Some(now);
+    row.failures += 1;
+    row.note_shed(row.load.busy < row.spec.slots);
+    row.window = f64::from(row.running.max(1));
+    row.paused = now + PAUSE * row.failures.min(PAUSE_LIMIT);
+}
