Correct the operations page after a run with the stand-in platform

Cause: the page was written before serve ran. Change: names of dump fields as they are; a refused change holds back later ones, health reports included, which the page now says; the longest once-only deadline stands once, beside the lease.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -2,20 +2,17 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use super::fault::{Faults, suggest};
 use super::model::{EndpointRow, Scope, ServiceRow, class_name};
 use super::resolve::Resolver;
 use super::source::field_path;
 use super::{Config, KEYS, SERVICE};
+use crate::control::lease::ONCE_DEADLINE;
 use crate::id::{Id, Name};
 use crate::packet::Class;
 use crate::snapshot::{Policy, Service};
 
-/// Longest deadline of once-only work, which the hold time of a lease covers.
-const ONCE_DEADLINE: Duration = Duration::from_secs(3);
-
 /// Notes every fault that single fields do not show.
 pub(super) fn check_config(config: &Config, faults: &mut Faults<'_>) {
     if config.services.is_empty() && faults.is_empty() {
