--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -21,7 +21,7 @@
     check_ids(config, faults);
     check_addresses(config, faults);
     check_zones(config, faults);
-    if faults.spare(SERVICE) {
+    if faults.is_clean(SERVICE) {
         check_scopes(config, faults);
     }
     check_secrets(config, faults);
--- a/src/config/fault.rs
+++ b/src/config/fault.rs
@@ -70,7 +70,7 @@
     }
 
     /// True when no fault was noted at or below `path`.
-    pub fn spare(&self, path: &str) -> bool {
+    pub fn is_clean(&self, path: &str) -> bool {
         !self.list.iter().any(|fault| fault.path.starts_with(path))
     }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -652,6 +652,16 @@
         }
     }
 
+    #[test]
+    fn differences_come_only_from_changes(old in any_root(), new in any_root()) {
+        let old = parse(&toml::to_string(&old).unwrap());
+        let new = parse(&toml::to_string(&new).unwrap());
+        prop_assert_eq!(old.diff(&new).is_empty(), old == new);
+        prop_assert!(old.diff(&old).is_empty());
+        prop_assert!(Config::check_change(&old, &old).is_ok());
+        prop_assert!(Config::check_change(&old, &new).is_ok());
+    }
+
     #[test]
     fn no_text_panics(text in "\\PC{0,200}") {
         let _ = Config::parse("t.toml", &text);
