--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -32,6 +32,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::id::FlowKey;
 use crate::packet::{Body, Packet};
 use crate::snapshot::Snapshot;
 use crate::tables::{Arrival, Outbox, Stage, Tables};
@@ -75,12 +76,23 @@
     retry::run(tables, now, out);
     expire::run(tables, now, out);
     place::probe(tables, now, out);
-    let swept = tables.flows.sweep(SWEEP);
+    let swept = sweep(tables, now);
     probe::run(tables, &swept, now, out);
     idle::run(tables, &swept, now, out);
     drain::run(tables, &swept, now, out);
 }
 
+/// Flows that a timer system may have to act on, of the next part of the table.
+fn sweep(tables: &mut Tables, now: Duration) -> Vec<FlowKey> {
+    let services = tables.snapshot.services.values();
+    let idle = services.map(|service| service.idle).min();
+    let leaves = tables.endpoints.iter().any(|row| row.leaving.is_some());
+    tables.flows.sweep(SWEEP, |flow| {
+        let is_idle = idle.is_none_or(|idle| now >= flow.heard + idle);
+        leaves || is_idle || flow.probed.is_some()
+    })
+}
+
 /// Takes the arrivals of a stage out of the inbox.
 fn take(tables: &mut Tables, stage: Stage) -> Vec<Arrival> {
     let mut taken = Vec::new();
--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -104,8 +104,8 @@
 fn long_room(row: &EndpointRow, reserve: u32, now: Duration) -> Option<u32> {
     let limit = row.spec.slots.saturating_sub(reserve).max(1);
     let busy = (row.running + row.others).max(row.load.busy);
-    let is_known = row.load.incarnation != 0 && now < row.heard + STALE;
-    (is_known && !is_doubted(row) && busy < limit).then_some(busy)
+    let is_known = now < row.heard + STALE;
+    (is_ready(row, now) && is_known && !is_doubted(row) && busy < limit).then_some(busy)
 }
 
 /// Requests on an endpoint that may take short work: one with a slot free, or
@@ -121,7 +121,12 @@
     let busy = row.running + others;
     let fits = f64::from(row.running + 1) <= row.window;
     let has_room = busy < row.spec.slots + parts.ahead;
-    (row.load.incarnation != 0 && fits && has_room).then_some(busy)
+    (is_ready(row, now) && fits && has_room).then_some(busy)
+}
+
+/// True for an endpoint that has spoken and does not pause after a refusal.
+fn is_ready(row: &EndpointRow, now: Duration) -> bool {
+    row.load.incarnation != 0 && now >= row.paused
 }
 
 /// True for an endpoint whose load reports leave out what it has acknowledged.
@@ -174,7 +179,6 @@
     let answers = open().any(|row| !is_silent(row, parts, now));
     open()
         .filter(|row| !answers || !is_silent(row, parts, now))
-        .filter(|row| now >= row.paused)
         .filter_map(|row| {
             let (remote, share) = judge(row)?;
             Some(Choice {
--- a/src/tables/flows.rs
+++ b/src/tables/flows.rs
@@ -154,12 +154,14 @@
         self.pending.clone()
     }
 
-    /// Keys of the next `share` of the table, going round it.
-    pub fn sweep(&mut self, share: usize) -> Vec<FlowKey> {
+    /// Keys of the flows that are due, in the next `share` of the table, going
+    /// round it.
+    pub fn sweep(&mut self, share: usize, is_due: impl Fn(&Flow) -> bool) -> Vec<FlowKey> {
         let size = self.rows.capacity();
         let count = (size / share.max(1)).max(64).min(size);
         let keys = (0..count)
             .filter_map(|step| self.rows.get((self.cursor + step) % size))
+            .filter(|flow| is_due(flow))
             .map(|flow| flow.key)
             .collect();
         if size > 0 {
