--- a/src/systems/ask.rs
+++ b/src/systems/ask.rs
@@ -133,7 +133,8 @@
 
 /// True when this lane may dispatch once-only work of a caller without a ticket.
 fn may_dispatch(tables: &Tables, packet: &Packet, now: Duration) -> bool {
-    tables.snapshot.lease.is_held(now) && tables.is_home(&packet.key())
+    let snapshot = &tables.snapshot;
+    snapshot.may_dispatch(&packet.key(), &tables.me, now)
 }
 
 fn gather(
