Use the usual terms in messages of the configuration and settings

Cause: messages such as 'a text stands where a list belongs' need a second reading; TOML's own words are string, array and boolean. Change: wording of messages and comments only; the tests hold the new texts.

--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -14,10 +14,10 @@
 use crate::error::Result;
 use crate::id::Name;
 
-/// Name that faults of a step are told under.
+/// Place of faults in a change.
 const PLACE: &str = "change";
 
-/// What stands in place of a secret.
+/// Shown instead of a secret.
 const HIDDEN: &str = "(hidden)";
 
 /// A value that differs between two configurations.
@@ -45,7 +45,7 @@
         .collect()
 }
 
-/// Notes every part of the step that would break flows or mix services.
+/// Refuses changes that would break flows or mix services.
 pub(super) fn check_change(old: &Config, new: &Config) -> Result<()> {
     let mut faults = Faults::new(PLACE, HashMap::new());
     if let (Some(old), Some(new)) = (&old.secrets, &new.secrets) {
@@ -163,7 +163,7 @@
     }
 }
 
-/// What an item of a list is known by: its name, its scope or itself.
+/// Label of an array item: its name, its scope or the item itself.
 fn label(value: &Value) -> String {
     let own = value.get("name").or_else(|| value.get("scope"));
     plain(own.unwrap_or(value))
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -13,7 +13,7 @@
 use crate::packet::Class;
 use crate::snapshot::{Policy, Service};
 
-/// Notes every fault that single fields do not show.
+/// Reports faults that span several fields.
 pub(super) fn check_config(config: &Config, faults: &mut Faults<'_>) {
     if config.services.is_empty() && faults.is_empty() {
         faults.add(SERVICE, "no service is described", "add [service.NAME]");
@@ -65,7 +65,7 @@
         return;
     };
     let fault = if first == name {
-        format!("the name `{name}` stands twice")
+        format!("the name `{name}` is used twice")
     } else {
         format!("`{name}` and `{first}` have the same id")
     };
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Notes names of a scope that the configuration does not hold.
+    /// Reports unknown names in a scope.
     pub fn check_scope(&self, scope: &Scope, path: &str, faults: &mut Faults<'_>) {
         check_known("zone", scope.zone.as_ref(), &self.zones, path, faults);
         check_known(
--- a/src/config/explain.rs
+++ b/src/config/explain.rs
@@ -13,7 +13,7 @@
 use crate::error::Result;
 use crate::packet::Class;
 
-/// Name that faults of a scope are told under.
+/// Place of faults in a scope.
 const PLACE: &str = "scope";
 
 /// Fields that an endpoint has of its own.
@@ -155,7 +155,7 @@
     }
 }
 
-/// The value as text, without quotes around a text.
+/// The value as text, strings without quotes.
 pub(super) fn plain(value: &Value) -> String {
     match value {
         Value::String(text) => text.clone(),
--- a/src/config/fault.rs
+++ b/src/config/fault.rs
@@ -33,7 +33,7 @@
         }
     }
 
-    /// Notes a fault at the field path `path`.
+    /// Adds a fault at the field path `path`.
     pub fn add(&mut self, path: &str, fault: impl Into<String>, remedy: impl Into<String>) {
         let line = self.line(path);
         let place = match line {
@@ -49,7 +49,7 @@
         });
     }
 
-    /// Notes a fault at a line, before paths are known.
+    /// Adds a fault at a line, before paths are known.
     pub fn add_line(&mut self, line: Option<usize>, fault: &str, remedy: &str) {
         let place = match line {
             Some(line) => format!("{}:{line}", self.file),
@@ -64,17 +64,17 @@
         });
     }
 
-    /// True when no fault was noted.
+    /// True when there is no fault.
     pub fn is_empty(&self) -> bool {
         self.list.is_empty()
     }
 
-    /// True when no fault was noted at or below `path`.
+    /// True when there is no fault at or below `path`.
     pub fn is_clean(&self, path: &str) -> bool {
         !self.list.iter().any(|fault| fault.path.starts_with(path))
     }
 
-    /// One error that tells all faults, a line each.
+    /// One error with all faults, a line each.
     pub fn finish(mut self) -> Result<()> {
         self.list.sort_by_key(|fault| fault.line);
         let mut rest = self.list.into_iter();
--- a/src/config/field.rs
+++ b/src/config/field.rs
@@ -1,4 +1,4 @@
-//! Reads single fields, lists and tables, and notes what is wrong with them.
+//! Reads single fields, lists and tables, and reports their faults.
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -22,9 +22,9 @@
     let Some(list) = value.as_array() else {
         let remedy = match value {
             Value::Object(_) => format!("write [[{path}]] with double brackets"),
-            _ => "write a list in brackets".to_owned(),
+            _ => "write an array in brackets".to_owned(),
         };
-        faults.add(path, wrong_kind(value, "a list"), remedy);
+        faults.add(path, wrong_kind(value, "an array"), remedy);
         return Vec::new();
     };
     list.iter()
@@ -33,7 +33,7 @@
         .collect()
 }
 
-/// A field that has to be there.
+/// A required field.
 pub(super) fn required<T>(
     own: &Map<String, Value>,
     path: &str,
@@ -52,7 +52,7 @@
     optional(own, path, name, faults, read)
 }
 
-/// A field that may be left out.
+/// An optional field.
 pub(super) fn optional<T>(
     own: &Map<String, Value>,
     path: &str,
@@ -84,7 +84,7 @@
     Some(own)
 }
 
-/// Remedy for a field by class that stands outside a class.
+/// Remedy for a class field outside a class.
 fn misplaced(name: &str, path: &str) -> Option<&'static str> {
     let by_class = ClassValues::FIELDS.contains(&name);
     if path.starts_with(EXCEPTION) && (by_class || name == "class") {
@@ -106,11 +106,11 @@
     own
 }
 
-/// A text.
+/// A string.
 pub(super) fn text<'v>(value: &'v Value, path: &str, faults: &mut Faults<'_>) -> Option<&'v str> {
     let text = value.as_str();
     if text.is_none() {
-        faults.add(path, wrong_kind(value, "a text"), "write it in quotes");
+        faults.add(path, wrong_kind(value, "a string"), "write it in quotes");
     }
     text
 }
@@ -123,7 +123,7 @@
     faults: &mut Faults<'_>,
 ) -> Option<Duration> {
     let Ok(duration) = <Text as DeserializeAs<Duration>>::deserialize_as(value) else {
-        let fault = format!("{value} is no duration");
+        let fault = format!("{value} is not a duration");
         faults.add(
             path,
             fault,
@@ -183,12 +183,12 @@
 
 fn wrong_kind(value: &Value, wanted: &str) -> String {
     let kind = match value {
-        Value::Null => "nothing readable",
-        Value::Bool(_) => "a flag",
+        Value::Null => "nothing",
+        Value::Bool(_) => "a boolean",
         Value::Number(_) => "a number",
-        Value::String(_) => "a text",
-        Value::Array(_) => "a list",
+        Value::String(_) => "a string",
+        Value::Array(_) => "an array",
         Value::Object(_) => "a table",
     };
-    format!("{kind} stands where {wanted} belongs")
+    format!("expected {wanted}, found {kind}")
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -47,7 +47,7 @@
 /// Keys of the platform's values.
 const VALUE_KEYS: [&str; 5] = ["fleet", "service/NAME", "exceptions", "keys", "health/NAME"];
 
-/// Name that faults of the platform's values are told under.
+/// Place of faults in the platform's values.
 const PLATFORM: &str = "platform";
 
 /// A configuration that passed every check.
@@ -83,7 +83,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with one error that tells every fault, its place and its remedy.
+    /// Fails with one error that lists every fault, its place and its remedy.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
         let source = source::read_toml(file, text)?;
         let faults = Faults::new(file, source.lines);
@@ -93,7 +93,7 @@
     /// Reads the platform's values, each as JSON text under its key.
     ///
     /// Values under `health/NAME` only mark endpoints as unhealthy. Such a report
-    /// may be wrong, so one that is malformed or names strangers is passed over.
+    /// may be wrong: malformed reports and unknown names are ignored.
     ///
     /// ```
     /// # use jacinthhinge::config::Config;
@@ -120,7 +120,7 @@
             }
             let Ok(value) = value else {
                 let remedy = "publish what `jacinthhinge check` accepts";
-                faults.add(key, "the value is no JSON", remedy);
+                faults.add(key, "the value is not JSON", remedy);
                 continue;
             };
             match section(key) {
@@ -149,7 +149,7 @@
         values
     }
 
-    /// Services in effect on `host`, which stands in `zone`.
+    /// Services in effect on `host`, which is in `zone`.
     ///
     /// Endpoints of the other zones are among them, with `local` false, for work
     /// that the own zone cannot take. Services of other zones only are left out.
@@ -181,7 +181,7 @@
 
     /// Differences between the values of `self` and of `other`.
     ///
-    /// A changed secret is named and never shown.
+    /// Changed secrets are listed without their content.
     #[must_use]
     pub fn diff(&self, other: &Self) -> Vec<Difference> {
         change::diff(self, other)
@@ -195,8 +195,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when a key rotation would turn live tickets away, when an address or
-    /// an endpoint moves at once, and when a live endpoint goes without leaving.
+    /// Fails when a key rotation would invalidate live tickets, when an address or
+    /// an endpoint moves at once, and when a live endpoint is removed undrained.
     pub fn check_change(old: &Self, new: &Self) -> Result<()> {
         change::check_change(old, new)
     }
--- a/src/config/read.rs
+++ b/src/config/read.rs
@@ -34,7 +34,7 @@
 const RESERVE_RANGE: RangeInclusive<u32> = 0..=100_000;
 const RANK_RANGE: RangeInclusive<u32> = 0..=1_000;
 
-/// Reads a whole configuration; what cannot be read is noted and left out.
+/// Reads a whole configuration; what cannot be read is reported and left out.
 pub(super) fn read_config(root: &Value, faults: &mut Faults<'_>) -> Config {
     let mut config = Config::default();
     let Some(root) = table(root, "", &SECTIONS, faults) else {
@@ -90,7 +90,7 @@
     faults: &mut Faults<'_>,
 ) -> Option<()> {
     let Some((kind, name)) = part.split_once('/') else {
-        let fault = format!("`{part}` is no scope");
+        let fault = format!("`{part}` is not a scope");
         faults.add(path, fault, "write KIND/NAME, as in `service/adserve`");
         return None;
     };
@@ -189,7 +189,7 @@
     })
 }
 
-/// A default that stands in an endpoint, where only an exception may set it.
+/// A field of an endpoint that only an exception may set.
 fn exception_field(value: &Value) -> Option<&'static str> {
     let own = value.as_object()?;
     Values::FIELDS
@@ -200,7 +200,7 @@
 fn read_addr(value: &Value, path: &str, faults: &mut Faults<'_>) -> Option<SocketAddr> {
     let remedy = "write the IP number and port, as in `10.1.0.3:8080`";
     let Ok(addr) = text(value, path, faults)?.parse::<SocketAddr>() else {
-        faults.add(path, format!("{value} is no address"), remedy);
+        faults.add(path, format!("{value} is not an address"), remedy);
         return None;
     };
     let ip = addr.ip();
@@ -211,7 +211,11 @@
         return None;
     }
     if addr.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
-        faults.add(path, format!("{addr} names no single endpoint"), remedy);
+        faults.add(
+            path,
+            format!("{addr} does not name a single endpoint"),
+            remedy,
+        );
         return None;
     }
     Some(addr)
@@ -220,7 +224,7 @@
 fn read_state(value: &Value, path: &str, faults: &mut Faults<'_>) -> Option<State> {
     let state = State::deserialize(value).ok();
     if state.is_none() {
-        let fault = format!("{value} is no state");
+        let fault = format!("{value} is not a state");
         faults.add(path, fault, "write \"live\" or \"leaving\"");
     }
     state
@@ -337,7 +341,7 @@
     let text = text(value, path, faults)?.trim();
     if text.split_whitespace().count() < REASON_WORDS {
         let remedy = "write why it is needed, for someone who reads it in a year";
-        faults.add(path, "the reason says too little", remedy);
+        faults.add(path, "the reason is too short", remedy);
         return None;
     }
     Some(text.to_owned())
@@ -355,7 +359,7 @@
 fn read_date(value: &Value, path: &str, faults: &mut Faults<'_>) -> Option<String> {
     let text = text(value, path, faults)?;
     if !is_date(text) {
-        let fault = format!("{value} is no date");
+        let fault = format!("{value} is not a date");
         faults.add(path, fault, "write YEAR-MONTH-DAY, as in 2026-11-03");
         return None;
     }
@@ -377,11 +381,11 @@
     })
 }
 
-/// Reads a secret; no fault repeats it.
+/// Reads a secret; faults do not repeat it.
 fn read_secret(value: &Value, path: &str, faults: &mut Faults<'_>) -> Option<String> {
     let secret = value.as_str().filter(|text| text.len() >= SECRET_LENGTH);
     if secret.is_none() {
-        let fault = format!("the secret is no text of {SECRET_LENGTH} characters or more");
+        let fault = format!("the secret is not a string of at least {SECRET_LENGTH} characters");
         faults.add(path, fault, "make one with `openssl rand -hex 32`");
     }
     secret.map(str::to_owned)
@@ -393,7 +397,7 @@
 
 fn check_name(name: &str, path: &str, faults: &mut Faults<'_>) -> Option<Name> {
     if !is_name(name) {
-        let fault = format!("`{name}` is no name");
+        let fault = format!("`{name}` is not a valid name");
         let remedy = format!("use 1 to {NAME_LENGTH} letters, digits, `-` and `_`");
         faults.add(path, fault, remedy);
         return None;
--- a/src/config/source.rs
+++ b/src/config/source.rs
@@ -1,4 +1,4 @@
-//! Reads TOML text into plain JSON values, and notes the line of each path.
+//! Reads TOML text into plain JSON values, and records the line of each path.
 
 use std::collections::HashMap;
 
@@ -15,7 +15,7 @@
     pub lines: HashMap<String, usize>,
 }
 
-/// Reads `text`; syntax faults are told with their lines.
+/// Reads `text`; syntax faults come with their lines.
 pub(super) fn read_toml(file: &str, text: &str) -> Result<Source> {
     let (table, errors) = DeTable::parse_recoverable(text);
     let mut faults = Faults::new(file, HashMap::new());
--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -163,7 +163,7 @@
     Ok(())
 }
 
-/// Prints a line; that no one reads on, as under `head`, is no error.
+/// Prints a line; a closed pipe, as under `head`, is not an error.
 fn show(line: &str) -> Result<()> {
     match writeln!(io::stdout(), "{line}") {
         Err(source) if source.kind() != io::ErrorKind::BrokenPipe => {
@@ -213,7 +213,7 @@
 #[cold]
 fn wrong_addr(text: &str) -> Error {
     let remedy = "write the process's --ops address, as in 127.0.0.1:9080";
-    Error::setting("ADDR", format!("`{text}` is no address"), remedy)
+    Error::setting("ADDR", format!("`{text}` is not an address"), remedy)
 }
 
 #[cold]
@@ -227,7 +227,7 @@
     let (status, body) = answer.map_err(|_| Error::peer(addr, "no answer in time"))??;
     let text = String::from_utf8_lossy(&body).into_owned();
     let value: Value =
-        serde_json::from_slice(&body).map_err(|_| Error::peer(addr, "the answer is no JSON"))?;
+        serde_json::from_slice(&body).map_err(|_| Error::peer(addr, "the answer is not JSON"))?;
     match status {
         StatusCode::OK => Ok(format!("{value:#}")),
         StatusCode::NOT_FOUND => Err(wrong_table()),
@@ -249,7 +249,7 @@
     Ok((status, body.to_bytes()))
 }
 
-/// What the innermost error says.
+/// Message of the innermost error.
 fn root_cause(error: &dyn std::error::Error) -> String {
     match error.source() {
         Some(source) => root_cause(source),
--- a/src/front/settings.rs
+++ b/src/front/settings.rs
@@ -103,7 +103,7 @@
     /// let error = Settings::new(flags, |_| None).unwrap_err();
     /// assert_eq!(
     ///     error.to_string(),
-    ///     "--name: it is missing; pass --name sv-a-1 or set JACINTHHINGE_NAME"
+    ///     "--name: missing; pass --name sv-a-1 or set JACINTHHINGE_NAME"
     /// );
     /// ```
     ///
@@ -182,14 +182,18 @@
 #[cold]
 fn missing(flag: &'static str, example: &str) -> Error {
     let remedy = format!("pass {flag} {example} or set {}", variable(flag));
-    Error::setting(flag, "it is missing", remedy)
+    Error::setting(flag, "missing", remedy)
 }
 
 fn name(flag: &'static str, value: Option<String>, example: &str) -> Result<Name> {
     let name = required(flag, value, example)?;
     if !crate::config::is_name(&name) {
         let remedy = format!("use letters, digits, `-` and `_`, as in {example}");
-        return Err(Error::setting(flag, format!("`{name}` is no name"), remedy));
+        return Err(Error::setting(
+            flag,
+            format!("`{name}` is not a valid name"),
+            remedy,
+        ));
     }
     Ok(Name::from(name))
 }
@@ -197,7 +201,7 @@
 fn addr(flag: &'static str, text: &str) -> Result<SocketAddr> {
     let remedy = "write an IP number and a port, as in 127.0.0.1:9000";
     let Ok(addr) = text.parse::<SocketAddr>() else {
-        let fault = format!("`{text}` is no address");
+        let fault = format!("`{text}` is not an address");
         return Err(Error::setting(flag, fault, remedy));
     };
     if addr.port() == 0 {
@@ -207,7 +211,7 @@
     Ok(addr)
 }
 
-/// An address of this host that others are told.
+/// An address of this host that is announced to others.
 fn own_addr(flag: &'static str, text: &str) -> Result<SocketAddr> {
     let addr = addr(flag, text)?;
     let ip = addr.ip();
@@ -235,7 +239,7 @@
 
 fn platform(text: &str) -> Result<Uri> {
     let remedy = "write it as http://IP:PORT, without a path";
-    let fault = format!("`{text}` is no address of a platform");
+    let fault = format!("`{text}` is not a platform address");
     let refused = || Error::setting("--platform", fault.clone(), remedy);
     let uri: Uri = text.parse().map_err(|_| refused())?;
     let plain = uri.scheme_str() == Some("http") && uri.path() == "/" && uri.query().is_none();
@@ -287,7 +291,7 @@
         level.trim().parse::<LevelFilter>().is_ok()
     };
     if !text.split(',').all(is_level) {
-        let fault = format!("`{text}` is no log level");
+        let fault = format!("`{text}` is not a log level");
         let remedy = "write error, warn, info, debug or trace";
         return Err(Error::setting("--log", fault, remedy));
     }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -105,8 +105,8 @@
         (&["chekc"], "did you mean `check`?"),
         (&["check"], "expected `FILE`"),
         (&["serve", "--nam", "x"], "did you mean `--name`?"),
-        (&["serve"], "--name: it is missing; pass --name sv-a-1"),
-        (&["dump", "here"], "`here` is no address"),
+        (&["serve"], "--name: missing; pass --name sv-a-1"),
+        (&["dump", "here"], "`here` is not an address"),
         (
             &["dump", "127.0.0.1:9", "--table", "a b"],
             "leave --table out",
@@ -187,7 +187,7 @@
         ..Flags::default()
     };
     let error = Settings::new(flags, |_| None).unwrap_err().to_string();
-    assert!(error.starts_with("--zone: it is missing"), "{error}");
+    assert!(error.starts_with("--zone: missing"), "{error}");
 }
 
 #[test]
@@ -219,24 +219,24 @@
         error.to_string()
     });
     insta::assert_snapshot!(refusals.join("\n"), @r#"
-    --name: it is missing; pass --name sv-a-1 or set JACINTHHINGE_NAME
-    --name: `sv a` is no name; use letters, digits, `-` and `_`, as in sv-a-1
+    --name: missing; pass --name sv-a-1 or set JACINTHHINGE_NAME
+    --name: `sv a` is not a valid name; use letters, digits, `-` and `_`, as in sv-a-1
     --peer-addr: other hosts cannot reach `0.0.0.0:9000`; write the IP number of this host
-    --peer-addr: `sv-a-1:9000` is no address; write an IP number and a port, as in 127.0.0.1:9000
-    --lane: it is missing; pass --lane 10.1.0.3:9100 or set JACINTHHINGE_LANE
+    --peer-addr: `sv-a-1:9000` is not an address; write an IP number and a port, as in 127.0.0.1:9000
+    --lane: missing; pass --lane 10.1.0.3:9100 or set JACINTHHINGE_LANE
     --lane: `127.0.0.1:0` has no port; write an IP number and a port, as in 127.0.0.1:9000
     --lane: 127.0.0.1:9100 is used twice; give each its own port
     --ops: 127.0.0.1:9000 is the --peer-addr too; give each its own port
-    --platform: `127.0.0.1:8500` is no address of a platform; write it as http://IP:PORT, without a path
-    --platform: `https://127.0.0.1:8500` is no address of a platform; write it as http://IP:PORT, without a path
-    --platform: `http://127.0.0.1:8500/v1` is no address of a platform; write it as http://IP:PORT, without a path
-    --peer: `127.0.0.1` is no address; write an IP number and a port, as in 127.0.0.1:9000
-    --key: it is missing; pass --key SECRET or set JACINTHHINGE_KEY
+    --platform: `127.0.0.1:8500` is not a platform address; write it as http://IP:PORT, without a path
+    --platform: `https://127.0.0.1:8500` is not a platform address; write it as http://IP:PORT, without a path
+    --platform: `http://127.0.0.1:8500/v1` is not a platform address; write it as http://IP:PORT, without a path
+    --peer: `127.0.0.1` is not an address; write an IP number and a port, as in 127.0.0.1:9000
+    --key: missing; pass --key SECRET or set JACINTHHINGE_KEY
     --key: the secret has fewer than 16 characters; make one with `openssl rand -hex 32`, the same for all hosts
     --other-key: the secret has fewer than 16 characters; make one with `openssl rand -hex 32`, the same for all hosts
-    --statsd: `localhost` is no address; write an IP number and a port, as in 127.0.0.1:9000
-    --log: `loud` is no log level; write error, warn, info, debug or trace
-    --log: `info,control=loud` is no log level; write error, warn, info, debug or trace
+    --statsd: `localhost` is not an address; write an IP number and a port, as in 127.0.0.1:9000
+    --log: `loud` is not a log level; write error, warn, info, debug or trace
+    --log: `info,control=loud` is not a log level; write error, warn, info, debug or trace
     "#);
 }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -161,7 +161,7 @@
     ---
     t.toml:7: service.adserve.slots: 0 is out of range; write a whole number from 1 to 100000
     ---
-    t.toml:7: service.adserve.slots: a text stands where a number belongs; write it as in `3`
+    t.toml:7: service.adserve.slots: expected a number, found a string; write it as in `3`
     ---
     t.toml:7: service.adserve.slots: 3000000000000 is out of range; write a whole number from 1 to 100000
     ---
@@ -169,13 +169,13 @@
     ---
     t.toml:7: service.adserve.retry_share: 1.5 is out of range; write a number from 0 to 1
     ---
-    t.toml:7: service.adserve.weight: nothing readable stands where a number belongs; write it as in `0.5`
+    t.toml:7: service.adserve.weight: expected a number, found nothing; write it as in `0.5`
     ---
     t.toml:7: service.adserve.idle_limit: "1s" is out of range; write one from 5s to 1day
     ---
-    t.toml:3: fleet.drain_limit: 5 is no duration; write a number and its unit, as in "250ms" or "2s"
+    t.toml:3: fleet.drain_limit: 5 is not a duration; write a number and its unit, as in "250ms" or "2s"
     ---
-    t.toml:3: fleet.drain_limit: "5 parsecs" is no duration; write a number and its unit, as in "250ms" or "2s"
+    t.toml:3: fleet.drain_limit: "5 parsecs" is not a duration; write a number and its unit, as in "250ms" or "2s"
     ---
     t.toml:3: invalid basic string, expected `"`; correct the line, in the form of config/hraunvik.toml
     ---
@@ -184,8 +184,8 @@
     t.toml:5: service.adserve.class.photo.service_time: service time is over the deadline; raise `deadline` or lower `service_time`
     t.toml:20: service.kleurmatch.class.photo.service_time: service time is over the deadline; raise `deadline` or lower `service_time`
     ---
-    t.toml:28: keys.current: the secret is no text of 16 characters or more; make one with `openssl rand -hex 32`
-    t.toml:29: keys.other: the secret is no text of 16 characters or more; make one with `openssl rand -hex 32`
+    t.toml:28: keys.current: the secret is not a string of at least 16 characters; make one with `openssl rand -hex 32`
+    t.toml:29: keys.other: the secret is not a string of at least 16 characters; make one with `openssl rand -hex 32`
     ---
     t.toml:27: keys: both secrets are the same; make a second secret for `other`
     "#);
@@ -214,13 +214,13 @@
     ];
     let refusals: Vec<String> = cases.iter().map(|text| refusal(text)).collect();
     insta::assert_snapshot!(refusals.join("\n---\n"), @r#"
-    t.toml:23: service.kleurmatch.endpoint: a table stands where a list belongs; write [[service.kleurmatch.endpoint]] with double brackets
+    t.toml:23: service.kleurmatch.endpoint: expected an array, found a table; write [[service.kleurmatch.endpoint]] with double brackets
     ---
     t.toml:25: service.kleurmatch.endpoint[0].addr: [::ffff:127.0.0.1]:22101 is an IPv4 address written as IPv6; write `127.0.0.1:22101`
     ---
-    t.toml:15: service.adserve.endpoint[1].name: the name `a-1` stands twice; give one of them another name
+    t.toml:15: service.adserve.endpoint[1].name: the name `a-1` is used twice; give one of them another name
     ---
-    t.toml:15: service.adserve.endpoint[1].name: `a 2` is no name; use 1 to 64 letters, digits, `-` and `_`
+    t.toml:15: service.adserve.endpoint[1].name: `a 2` is not a valid name; use 1 to 64 letters, digits, `-` and `_`
     ---
     t.toml:14: service.adserve.endpoint[1]: `name` is missing; add `name`
     ---
@@ -228,13 +228,13 @@
     ---
     t.toml:25: service.kleurmatch.endpoint[0].addr: address 127.0.0.1:21001 already belongs to endpoint `a-1` of service `adserve`; give each endpoint its own address
     ---
-    t.toml:25: service.kleurmatch.endpoint[0].addr: 0.0.0.0:21001 names no single endpoint; write the IP number and port, as in `10.1.0.3:8080`
+    t.toml:25: service.kleurmatch.endpoint[0].addr: 0.0.0.0:21001 does not name a single endpoint; write the IP number and port, as in `10.1.0.3:8080`
     ---
-    t.toml:25: service.kleurmatch.endpoint[0].addr: "sv-a-1:21001" is no address; write the IP number and port, as in `10.1.0.3:8080`
+    t.toml:25: service.kleurmatch.endpoint[0].addr: "sv-a-1:21001" is not an address; write the IP number and port, as in `10.1.0.3:8080`
     ---
     t.toml:17: service.adserve.endpoint[1].zone: `sv-c` is none of the service's zones; did you mean `sv-b`?
     ---
-    t.toml:18: service.adserve.endpoint[1].state: "gone" is no state; write "live" or "leaving"
+    t.toml:18: service.adserve.endpoint[1].state: "gone" is not a state; write "live" or "leaving"
     ---
     t.toml:21: service.kleurmatch.zones: no zone is named; name the zones that serve it
     ---
@@ -286,7 +286,7 @@
     ---
     t.toml:29: exception[0].scope: unknown kind of scope `rack`; known are zone, service, host, endpoint, class
     ---
-    t.toml:29: exception[0].scope: `adserve` is no scope; write KIND/NAME, as in `service/adserve`
+    t.toml:29: exception[0].scope: `adserve` is not a scope; write KIND/NAME, as in `service/adserve`
     ---
     t.toml:29: exception[0].scope: the scope names two of kind `zone`; write one exception for each
     ---
@@ -294,7 +294,7 @@
     ---
     t.toml:30: exception[0].set: it sets nothing; set a field or remove the exception
     ---
-    t.toml:31: exception[0].reason: the reason says too little; write why it is needed, for someone who reads it in a year
+    t.toml:31: exception[0].reason: the reason is too short; write why it is needed, for someone who reads it in a year
     ---
     t.toml:28: exception[0]: `reason` is missing; add `reason`
     ---
@@ -302,7 +302,7 @@
     ---
     t.toml:28: exception[0]: `date` is missing; add `date`
     ---
-    t.toml:33: exception[0].date: "2026-02-30" is no date; write YEAR-MONTH-DAY, as in 2026-11-03
+    t.toml:33: exception[0].date: "2026-02-30" is not a date; write YEAR-MONTH-DAY, as in 2026-11-03
     "#);
 }
 
@@ -324,15 +324,15 @@
     insta::assert_snapshot!(refusals.join("\n---\n"), @r#"
     platform: flet: unknown key; did you mean `fleet`?
     ---
-    platform: fleet: the value is no JSON; publish what `jacinthhinge check` accepts
+    platform: fleet: the value is not JSON; publish what `jacinthhinge check` accepts
     ---
-    platform: fleet: a list stands where a table belongs; write a table here
+    platform: fleet: expected a table, found an array; write a table here
     ---
     platform: fleet.slots: 0 is out of range; write a whole number from 1 to 100000
     ---
-    platform: service.a.b: `a.b` is no name; use 1 to 64 letters, digits, `-` and `_`
+    platform: service.a.b: `a.b` is not a valid name; use 1 to 64 letters, digits, `-` and `_`
     ---
-    platform: keys: a text stands where a table belongs; write a table here
+    platform: keys: expected a table, found a string; write a table here
     "#);
 }
 
