Ignore an endpoint's answer to a question of before the flow opened

Cause: a flow that looks new just after hosts changed is first asked for at the endpoints. A second copy of an answer "not held" that came after the flow had opened was taken for the answer to a probe, and reset it. Ruled out: numbering probes; an open flow is probed a second after its opening at the earliest, so that one without an open question needs none. Change: such answers count only while a probe of the flow waits for one.

--- a/src/systems/settle.rs
+++ b/src/systems/settle.rs
@@ -99,7 +99,7 @@
     match flow.state {
         FlowState::Recovering => recover::answer(tables, &key, target, known, now, out),
         FlowState::Opening => {}
-        FlowState::Open if is_other(flow, &target) => {}
+        FlowState::Open if is_other(flow, &target) || flow.probed.is_none() => {}
         FlowState::Open if known => flow.probed = None,
         FlowState::Open => recover::lose(tables, &key, Reason::FlowLost, out),
     }
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -14,6 +14,7 @@
 mod pause_past_record;
 mod reassigned_probe;
 mod removed_endpoint;
+mod repeated_probe;
 mod short_record;
 mod stale_home;
 mod unlisted_home;
--- /dev/null
+++ b/tests/regression/repeated_probe.rs
@@ -0,0 +1,41 @@
+//! While hosts had just changed, a new flow was first asked for at the endpoints. A
+//! late copy of an endpoint's "not held" came after it had opened, and reset it.
+
+use super::common::{World, addr, ms};
+use jacinthhinge::prelude::*;
+use jacinthhinge::systems;
+use jacinthhinge::tables::{Arrival, Outbox};
+
+#[test]
+fn a_late_answer_to_an_earlier_question_does_not_reset_a_flow() {
+    let mut world = World::new(3, 1);
+    world.service("adserve", 1, 3);
+    world.agree();
+    world.caller(false);
+    world.open(0, 1, "adserve", true);
+    world.run(ms(300));
+    assert_eq!(world.hosts[0].tables.flows.len(), 1);
+
+    let caller = world.callers[0].addr;
+    let now = world.now + ms(10);
+    let lane = &mut world.hosts[0].tables;
+    let flow = FlowKey { caller, flow: 1 };
+    let target = lane.flows.get(&flow).and_then(|flow| flow.target);
+    let load = Load {
+        incarnation: target.map_or(1, |target| target.incarnation),
+        ..Load::default()
+    };
+    let packet = Packet {
+        service: Id::of("adserve"),
+        caller,
+        flow: 1,
+        hops: 0,
+        ticket: Bytes::new(),
+        body: Body::Probed { known: false, load },
+    };
+    let ticket = lane.ticket(Side::Endpoint, &packet, lane.me, target);
+    let packet = Packet { ticket, ..packet };
+    lane.inbox.push(Arrival::new(addr("10.9.9.9:1"), packet));
+    systems::run(lane, now, &mut Outbox::default());
+    assert_eq!(lane.flows.len(), 1);
+}
