Name the flag when an address cannot be bound

Cause: 'cannot listen for operators: Cannot assign requested address' left open which of four flags was meant; an empty variable counted as a value. Ruled out: wording in each part of the front end, which does not know flags. Change: serve binds each address once before it starts; empty variables count as not set. Conclusion: five cases by test, each with its flag and address.

--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -135,6 +135,7 @@
 
 fn run_serve(flags: Flags) -> Result<(), Report<Error>> {
     let settings = Settings::new(flags, |name| std::env::var(name).ok())?;
+    settings.check_bind()?;
     serve::run(&settings)
 }
 
--- a/src/front/settings.rs
+++ b/src/front/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a process, from flags and environment variables.
 
-use std::net::SocketAddr;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 
 use axum::http::Uri;
 use bpaf::Bpaf;
@@ -111,6 +112,7 @@
     ///
     /// Fails at the first setting that is missing or wrong, and names its flag.
     pub fn new(flags: Flags, env: impl Fn(&str) -> Option<String>) -> Result<Self> {
+        let env = |name: &str| env(name).filter(|value| !value.is_empty());
         let one = |flag: &str, given: Option<String>| given.or_else(|| env(&variable(flag)));
         let many = |flag: &str, given: Vec<String>| split(given, env(&variable(flag)));
 
@@ -157,6 +159,39 @@
     }
 }
 
+impl Settings {
+    /// Checks that the addresses of this host can be bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first address that is taken or not this host's own.
+    pub fn check_bind(&self) -> Result<()> {
+        for lane in &self.lanes {
+            check_bind("--lane", *lane, UdpSocket::bind(lane))?;
+        }
+        check_bind(
+            "--peer-addr",
+            self.peer_addr,
+            UdpSocket::bind(self.peer_addr),
+        )?;
+        check_bind(
+            "--peer-addr",
+            self.peer_addr,
+            TcpListener::bind(self.peer_addr),
+        )?;
+        check_bind("--ops", self.ops, TcpListener::bind(self.ops))
+    }
+}
+
+fn check_bind<T>(flag: &'static str, addr: SocketAddr, bound: io::Result<T>) -> Result<()> {
+    let Err(source) = bound else {
+        return Ok(());
+    };
+    let fault = format!("{addr} cannot be bound: {source}");
+    let remedy = "write an address of this machine that no other process uses";
+    Err(Error::setting(flag, fault, remedy))
+}
+
 /// Environment variable of a flag.
 fn variable(flag: &str) -> String {
     let name = flag.trim_start_matches('-').replace('-', "_");
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -240,6 +240,48 @@
     "#);
 }
 
+/// Settings whose addresses can all be bound.
+fn bindable() -> Settings {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let mut settings = settings("LOG", "info").unwrap();
+    settings.lanes = vec![any].into();
+    settings.peer_addr = any;
+    settings.ops = any;
+    settings
+}
+
+#[test]
+fn addresses_that_cannot_be_bound_name_their_flag() {
+    let taken = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let taken = taken.local_addr().unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listening = listener.local_addr().unwrap();
+    let refusal = |change: fn(&mut Settings, SocketAddr), addr: SocketAddr| {
+        let mut settings = bindable();
+        change(&mut settings, addr);
+        let text = settings.check_bind().unwrap_err().to_string();
+        text.replace(&addr.to_string(), "ADDR")
+    };
+    let refusals = [
+        refusal(|settings, addr| settings.lanes.push(addr), taken),
+        refusal(|settings, addr| settings.peer_addr = addr, taken),
+        refusal(|settings, addr| settings.peer_addr = addr, listening),
+        refusal(|settings, addr| settings.ops = addr, listening),
+        refusal(
+            |settings, addr| settings.ops = addr,
+            "192.0.2.1:9080".parse().unwrap(),
+        ),
+    ];
+    insta::assert_snapshot!(refusals.join("\n"), @r"
+    --lane: ADDR cannot be bound: Address already in use (os error 98); write an address of this machine that no other process uses
+    --peer-addr: ADDR cannot be bound: Address already in use (os error 98); write an address of this machine that no other process uses
+    --peer-addr: ADDR cannot be bound: Address already in use (os error 98); write an address of this machine that no other process uses
+    --ops: ADDR cannot be bound: Address already in use (os error 98); write an address of this machine that no other process uses
+    --ops: ADDR cannot be bound: Cannot assign requested address (os error 99); write an address of this machine that no other process uses
+    ");
+    assert!(bindable().check_bind().is_ok());
+}
+
 /// Runs an operators' server while `test` runs.
 fn with_ops(ops: Ops, test: impl FnOnce(SocketAddr)) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
