--- a/src/systems/ask.rs
+++ b/src/systems/ask.rs
@@ -43,6 +43,10 @@
         number: request,
     };
     let slot = match tables.requests.find(&id) {
+        Some(slot) if tables.requests.row(slot).service != packet.service => {
+            tables.counters.foreign += 1;
+            return;
+        }
         Some(slot) => slot,
         None if tables.requests.is_spent(&id) => {
             doubt(tables, packet, request, Reason::Late, out);
@@ -129,7 +133,8 @@
 
 /// True when this lane may dispatch once-only work of a caller without a ticket.
 fn may_dispatch(tables: &Tables, packet: &Packet, now: Duration) -> bool {
-    tables.snapshot.lease.is_held(now) && tables.is_home(&packet.key())
+    let snapshot = &tables.snapshot;
+    snapshot.may_dispatch(&packet.key(), &tables.me, now)
 }
 
 fn gather(
--- a/src/systems/dispatch.rs
+++ b/src/systems/dispatch.rs
@@ -78,7 +78,8 @@
 fn may_run(tables: &Tables, slot: usize, now: Duration) -> bool {
     let row = tables.requests.row(slot);
     let free = row.ticketed || !row.class.is_once();
-    free || (tables.snapshot.lease.is_held(now) && tables.is_home(&row.id.flow))
+    let snapshot = &tables.snapshot;
+    free || snapshot.may_dispatch(&row.id.flow, &tables.me, now)
 }
 
 /// Dispatches a request to an endpoint.
