Look only at requests that are due or with an endpoint

Cause: each timer tick went over all records twice, so that 20,000 records of the last ten seconds cost 9.6 us a request on top of 6.3 (wall clock, shared machine).

--- a/src/systems/expire.rs
+++ b/src/systems/expire.rs
@@ -10,7 +10,7 @@
 pub const RECORD: Duration = Duration::from_secs(10);
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    for slot in tables.requests.slots() {
+    for slot in tables.requests.due(now) {
         expire_request(tables, slot, now, out);
     }
     tables.requests.expire(now);
@@ -18,9 +18,7 @@
 
 fn expire_request(tables: &mut Tables, slot: usize, now: Duration, out: &mut Outbox) {
     let row = tables.requests.row(slot);
-    if now < row.deadline {
-        return;
-    }
+    let record = row.deadline + RECORD;
     match row.state {
         RequestState::Gathering | RequestState::Queued => {
             verdict::end_unsent(tables, slot, Reason::Late, out);
@@ -29,7 +27,8 @@
             verdict::cancel_dispatch(tables, slot, out);
             verdict::end(tables, slot, Verdict::Unknown, Reason::Late, out);
         }
-        _ if now >= row.deadline + RECORD => tables.requests.remove(slot, now),
+        _ if now >= record => return tables.requests.remove(slot, now),
         _ => {}
     }
+    tables.requests.recall(slot, record);
 }
--- a/src/systems/retry.rs
+++ b/src/systems/retry.rs
@@ -24,7 +24,7 @@
 const TRIES: usize = 4;
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    for slot in tables.requests.slots() {
+    for slot in tables.requests.sent() {
         let row = tables.requests.row(slot);
         if row.state != RequestState::Sent {
             continue;
--- a/src/tables/requests.rs
+++ b/src/tables/requests.rs
@@ -222,6 +222,8 @@
     index: HashMap<RequestId, usize>,
     dispatches: HashMap<u64, usize>,
     queues: HashMap<Id, [BTreeSet<(Duration, usize)>; Class::ALL.len()]>,
+    due: BTreeSet<(Duration, usize)>,
+    sent: Vec<usize>,
     next: u64,
     spent: Spent,
 }
@@ -238,6 +240,8 @@
             index: HashMap::new(),
             dispatches: HashMap::new(),
             queues: HashMap::new(),
+            due: BTreeSet::new(),
+            sent: Vec::new(),
             next: (lane << LANE_SHIFT) | home.incarnation,
             spent: Spent::default(),
         }
@@ -268,9 +272,10 @@
 
     /// Adds a request.
     pub fn insert(&mut self, request: Request) -> usize {
-        let id = request.id;
+        let (id, deadline) = (request.id, request.deadline);
         let slot = self.rows.insert(request);
         self.index.insert(id, slot);
+        self.due.insert((deadline, slot));
         slot
     }
 
@@ -303,6 +308,7 @@
         self.next += 1;
         self.dispatches.insert(self.next, slot);
         self.rows[slot].dispatches.push(self.next);
+        self.sent.push(slot);
         self.next
     }
 
@@ -358,10 +364,34 @@
             .map_or(0, |queues| queues[class.index()].len())
     }
 
-    /// Slots of all requests.
-    #[must_use]
-    pub fn slots(&self) -> Vec<usize> {
-        self.rows.iter().map(|(slot, _)| slot).collect()
+    /// Slots of the requests that are with an endpoint.
+    pub fn sent(&mut self) -> Vec<usize> {
+        let rows = &self.rows;
+        let is_sent = |slot: &usize| {
+            let row = rows.get(*slot);
+            row.is_some_and(|row| row.state == RequestState::Sent)
+        };
+        self.sent.retain(is_sent);
+        self.sent.sort_unstable();
+        self.sent.dedup();
+        self.sent.clone()
+    }
+
+    /// Takes the slots that are due: at their deadline, or as told by [`Self::recall`].
+    pub fn due(&mut self, now: Duration) -> Vec<usize> {
+        let mut slots = Vec::new();
+        while let Some((at, slot)) = self.due.first().copied()
+            && at <= now
+        {
+            self.due.pop_first();
+            slots.push(slot);
+        }
+        slots
+    }
+
+    /// Makes a request due again at `at`.
+    pub fn recall(&mut self, slot: usize, at: Duration) {
+        self.due.insert((at, slot));
     }
 
     /// Requests that a caller may still wait for.
