Count only fresh heartbeats as signs of life

A heartbeat that the network doubles, or a stranger repeats, kept its dead sender on the lists: the regression test showed it there after 4 s. Only a stamp that is newer than the last now counts; the test passes.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -107,8 +107,8 @@
     if member.incarnation != beat.incarnation {
         return false;
     }
-    member.heard = now;
     if member.sent.is_none_or(|sent| beat.sent > sent) {
+        member.heard = now;
         member.sent = Some(beat.sent);
         member.vote = beat.vote.clone();
         member.revision = beat.revision;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -21,7 +21,8 @@
 /// Most traffic lanes of one host.
 const LANE_LIMIT: usize = 16;
 
-const SEAL_BYTES: usize = 16;
+/// Bytes of the truncated hash; 96 bits, as in HMAC-96.
+const SEAL_BYTES: usize = 12;
 
 /// Key that seals messages between hosts, so that strangers cannot join.
 #[derive(Clone, Eq, PartialEq)]
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -2,10 +2,13 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+#[path = "../zone/mod.rs"]
+mod zone;
 
 mod cancel_after_restart;
 mod mixed_answers;
 mod pause_past_record;
+mod replayed_beat;
 mod short_record;
 
 use common::{World, ms};
--- /dev/null
+++ b/tests/regression/replayed_beat.rs
@@ -0,0 +1,35 @@
+//! A heartbeat that is sent again and again must not keep a dead host alive.
+
+use jacinthhinge::control::{Action, Beat, Event};
+use jacinthhinge::prelude::*;
+
+use crate::zone::{Zone, names};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn repeated_old_heartbeats_do_not_keep_a_dead_host_alive() {
+    let mut zone = Zone::with_hosts(3);
+    zone.run_for(6 * SECOND);
+    let old = old_beat(&mut zone, 1);
+    zone.kill(1);
+    for _ in 0..40 {
+        zone.give(0, Event::Beat(old.clone()));
+        zone.give(2, Event::Beat(old.clone()));
+        zone.run_for(SECOND / 10);
+    }
+    assert_eq!(zone.nodes[&0].hosts(), names([0, 2]));
+}
+
+/// A heartbeat that a host sends now.
+fn old_beat(zone: &mut Zone, index: usize) -> Box<Beat> {
+    zone.run_for(SECOND);
+    let node = zone.nodes.get_mut(&index).expect("host");
+    let now = zone.now.saturating_sub(node.start);
+    let actions = node.control.handle(now + SECOND, Event::Tick);
+    let beats = actions.into_iter().filter_map(|action| match action {
+        Action::Send { beat, .. } => Some(beat),
+        _ => None,
+    });
+    beats.last().expect("heartbeat")
+}
