--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each system has one job and runs over the tables once a tick:
 //! `fn run(&mut Tables, now, &mut Outbox)`. A tick is a batch of packets or a
-//! timer. Packets wait in the inbox; [`route`] decides which system each is for,
+//! timer. Packets wait in the inbox; `route` decides which system each is for,
 //! and the others deal with theirs. None of them sees a socket, bytes or a clock.
 
 mod admit;
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -2,6 +2,8 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+#[path = "../zone/mod.rs"]
+mod zone;
 
 mod boot_without_endpoints;
 mod boot_without_keys;
@@ -15,6 +17,7 @@
 mod reassigned_probe;
 mod removed_endpoint;
 mod repeated_probe;
+mod replayed_beat;
 mod short_record;
 mod stale_home;
 mod unlisted_home;
