--- /dev/null
+++ b/src/control/roster.rs
@@ -0,0 +1,125 @@
+//! Rosters: the hosts of the zone that have a vote.
+//!
+//! The platform's list gives the roster. Until it was read, the seeds and every
+//! host met so far make one that only grows. A newer roster counts together with
+//! the one agreed on before, until a majority of both has settled on it.
+
+use std::net::{IpAddr, SocketAddr};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::message::{Card, Hosts, Listed, Roster};
+use super::tables::{Rosters, Tables};
+use crate::id::Name;
+
+impl Roster {
+    /// Roster of one zone out of the platform's list.
+    #[must_use]
+    pub fn of_zone(list: &Hosts, zone: &Name) -> Self {
+        let hosts = list
+            .hosts
+            .iter()
+            .filter(|(name, _)| name == zone)
+            .map(|(_, host)| host.clone())
+            .collect();
+        Self::new(list.revision, hosts)
+    }
+
+    /// Roster of these hosts, in order of their addresses.
+    #[must_use]
+    pub fn new(revision: u64, mut hosts: Vec<Listed>) -> Self {
+        hosts.sort_by_key(|host| host.peer);
+        hosts.dedup_by_key(|host| host.peer);
+        let digest = digest(&hosts);
+        Self {
+            revision,
+            hosts,
+            digest,
+        }
+    }
+
+    fn weight(&self) -> (u64, usize) {
+        (self.revision, self.hosts.len())
+    }
+}
+
+impl Rosters {
+    /// True if the list marks this host as leaving.
+    #[must_use]
+    pub fn is_leaving(&self, card: &Card) -> bool {
+        let hosts = &self.pending.hosts;
+        let found = hosts.binary_search_by_key(&card.peer, |host| host.peer);
+        found.is_ok_and(|at| hosts[at].leaving && hosts[at].name == card.name)
+    }
+
+    /// Addresses on both rosters.
+    pub(super) fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
+        let base = self.base.iter().flat_map(|roster| &roster.hosts);
+        self.pending.hosts.iter().chain(base).map(|host| host.peer)
+    }
+
+    /// Digest of the roster agreed on, zero if none.
+    pub(super) fn base_digest(&self) -> u64 {
+        self.base.as_ref().map_or(0, |roster| roster.digest)
+    }
+}
+
+/// Takes a roster if it is newer.
+pub(super) fn offer(rosters: &mut Rosters, roster: Roster) {
+    let newer = roster.revision > rosters.pending.revision;
+    if newer && !roster.hosts.is_empty() {
+        rosters.pending = roster;
+    }
+}
+
+/// Takes a roster that other hosts have agreed on, if it is newer.
+pub(super) fn offer_base(rosters: &mut Rosters, roster: Roster) {
+    let known = rosters.base.as_ref().map(Roster::weight);
+    if known.is_none_or(|known| roster.weight() > known) {
+        rosters.base = Some(roster);
+    }
+}
+
+/// Extends the roster made from seeds, until the platform gives one.
+pub(super) fn run(tables: &mut Tables) {
+    if tables.rosters.pending.revision > 0 {
+        return;
+    }
+    let listed = &tables.rosters.pending.hosts;
+    let is_new = |peer: &SocketAddr| listed.binary_search_by_key(peer, |host| host.peer).is_err();
+    let new: Vec<SocketAddr> = tables
+        .members
+        .values()
+        .map(|member| member.card.peer)
+        .chain(tables.settings.seeds.iter().copied())
+        .chain([tables.me.card.peer])
+        .filter(is_new)
+        .collect();
+    if new.is_empty() {
+        return;
+    }
+    let hosts = listed.iter().cloned().chain(new.into_iter().map(seed));
+    let hosts = hosts.collect();
+    tables.rosters.pending = Roster::new(0, hosts);
+}
+
+/// Digest of the addresses that have a vote; never zero.
+fn digest(hosts: &[Listed]) -> u64 {
+    let mut bytes = Vec::new();
+    for host in hosts {
+        match host.peer.ip() {
+            IpAddr::V4(ip) => bytes.extend_from_slice(&ip.octets()),
+            IpAddr::V6(ip) => bytes.extend_from_slice(&ip.octets()),
+        }
+        bytes.extend_from_slice(&host.peer.port().to_be_bytes());
+    }
+    xxh3_64(&bytes).max(1)
+}
+
+fn seed(peer: SocketAddr) -> Listed {
+    Listed {
+        name: Name::default(),
+        peer,
+        leaving: false,
+    }
+}
--- a/src/systems/verdict.rs
+++ b/src/systems/verdict.rs
@@ -87,9 +87,9 @@
     if !std::mem::take(&mut row.holding) {
         return;
     }
-    let class = row.class;
+    let acked = row.acked.iter().any(|acked| *acked);
     if let Some(target) = row.target {
-        tables.endpoints.release(target.endpoint, class);
+        tables.endpoints.release(target.endpoint, acked);
     }
 }
 
--- a/src/tables/requests.rs
+++ b/src/tables/requests.rs
@@ -353,6 +353,21 @@
         })
     }
 
+    /// True when requests of a service are queued.
+    #[must_use]
+    pub fn is_waiting(&self, service: Id) -> bool {
+        let queues = self.queues.get(&service);
+        queues.is_some_and(|queues| queues.iter().any(|queue| !queue.is_empty()))
+    }
+
+    /// Number of queued requests of a class.
+    #[must_use]
+    pub fn queue_len(&self, service: Id, class: Class) -> usize {
+        self.queues
+            .get(&service)
+            .map_or(0, |queues| queues[class.index()].len())
+    }
+
     /// Slots of all requests.
     #[must_use]
     pub fn slots(&self) -> Vec<usize> {
