--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -2,21 +2,18 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use super::fault::{Faults, suggest};
 use super::model::{EndpointRow, Scope, ServiceRow, class_name};
 use super::resolve::Resolver;
 use super::source::field_path;
 use super::{Config, KEYS, SERVICE};
+use crate::control::lease::ONCE_DEADLINE;
 use crate::id::{Id, Name};
 use crate::packet::Class;
 use crate::snapshot::{Policy, Service};
 
-/// Longest deadline of once-only work, which the hold time of a lease covers.
-const ONCE_DEADLINE: Duration = Duration::from_secs(3);
-
-/// Notes every fault that single fields do not show.
+/// Reports faults that span several fields.
 pub(super) fn check_config(config: &Config, faults: &mut Faults<'_>) {
     if config.services.is_empty() && faults.is_empty() {
         faults.add(SERVICE, "no service is described", "add [service.NAME]");
@@ -24,7 +21,7 @@
     check_ids(config, faults);
     check_addresses(config, faults);
     check_zones(config, faults);
-    if faults.spare(SERVICE) {
+    if faults.is_clean(SERVICE) {
         check_scopes(config, faults);
     }
     check_secrets(config, faults);
@@ -68,7 +65,7 @@
         return;
     };
     let fault = if first == name {
-        format!("the name `{name}` stands twice")
+        format!("the name `{name}` is used twice")
     } else {
         format!("`{name}` and `{first}` have the same id")
     };
@@ -125,7 +122,7 @@
         }
     }
 
-    /// Notes names of a scope that the configuration does not hold.
+    /// Reports unknown names in a scope.
     pub fn check_scope(&self, scope: &Scope, path: &str, faults: &mut Faults<'_>) {
         check_known("zone", scope.zone.as_ref(), &self.zones, path, faults);
         check_known(
--- a/src/systems/dispatch.rs
+++ b/src/systems/dispatch.rs
@@ -78,7 +78,8 @@
 fn may_run(tables: &Tables, slot: usize, now: Duration) -> bool {
     let row = tables.requests.row(slot);
     let free = row.ticketed || !row.class.is_once();
-    free || (tables.snapshot.lease.is_held(now) && tables.is_home(&row.id.flow))
+    let snapshot = &tables.snapshot;
+    free || snapshot.may_dispatch(&row.id.flow, &tables.me, now)
 }
 
 /// Dispatches a request to an endpoint.
@@ -93,7 +94,15 @@
     row.started = now;
     row.holding = true;
     row.acked = vec![false; row.parts.total()];
-    tables.endpoints.acquire(endpoint);
+    let (service, class) = (row.service, row.class);
+    let time = tables
+        .snapshot
+        .services
+        .get(&service)
+        .map_or(Duration::ZERO, |service| {
+            service.classes[class.index()].service_time
+        });
+    tables.endpoints.acquire(endpoint, time, now);
     if let Some(row) = tables.endpoints.get_mut(endpoint) {
         row.asked.get_or_insert(now);
     }
--- a/src/tables/requests.rs
+++ b/src/tables/requests.rs
@@ -343,16 +343,6 @@
             .flat_map(move |queues| queues[class.index()].iter().map(|(_, slot)| *slot))
     }
 
-    /// True when an endpoint has a request of the flow in hand.
-    #[must_use]
-    pub fn is_sent(&self, flow: &FlowKey, endpoint: Id) -> bool {
-        self.rows.iter().any(|(_, row)| {
-            row.id.flow == *flow
-                && row.state == RequestState::Sent
-                && row.target.is_some_and(|target| target.endpoint == endpoint)
-        })
-    }
-
     /// True when requests of a service are queued.
     #[must_use]
     pub fn is_waiting(&self, service: Id) -> bool {
@@ -368,6 +358,16 @@
             .map_or(0, |queues| queues[class.index()].len())
     }
 
+    /// True when an endpoint has a request of the flow in hand.
+    #[must_use]
+    pub fn is_sent(&self, flow: &FlowKey, endpoint: Id) -> bool {
+        self.rows.iter().any(|(_, row)| {
+            row.id.flow == *flow
+                && row.state == RequestState::Sent
+                && row.target.is_some_and(|target| target.endpoint == endpoint)
+        })
+    }
+
     /// Slots of all requests.
     #[must_use]
     pub fn slots(&self) -> Vec<usize> {
