--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -44,7 +44,7 @@
     pub asked: Option<Duration>,
     /// Time until which it gets no requests after a refusal.
     pub paused: Duration,
-    /// Slot time of the requests this lane sent it, fading over a few seconds.
+    /// Slot time of the requests this lane sent it, fading over a second.
     pub recent: f64,
     /// Time at which `recent` was last brought up to date.
     pub faded: Duration,
