Read the clock of a lane after its socket

Cause: a traffic thread read its clock, then its socket. A pause between the two was not seen until the next tick, so requests that had waited through it were forwarded with the budget they came with. A home whose record is gone, or a new holder of the lease, could then run an order again.

Ruled out: reading the clock twice and taking the difference off, which ages packets that came after the pause as well, on every tick.

Change: the batch is read first. Before sending, the clock is read once more, and a request for another lane is dropped when 250 ms have passed. `systems::run` says that `now` is read after the inbox was filled.

Conclusion: a pause inside the send call itself is left; it stays harmless for ten minutes with a ticket, and for the hold of the lease without one.

--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -22,7 +22,7 @@
 use crate::clock::Clock;
 use crate::error::{Error, Result};
 use crate::id::Name;
-use crate::packet::PACKET_BYTES;
+use crate::packet::{Body, PACKET_BYTES};
 use crate::snapshot::Snapshot;
 use crate::systems::{self, BATCH, TICK};
 use crate::tables::{Arrival, Counters, Outbox, Tables};
@@ -63,6 +63,9 @@
     Stop,
 }
 
+/// Time from reading the clock to sending after which a request is not forwarded.
+const STALE: Duration = Duration::from_millis(250);
+
 /// Time between two renewals of a lane's gauge.
 const GAUGE_EVERY: Duration = Duration::from_secs(1);
 
@@ -179,16 +182,19 @@
     }
 
     /// One tick: reads a batch, runs the systems, sends the outbox.
+    ///
+    /// The clock is read after the batch, so that a pause between the two counts as
+    /// time that the packets have waited.
     fn step(&mut self, due: bool) {
+        self.read();
         let now = self.clock.now();
         self.refresh(now);
-        self.read();
         systems::run(&mut self.tables, now, &mut self.out);
         if due {
             systems::run_timers(&mut self.tables, now, &mut self.out);
             self.show(now);
         }
-        self.flush();
+        self.flush(now);
     }
 
     fn refresh(&mut self, now: Duration) {
@@ -219,8 +225,14 @@
         }
     }
 
-    fn flush(&mut self) {
+    /// Sends the outbox, but no request for another lane that a pause has made old.
+    fn flush(&mut self, now: Duration) {
+        let paused = self.clock.now() >= now + STALE;
         for send in self.out.sends.drain(..) {
+            if paused && matches!(send.packet.body, Body::Ask { .. }) {
+                self.tables.counters.unsent += 1;
+                continue;
+            }
             let bytes = wire::encode_packet(&send.packet);
             if self.socket.try_send_to(&bytes, send.to).is_err() {
                 self.tables.counters.unsent += 1;
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -54,7 +54,7 @@
 /// Runs every system once over the inbox and the tables.
 ///
 /// The inbox holds at most [`BATCH`] packets; a shorter one says that nothing
-/// more waits to be read.
+/// more waits to be read. `now` is read after the inbox was filled.
 pub fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     let before = wake::run(tables, now);
     route::run(tables, now, out);
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -11,6 +11,7 @@
 mod leaving_home;
 mod lost_probe;
 mod mixed_answers;
+mod pause_after_clock;
 mod pause_past_record;
 mod reassigned_probe;
 mod removed_endpoint;
--- /dev/null
+++ b/tests/regression/pause_after_clock.rs
@@ -0,0 +1,92 @@
+//! A traffic thread read its clock before its socket. A pause between the two was
+//! not seen, and requests that had waited through it were passed on as fresh.
+
+use std::net::UdpSocket;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
+
+use jacinthhinge::front::lane::{Board, Lane};
+use jacinthhinge::prelude::*;
+use jacinthhinge::wire;
+
+use super::common::{World, addr, ms};
+
+fn ask(world: &World, flow: u64) -> Vec<u8> {
+    let part = Part {
+        index: 0,
+        total: 1,
+        data: Bytes::new(),
+    };
+    wire::encode_packet(&Packet {
+        service: *world.base.services.keys().next().expect("a service"),
+        caller: addr("10.2.0.1:9000"),
+        flow,
+        hops: 0,
+        ticket: Bytes::new(),
+        body: Body::Ask {
+            request: 1,
+            class: Class::Order,
+            budget: ms(2_000),
+            part,
+        },
+    })
+}
+
+fn local() -> UdpSocket {
+    UdpSocket::bind("127.0.0.1:0").expect("a socket")
+}
+
+#[test]
+fn a_pause_between_clock_and_socket_counts() {
+    let mut world = World::new(1, 2);
+    world.service("bestel", 1, 1);
+    let (home, free, sender) = (local(), local().local_addr(), local());
+    let lane = free.expect("an address");
+    let mut snapshot = world.base.clone();
+    let mut hosts = [world.entry(0), world.entry(1)];
+    hosts[0].lanes = [lane].into_iter().collect();
+    hosts[1].lanes = [home.local_addr().expect("an address")]
+        .into_iter()
+        .collect();
+    let mut me = world.hosts[0].tables.me;
+    me.addr = lane;
+    snapshot.hosts = hosts.into();
+    let caller = addr("10.2.0.1:9000");
+    let is_away = |flow: &u64| {
+        let key = FlowKey {
+            caller,
+            flow: *flow,
+        };
+        snapshot.home(&key).is_some_and(|home| home.addr != lane)
+    };
+    let flow = (1..100).find(is_away).expect("a flow of the other host");
+    let (armed, start) = (Arc::new(AtomicBool::new(false)), Instant::now());
+    let (trigger, jump) = (Arc::clone(&armed), AtomicU64::new(0));
+    let stale = ask(&world, flow);
+    let pauser = sender.try_clone().expect("a socket");
+    let clock = Clock::new(move || {
+        let now = start.elapsed() + ms(jump.load(Ordering::SeqCst));
+        if trigger.swap(false, Ordering::SeqCst) {
+            pauser.send_to(&stale, lane).expect("a datagram");
+            std::thread::sleep(ms(20));
+            jump.store(60_000, Ordering::SeqCst);
+        }
+        now
+    });
+    let board = Arc::new(Board {
+        snapshot: Arc::new(snapshot).into(),
+    });
+    let running = Lane::start(me, board, clock, 1).expect("a lane");
+    home.set_read_timeout(Some(ms(600))).expect("a timeout");
+    std::thread::sleep(ms(200));
+    armed.store(true, Ordering::SeqCst);
+    sender.send_to(b"junk", lane).expect("a datagram");
+    let mut buffer = [0; 1_500];
+    assert!(home.recv_from(&mut buffer).is_err(), "a stale request");
+    sender
+        .send_to(&ask(&world, flow), lane)
+        .expect("a datagram");
+    assert!(home.recv_from(&mut buffer).is_ok(), "no fresh request");
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    runtime.expect("a runtime").block_on(running.stop());
+}
