--- /dev/null
+++ b/examples/swing/world/backends.rs
@@ -0,0 +1,175 @@
+//! Backend servers of the world.
+
+use jacinthhinge::prelude::*;
+use rand::RngExt;
+
+use super::{Event, HOP, REQUESTS, SAMPLE, Sample, World, number};
+use crate::plan::PLANS;
+use crate::server::{Job, Taken};
+
+impl World {
+    pub(super) fn serve(&mut self, index: usize, packet: &Packet) {
+        if !self.servers[index].alive {
+            return;
+        }
+        let key = packet.key();
+        match packet.body {
+            Body::Open => {
+                let server = &mut self.servers[index];
+                let has_room = server.flows.len() < server.spec.conns as usize;
+                let taken = has_room || server.flows.contains(&key);
+                if taken {
+                    server.flows.insert(key);
+                }
+                let load = server.load();
+                let body = if taken {
+                    Body::Opened { load }
+                } else {
+                    Body::OpenRefused { load }
+                };
+                self.reply(index, packet, body);
+            }
+            Body::Close => {
+                self.servers[index].flows.remove(&key);
+            }
+            Body::Probe => {
+                let server = &self.servers[index];
+                let (known, load) = (server.flows.contains(&key), server.load());
+                self.reply(index, packet, Body::Probed { known, load });
+            }
+            Body::Work {
+                dispatch, budget, ..
+            } => self.work(index, packet, dispatch, budget),
+            Body::Cancel { dispatch, .. } => {
+                let server = &mut self.servers[index];
+                server.waiting.retain(|job| job.dispatch != dispatch);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn work(&mut self, index: usize, packet: &Packet, dispatch: u64, budget: Duration) {
+        let (now, draw) = (self.now, self.rng.random());
+        let job = Job {
+            dispatch,
+            work: self.requests[number(packet.flow - REQUESTS)].work,
+            deadline: now + budget,
+            packet: packet.clone(),
+        };
+        let again = Job {
+            packet: packet.clone(),
+            ..job
+        };
+        match self.servers[index].take(job, draw, now) {
+            Taken::Started(end) => {
+                self.after(end - now, Event::Finish(index, Box::new(again)));
+            }
+            Taken::Waiting | Taken::Repeated(None) => {}
+            Taken::Repeated(Some(body)) => return self.reply(index, packet, body),
+            Taken::Refused(reason) => return self.refuse(index, packet, dispatch, reason),
+        }
+        let body = Body::PartAck {
+            request: dispatch,
+            index: 0,
+        };
+        self.reply(index, packet, body);
+    }
+
+    pub(super) fn refuse(&mut self, index: usize, packet: &Packet, dispatch: u64, reason: Reason) {
+        let load = self.servers[index].load();
+        let body = Body::Refused {
+            request: packet.flow,
+            dispatch,
+            reason,
+            load,
+        };
+        self.servers[index].record(dispatch, body.clone());
+        self.reply(index, packet, body);
+    }
+
+    pub(super) fn finish(&mut self, index: usize, job: &Job) {
+        let now = self.now;
+        if !self.servers[index].alive {
+            return;
+        }
+        self.servers[index].finish(now);
+        while let Some(next) = self.servers[index].waiting.pop_front() {
+            if next.deadline <= now {
+                self.refuse(index, &next.packet, next.dispatch, Reason::Late);
+                continue;
+            }
+            let end = self.servers[index].start(&next, now);
+            self.after(end - now, Event::Finish(index, Box::new(next)));
+            break;
+        }
+        let part = Part {
+            index: 0,
+            total: 1,
+            data: Bytes::new(),
+        };
+        let body = Body::Answer {
+            request: job.packet.flow,
+            dispatch: job.dispatch,
+            load: self.servers[index].load(),
+            part,
+        };
+        self.servers[index].record(job.dispatch, body.clone());
+        self.reply(index, &job.packet, body);
+    }
+
+    pub(super) fn reply(&mut self, index: usize, packet: &Packet, body: Body) {
+        let from = self.servers[index].spec.addr;
+        self.spray(HOP, from, packet.reply(packet.ticket.clone(), body));
+    }
+
+    pub(super) fn lose_endpoints(&mut self) {
+        let mut first = 0;
+        for plan in PLANS {
+            for index in 2..2 + plan.lost {
+                let server = &mut self.servers[first + index];
+                server.account(self.now);
+                server.alive = false;
+                server.busy = 0;
+                self.noticed.insert(first + index);
+            }
+            first += plan.endpoints;
+        }
+    }
+
+    pub(super) fn notice_endpoints(&mut self) {
+        let lost = &self.noticed;
+        let specs = self
+            .services
+            .iter_mut()
+            .flat_map(|service| &mut service.endpoints);
+        for (_, spec) in specs.enumerate().filter(|(index, _)| lost.contains(index)) {
+            spec.healthy = false;
+        }
+        self.publish();
+    }
+
+    pub(super) fn sample(&mut self) {
+        self.after(SAMPLE, Event::Sample);
+        let mut first = 0;
+        for (plan, spec) in PLANS.iter().enumerate() {
+            let (mut slots, mut flows) = (Vec::new(), Vec::new());
+            for index in first..first + spec.endpoints {
+                let server = &mut self.servers[index];
+                server.account(self.now);
+                let used = server.used - self.before[index];
+                self.before[index] = server.used;
+                if server.alive {
+                    slots.push(used.as_secs_f64());
+                    flows.push(server.flows.len() as f64);
+                }
+            }
+            first += spec.endpoints;
+            self.samples.push(Sample {
+                plan,
+                at: self.now,
+                slots,
+                flows,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/examples/swing/world/callers.rs
@@ -0,0 +1,166 @@
+//! Callers of the world.
+
+use jacinthhinge::prelude::*;
+use rand::RngExt;
+
+use super::{
+    CALLER_HOP, Event, Flow, PING, REPEAT, REQUESTS, Request, World, caller, number, packet,
+};
+use crate::plan::{self, Demand, PLANS};
+
+impl World {
+    pub(super) fn new_request(&mut self, plan: usize, demand: usize) {
+        let spec = PLANS[plan];
+        let Demand { class, share } = spec.demand[demand];
+        let policy = plan::policy(class);
+        let slots = spec.endpoints as f64 * f64::from(spec.slots);
+        let calm = share * slots / policy.service_time.as_secs_f64();
+        let rate = calm * plan::factor(class.is_long(), self.now);
+        let gap = plan::gap(&mut self.rng, rate);
+        self.after(gap, Event::NewRequest(plan, demand));
+        let index = self.requests.len();
+        self.requests.push(Request {
+            plan,
+            class,
+            made: self.now,
+            deadline: self.now + policy.deadline,
+            work: plan::work(&mut self.rng, class),
+            done: None,
+            ended: None,
+            stranded: self.is_stranded(REQUESTS + index as u64),
+        });
+        self.ask(index);
+    }
+
+    pub(super) fn ask(&mut self, index: usize) {
+        let now = self.now;
+        let request = &self.requests[index];
+        if request.done.is_some() || request.ended.is_some() || now >= request.deadline {
+            return;
+        }
+        let body = Body::Ask {
+            request: 1,
+            class: request.class,
+            budget: request.deadline - now,
+            part: Part {
+                index: 0,
+                total: 1,
+                data: Bytes::new(),
+            },
+        };
+        let packet = packet(request.plan, REQUESTS + index as u64, body);
+        self.spray(CALLER_HOP, caller(), packet);
+        self.after(REPEAT, Event::Repeat(index));
+    }
+
+    pub(super) fn new_flow(&mut self, plan: usize) {
+        let rate = PLANS[plan].flows * plan::factor(false, self.now);
+        let gap = plan::gap(&mut self.rng, rate);
+        self.after(gap, Event::NewFlow(plan));
+        let life = self.rng.random_range(0.0..1.0) * plan::FLOW_LIFE.as_secs_f64();
+        self.add_flow(plan, self.now + Duration::from_secs_f64(life));
+    }
+
+    pub(super) fn add_flow(&mut self, plan: usize, until: Duration) {
+        let index = self.flows.len();
+        self.flows.push(Flow {
+            plan,
+            made: self.now,
+            until,
+            opened: None,
+            over: false,
+            stranded: self.is_stranded(index as u64),
+            ticket: Bytes::new(),
+        });
+        self.open(index);
+        self.after(PING, Event::Ping(index));
+        self.after(until - self.now, Event::Hangup(index));
+    }
+
+    pub(super) fn open(&mut self, index: usize) {
+        let flow = &self.flows[index];
+        if flow.opened.is_some() || flow.over {
+            return;
+        }
+        let packet = packet(flow.plan, index as u64, Body::Open);
+        self.spray(CALLER_HOP, caller(), packet);
+        self.after(REPEAT, Event::Reopen(index));
+    }
+
+    pub(super) fn ping(&mut self, index: usize) {
+        if self.flows[index].over {
+            return;
+        }
+        self.after(PING, Event::Ping(index));
+        self.send_on(index, Body::Ping);
+    }
+
+    pub(super) fn hangup(&mut self, index: usize) {
+        if self.flows[index].over {
+            return;
+        }
+        self.send_on(index, Body::Close);
+        self.flows[index].over = true;
+    }
+
+    pub(super) fn send_on(&mut self, index: usize, body: Body) {
+        let flow = &self.flows[index];
+        let mut packet = packet(flow.plan, index as u64, body);
+        packet.ticket = flow.ticket.clone();
+        self.spray(CALLER_HOP, caller(), packet);
+    }
+
+    pub(super) fn tell_caller(&mut self, packet: &Packet) {
+        if packet.flow >= REQUESTS {
+            let request = &mut self.requests[number(packet.flow - REQUESTS)];
+            match packet.body {
+                Body::Answer { .. } => {
+                    request.done.get_or_insert(self.now);
+                }
+                Body::Ended {
+                    verdict, reason, ..
+                } => {
+                    request.ended.get_or_insert((verdict, reason));
+                }
+                _ => {}
+            }
+            return;
+        }
+        let index = number(packet.flow);
+        match packet.body {
+            Body::Opened { .. } => {
+                let flow = &mut self.flows[index];
+                flow.opened.get_or_insert(self.now);
+                flow.ticket = packet.ticket.clone();
+            }
+            Body::Pong if !packet.ticket.is_empty() => {
+                self.flows[index].ticket = packet.ticket.clone();
+            }
+            Body::Reset { .. } => self.reset(index, packet),
+            _ => {}
+        }
+    }
+
+    /// A flow was reset: it is opened anew under another number.
+    pub(super) fn reset(&mut self, index: usize, packet: &Packet) {
+        let flow = &mut self.flows[index];
+        if flow.over {
+            return;
+        }
+        flow.over = true;
+        let (plan, until) = (flow.plan, flow.until);
+        if flow.opened.is_some() {
+            let key = packet.key();
+            let live = self
+                .servers
+                .iter()
+                .any(|s| s.alive && s.flows.contains(&key));
+            let broken = &mut self.broken[plan];
+            broken.live += u64::from(live);
+            broken.lost += u64::from(!live);
+        }
+        if until > self.now + REPEAT && self.flows[index].opened.is_some() {
+            self.add_flow(plan, until);
+        }
+    }
+}
