Keep one once-only deadline, and no tick after a dump

Cause: the deadline stood in two places that must agree for the lease to be safe; and a dump ran a tick without polling the socket, which after a pause could take the socket for read dry. Ruled out: polling the socket for a dump; the next packet or timer does. Conclusion: found by reading; no run has shown the second.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -32,7 +32,8 @@
 use super::tables::{Member, Seen, Tables, View};
 use crate::id::{Id, Incarnation};
 
-/// Longest deadline of once-only work.
+/// Longest deadline of once-only work that a caller without a ticket may set: a
+/// later holder of the lease counts on earlier requests to be past it.
 pub const ONCE_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Longest time that the network holds a packet.
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -172,8 +172,10 @@
                 command = commands.recv() => match command {
                     None | Some(Command::Stop) => return,
                     Some(Command::Dump(name, answer)) => {
+                        // No tick: the socket may not have been polled since a pause, and
+                        // a read would then take it for dry.
                         let _ = answer.send(self.tables.dump(name.as_deref()));
-                        false
+                        continue;
                     }
                 },
             };
--- a/src/systems/ask.rs
+++ b/src/systems/ask.rs
@@ -7,13 +7,10 @@
 use std::time::Duration;
 
 use super::{admit, take, verdict};
+use crate::control::lease::ONCE_DEADLINE;
 use crate::packet::{Body, Class, Packet, Part, Reason, Verdict};
 use crate::tables::{Arrival, Outbox, Request, RequestId, RequestState, SPENT, Stage, Tables};
 
-/// Longest deadline of once-only work that a caller without a ticket may set: a
-/// later holder of the lease counts on earlier requests to be past it.
-pub const ONCE_DEADLINE: Duration = Duration::from_secs(3);
-
 /// Deadline of a service that is not configured.
 const DEADLINE: Duration = Duration::from_secs(2);
 
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -26,7 +26,6 @@
 mod verdict;
 mod wake;
 
-pub use self::ask::ONCE_DEADLINE;
 pub use self::policies::{Admit, Order, Parts, PickConn, PickSlot, Policies, Retry};
 
 use std::sync::Arc;
