Read the host list less often in larger zones

Cause: the list holds the whole fleet, 58 KB at 650 hosts; a read every 5 s is 12 KB/s a host, most of the control budget of 14 KB/s. Ruled out: a list of one zone only, which the platform does not promise. Change: each host of the zone adds 600 ms to the pause between two reads; hosts tell each other of a newer list, as before. Conclusion: 108 hosts read every 65 s each, one of them every 0.6 s.

--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -23,6 +23,12 @@
 /// Shortest pause between two reads of the host list.
 const HOSTS_PAUSE: Duration = Duration::from_secs(4);
 
+/// What each host of the zone adds to the pause between two reads of the host list.
+///
+/// The list grows with the fleet and hosts tell each other of a new one, so that a
+/// larger zone needs fewer reads from each host.
+const HOSTS_SHARE: Duration = Duration::from_millis(600);
+
 /// Most that is added to [`HOSTS_PAUSE`] at random, also at the start.
 const HOSTS_JITTER: Duration = Duration::from_secs(2);
 
@@ -76,7 +82,7 @@
 /// Takes in the platform's host list.
 pub(super) fn receive_hosts(tables: &mut Tables, now: Duration, answer: Result<Hosts>) {
     tables.watch.hosts.pending = false;
-    let pause = HOSTS_PAUSE + tables.jitter(HOSTS_JITTER);
+    let pause = hosts_pause(tables) + tables.jitter(HOSTS_JITTER);
     match answer {
         Ok(list) if list.revision < tables.rosters.pending.revision => {
             tables.counters.stale_reads += 1;
@@ -103,6 +109,11 @@
     tables.watch.hosts.due = now + tables.jitter(HOSTS_JITTER);
 }
 
+fn hosts_pause(tables: &Tables) -> Duration {
+    let hosts = u32::try_from(tables.live().count() + 1).unwrap_or(u32::MAX);
+    HOSTS_PAUSE.max(HOSTS_SHARE.saturating_mul(hosts))
+}
+
 fn is_due(read: &Read, now: Duration) -> bool {
     !read.pending && now >= read.due
 }
--- a/tests/values.rs
+++ b/tests/values.rs
@@ -121,6 +121,21 @@
     assert!(in_force(&zone, 2));
 }
 
+/// At the target a host list is 58 KB, so that a read a minute costs a host 1 KB/s.
+/// With 40 hosts a zone it is 108/40 times shorter and may be read as much more often.
+/// A watch that waits its 20 s is three reads a minute.
+#[test]
+fn a_larger_zone_reads_the_host_list_less_often() {
+    let hosts = 40;
+    let mut zone = started(hosts);
+    zone.run_for(30 * SECOND);
+    zone.platform.reads.clear();
+    zone.run_for(60 * SECOND);
+    let reads = zone.platform.reads.len();
+    let limit = hosts * 108 / hosts + hosts * 3;
+    assert!(reads <= limit, "{reads} reads in a minute");
+}
+
 fn busiest_second(reads: &[Duration]) -> usize {
     let ends = reads.iter().enumerate();
     let counts = ends.map(|(end, time)| {
