--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -2,6 +2,8 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+#[path = "../zone/mod.rs"]
+mod zone;
 
 mod boot_without_endpoints;
 mod boot_without_keys;
@@ -11,9 +13,12 @@
 mod leaving_home;
 mod lost_probe;
 mod mixed_answers;
+mod pause_after_clock;
 mod pause_past_record;
 mod reassigned_probe;
 mod removed_endpoint;
+mod repeated_probe;
+mod replayed_beat;
 mod short_record;
 mod stale_home;
 mod unlisted_home;
