Tour of members, configuration and retries; log lines as key=value; one doubt

Cause: the tour showed one part of the library; control lines were prose; the answer Unknown to a request without a record stood in three places. Change: doc tests for two control cores and a retry budget; the control thread logs key=value; verdict::doubt serves the three. Conclusion: behaviour is the same but for the counter `unknown`, which now counts once-only work refused for its ticket too.

--- a/src/control/leave.rs
+++ b/src/control/leave.rs
@@ -18,7 +18,7 @@
     tables.me.version += 1;
     tables.pulse.due = now;
     beat::run(tables, now, outbox);
-    log::info!("leaving");
+    log::info!("host={} state=leaving", tables.me.card.name);
 }
 
 /// Notes that nothing is in flight.
@@ -37,7 +37,7 @@
         return;
     }
     say_farewell(tables, now, outbox);
-    log::info!("left after {waited:?}");
+    log::info!("host={} state=left waited={waited:?}", tables.me.card.name);
     outbox.push(Action::Exit);
 }
 
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -85,7 +85,7 @@
         return;
     }
     log::info!(
-        "host {} joined, incarnation {}",
+        "host={} state=joined incarnation={}",
         card.name,
         news.incarnation
     );
--- a/src/control/spread.rs
+++ b/src/control/spread.rs
@@ -81,7 +81,7 @@
     snapshot.keys = keys;
     tables.snapshot = snapshot;
     tables.output.dirty = true;
-    log::info!("revision {} is in force", tables.values.revision);
+    log::info!("revision={} state=in_force", tables.values.revision);
 }
 
 /// Members whose view has differed from this host's for too long.
@@ -165,7 +165,7 @@
         Ok(outcome) => put_into_force(tables, outcome),
         Err(err) => {
             tables.counters.refused_values += 1;
-            log::warn!("values of another host refused: {err}");
+            log::warn!("source=host state=refused cause=\"{err}\"");
         }
     }
 }
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -126,7 +126,7 @@
 fn note_failure(tables: &mut Tables, failures: u32, err: &crate::Error) {
     tables.counters.read_failures += 1;
     if failures == 1 {
-        log::warn!("{err}");
+        log::warn!("source=platform state=failing cause=\"{err}\"");
     }
 }
 
@@ -146,7 +146,7 @@
         Ok(outcome) => spread::put_into_force(tables, outcome),
         Err(err) => {
             tables.counters.refused_values += 1;
-            log::warn!("revision {} refused: {err}", update.revision);
+            log::warn!("revision={} state=refused cause=\"{err}\"", update.revision);
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,8 @@
 //! | --- | --- |
 //! | [`packet`], [`ticket`], [`snapshot`] | what decisions take in: typed packets, sealed tickets, the state published by the control thread |
 //! | [`tables`], [`systems`] | decisions on traffic: route, open, ask, dispatch, retry, expire, probe |
+//! | [`control`] | decisions on members of a zone, spread of configuration, the lease |
+//! | [`config`] | the operators' file: defaults, exceptions, checks |
 //! | [`wire`] | encoding of the messages; another front end may bring its own |
 //! | [`front`] | sockets, threads and timers of the daemon |
 //! | [`id`], [`clock`], [`error`] | names and ids, the clock that is passed in, errors |
@@ -57,6 +59,98 @@
 //! # Ok(())
 //! # }
 //! ```
+//!
+//! # Members and configuration without sockets
+//!
+//! A [`Control`](control::Control) takes events and returns actions. Here two hosts
+//! find each other by a seed address, only the first hears of a configuration, and
+//! the second has it in force soon after. Whoever embeds it carries the actions out.
+//!
+//! ```
+//! use jacinthhinge::control::{
+//!     Action, Build, Built, Change, Control, Event, Settings, Update, Value, Values,
+//! };
+//! use jacinthhinge::control::lease::Timing;
+//! use jacinthhinge::control::message::Card;
+//! use jacinthhinge::prelude::*;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let build = Build::new(|values: &Values| {
+//!     let services = values.keys().map(|name| Service::new(name)).collect();
+//!     Ok(Built { services, keys: None })
+//! });
+//! let peers: [SocketAddr; 2] = ["10.0.1.1:9000".parse()?, "10.0.1.2:9000".parse()?];
+//! let mut hosts = [("sv-a-1", peers[0]), ("sv-a-2", peers[1])].map(|(name, peer)| {
+//!     let settings = Settings {
+//!         card: Card {
+//!             name: name.into(),
+//!             zone: "sv-a".into(),
+//!             peer,
+//!             lanes: Default::default(),
+//!         },
+//!         incarnation: 1,
+//!         seeds: peers.to_vec(),
+//!         keys: Keys::new("secret", ""),
+//!         timing: Timing::default(),
+//!         drain: Duration::from_secs(5),
+//!         build: build.clone(),
+//!         random: 1,
+//!     };
+//!     Control::new(settings, Duration::ZERO)
+//! });
+//!
+//! let change = Change {
+//!     key: "adserve".into(),
+//!     value: Value { revision: 7, json: Some("{}".into()) },
+//! };
+//! let update = Update { revision: 7, values: vec![change] };
+//! hosts[0].handle(Duration::ZERO, Event::Values(Ok(update)));
+//!
+//! for tick in 1..=30 {
+//!     let now = Duration::from_millis(100) * tick;
+//!     for from in [0, 1] {
+//!         let to = 1 - from;
+//!         for action in hosts[from].handle(now, Event::Tick) {
+//!             match action {
+//!                 Action::Send { beat, .. } => {
+//!                     hosts[to].handle(now, Event::Beat(beat));
+//!                 }
+//!                 Action::Fetch { ask, .. } => {
+//!                     let fetched = hosts[to].answer(&ask);
+//!                     hosts[from].handle(now, Event::Fetched(Ok(fetched)));
+//!                 }
+//!                 _ => {}
+//!             }
+//!         }
+//!     }
+//! }
+//! assert_eq!(hosts[1].tables().members.len(), 1);
+//! assert_eq!(hosts[1].tables().values.revision, 7);
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! # A retry budget
+//!
+//! Each fresh request earns a share of a retry, and each retry spends a whole one.
+//!
+//! ```
+//! use jacinthhinge::prelude::*;
+//! use jacinthhinge::tables::{BURST, Budgets};
+//!
+//! let service = Id::of("bestel");
+//! let mut budgets = Budgets::default();
+//! let mut spent = 0.0;
+//! while budgets.spend(service, 0.0) {
+//!     spent += 1.0;
+//! }
+//! assert_eq!(spent, BURST);
+//! for _ in 0..11 {
+//!     budgets.earn(service, 0.1);
+//! }
+//! assert!(budgets.spend(service, 0.0));
+//! assert!(!budgets.spend(service, 0.0));
+//! ```
 
 pub mod clock;
 pub mod config;
--- a/src/systems/ask.rs
+++ b/src/systems/ask.rs
@@ -8,7 +8,7 @@
 
 use super::{admit, take, verdict};
 use crate::control::lease::ONCE_DEADLINE;
-use crate::packet::{Body, Class, Packet, Part, Reason, Verdict};
+use crate::packet::{Body, Class, Packet, Part, Reason};
 use crate::tables::{Arrival, Outbox, Request, RequestId, RequestState, SPENT, Stage, Tables};
 
 /// Deadline of a service that is not configured.
@@ -46,7 +46,7 @@
         }
         Some(slot) => slot,
         None if tables.requests.is_spent(&id) => {
-            doubt(tables, packet, request, Reason::Late, out);
+            verdict::doubt(tables, packet, request, Reason::Late, out);
             return;
         }
         None => match admit(tables, arrival, request, class, budget, now, out) {
@@ -83,7 +83,7 @@
     if class.is_once()
         && let Some(reason) = objection(tables, packet, ticketed, budget, now)
     {
-        doubt(tables, packet, number, reason, out);
+        verdict::doubt(tables, packet, number, reason, out);
         return None;
     }
     let limit = tables
@@ -114,20 +114,6 @@
     Some(Reason::NoLease)
 }
 
-/// Tells the caller that a request may have run.
-fn doubt(tables: &mut Tables, packet: &Packet, request: u64, reason: Reason, out: &mut Outbox) {
-    tables.counters.unknown += 1;
-    let verdict = Verdict::Unknown;
-    out.answer(
-        packet,
-        Body::Ended {
-            request,
-            verdict,
-            reason,
-        },
-    );
-}
-
 /// True when this lane may dispatch once-only work of a caller without a ticket.
 fn may_dispatch(tables: &Tables, packet: &Packet, now: Duration) -> bool {
     let snapshot = &tables.snapshot;
--- a/src/systems/route.rs
+++ b/src/systems/route.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::forward;
-use crate::packet::{Body, HOP_LIMIT, Packet, Reason, Verdict};
+use super::{forward, verdict};
+use crate::packet::{Body, HOP_LIMIT, Packet, Reason};
 use crate::tables::{Arrival, Outbox, RequestId, Stage, Tables};
 use crate::ticket::{Home, Side, Ticket};
 
@@ -101,15 +101,7 @@
     let reason = Reason::BadTicket;
     match packet.body {
         Body::Ask { request, class, .. } if class.is_once() => {
-            let verdict = Verdict::Unknown;
-            out.answer(
-                packet,
-                Body::Ended {
-                    request,
-                    verdict,
-                    reason,
-                },
-            );
+            verdict::doubt(tables, packet, request, reason, out);
         }
         _ => out.answer(packet, Body::Reset { reason }),
     }
@@ -189,17 +181,7 @@
     }
     match packet.body {
         Body::Ask { request, class, .. } if class.is_once() => {
-            tables.counters.unknown += 1;
-            let reason = Reason::HomeLost;
-            let verdict = Verdict::Unknown;
-            out.answer(
-                packet,
-                Body::Ended {
-                    request,
-                    verdict,
-                    reason,
-                },
-            );
+            verdict::doubt(tables, packet, request, Reason::HomeLost, out);
             Stage::Spent
         }
         _ => {
--- a/src/systems/verdict.rs
+++ b/src/systems/verdict.rs
@@ -39,6 +39,26 @@
     tell(row, verdict, reason, out);
 }
 
+/// Tells the caller that a request without a record here may have run.
+pub(super) fn doubt(
+    tables: &mut Tables,
+    packet: &Packet,
+    request: u64,
+    reason: Reason,
+    out: &mut Outbox,
+) {
+    tables.counters.unknown += 1;
+    let verdict = Verdict::Unknown;
+    out.answer(
+        packet,
+        Body::Ended {
+            request,
+            verdict,
+            reason,
+        },
+    );
+}
+
 /// Tells the caller the verdict.
 pub(super) fn tell(row: &Request, verdict: Verdict, reason: Reason, out: &mut Outbox) {
     out.answer(
