--- a/src/front/metrics.rs
+++ b/src/front/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics by statsd.
 //!
-//! Each counter of the lanes is sent as the increase since the last report, under
-//! `jacinthhinge.NAME`, and the open flows and work in flight as gauges.
+//! Each counter is sent as the increase since the last report, under
+//! `jacinthhinge.NAME` for the lanes and `jacinthhinge.control.NAME` for the control
+//! thread, and the open flows as a gauge.
 
 use std::net::{SocketAddr, UdpSocket};
 
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -33,7 +33,7 @@
 use crate::ticket::Home;
 
 /// Time between two reports of metrics.
-const REPORT_EVERY: Duration = Duration::from_secs(1);
+const REPORT_EVERY: Duration = Duration::from_secs(5);
 
 /// Exit status of a process ended by a second signal.
 const CUT_SHORT: i32 = 130;
@@ -91,11 +91,11 @@
         settings.region,
         lanes.len()
     );
-    let ops = ops_of(&lanes, dumps, &board, &leaving);
+    let ops = ops_of(&lanes, dumps.clone(), &board, &leaving);
     tokio::select! {
         ended = control::run(own, clock, links) => ended?,
         ended = ops::run(settings.ops, ops, std::future::pending()) => ended?,
-        () = report(metrics, &lanes) => {},
+        () = report(metrics, &lanes, &dumps) => {},
         failed = on_signals(leave) => failed?,
     }
     stop_lanes(lanes).await;
@@ -191,18 +191,30 @@
     })
 }
 
-/// Reports the lanes' counters and gauges, for ever.
-async fn report(mut metrics: Metrics, lanes: &[Lane]) {
+/// Reports counters and gauges, for ever.
+async fn report(mut metrics: Metrics, lanes: &[Lane], control: &DumpSender) {
     loop {
         tokio::time::sleep(REPORT_EVERY).await;
         let flows = lanes
             .iter()
             .map(|lane| lane.gauge.flows.load(Ordering::Relaxed));
         metrics.gauge("flows", flows.sum());
-        metrics.count(Value::Object(total(lanes)));
+        let mut counters = total(lanes);
+        counters.extend(control_counters(control).await);
+        metrics.count(Value::Object(counters));
     }
 }
 
+/// Counters of the control thread, under `control.NAME`.
+async fn control_counters(control: &DumpSender) -> Map<String, Value> {
+    let tables = dump_control(control).await.unwrap_or_default();
+    let counters = tables["counters"].as_object().cloned().unwrap_or_default();
+    counters
+        .into_iter()
+        .map(|(name, total)| (format!("control.{name}"), total))
+        .collect()
+}
+
 /// Sum of the lanes' counters.
 fn total(lanes: &[Lane]) -> Map<String, Value> {
     let mut sums = Map::new();
