--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -14,7 +14,7 @@
 /// Time between two rounds of heartbeats.
 pub const BEAT_PERIOD: Duration = Duration::from_millis(500);
 
-/// The same in zones that need more than [`SHORT_TURN`] rounds for all members, where
+/// The same in zones whose members do not all fit into one round, where
 /// it keeps sent and received heartbeats together within the budget of 14 KB/s.
 pub const LARGE_PERIOD: Duration = Duration::from_millis(600);
 
