Leave the ticket keys out of what check prints

Ruled out: a flag to show them; secrets are never printed. Figures: the new test finds the secret in the output before, and not after.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -39,7 +39,7 @@
 const FLEET: &str = "fleet";
 const SERVICE: &str = "service";
 const EXCEPTION: &str = "exception";
-const KEYS: &str = "keys";
+pub(crate) const KEYS: &str = "keys";
 
 /// Most characters of a name.
 const NAME_LENGTH: usize = 64;
--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -17,7 +17,7 @@
 
 use super::serve;
 use super::settings::{Flags, Settings, flags};
-use crate::config::{Config, Difference};
+use crate::config::{Config, Difference, KEYS};
 use crate::error::{Error, Result};
 
 /// Exit status when a command failed.
@@ -61,7 +61,7 @@
     /// Show what changes from OTHER to FILE, and refuse an unsafe step
     #[bpaf(argument("OTHER"))]
     diff: Option<PathBuf>,
-    /// Print the values to publish on the platform, with the secrets in them
+    /// Print the values to publish on the platform, but for the secrets in `keys`
     values: bool,
     /// Configuration file
     #[bpaf(positional("FILE"))]
@@ -157,8 +157,9 @@
         Config::check_change(&other, &config)?;
     }
     if check.values {
-        let values: Map<String, Value> = config.values().into_iter().collect();
-        show(&format!("{:#}", Value::Object(values)))?;
+        let values = config.values().into_iter();
+        let shown: Map<String, Value> = values.filter(|(key, _)| key != KEYS).collect();
+        show(&format!("{:#}", Value::Object(shown)))?;
     }
     eprintln!("{}: accepted: {config}", check.file.display());
     Ok(())
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -85,6 +85,20 @@
     assert_eq!(values["service/adserve"]["slots"], 3);
 }
 
+#[test]
+fn check_prints_no_secret() {
+    let secrets = format!("[keys]\ncurrent = \"{SECRET}\"\nother = \"{SECRET}-2\"\n\n[fleet]");
+    let file = written("secrets.toml", "[fleet]", &secrets);
+    assert_eq!(program(&["check", &file, "--values"]).code, 0);
+    for flags in [&["--values"][..], &["--diff", "config/hraunvik.toml"]] {
+        let mut args = vec!["check", &*file];
+        args.extend(flags);
+        let outcome = program(&args);
+        assert!(!outcome.stdout.contains(SECRET), "{flags:?}");
+        assert!(!outcome.stderr.contains(SECRET), "{flags:?}");
+    }
+}
+
 #[test]
 fn check_shows_differences_and_refuses_unsafe_steps() {
     let old = "config/hraunvik.toml";
