Filter waiting flows in one place, and gather metrics only when they are sent

Cause: pending and probed flows were filtered by the same loop written twice; the retry system checked again what the list of sent requests had checked; and every host dumped its control tables each 5 s for counters although no statsd address was set. Ruled out: one list for both kinds of flows, whose meanings differ; a second channel for the control counters, which the condition makes needless.

--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -95,7 +95,7 @@
     tokio::select! {
         ended = control::run(own, clock, links) => ended?,
         ended = ops::run(settings.ops, ops, std::future::pending()) => ended?,
-        () = report(metrics, &lanes, &dumps) => {},
+        () = report(metrics, &lanes, &dumps), if settings.statsd.is_some() => {},
         failed = on_signals(leave) => failed?,
     }
     stop_lanes(lanes).await;
--- a/src/systems/retry.rs
+++ b/src/systems/retry.rs
@@ -9,7 +9,7 @@
 
 use super::{dispatch, place, verdict};
 use crate::packet::{Reason, Verdict};
-use crate::tables::{BURST, Outbox, RequestState, Tables};
+use crate::tables::{BURST, Outbox, Tables};
 
 /// Time after which something without an acknowledgement is sent again.
 const RESEND: Duration = Duration::from_millis(100);
@@ -26,9 +26,6 @@
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     for slot in tables.requests.sent() {
         let row = tables.requests.row(slot);
-        if row.state != RequestState::Sent {
-            continue;
-        }
         if is_mute(tables, slot, now) {
             give_up(tables, slot, now, out);
         } else if now >= row.sent + RESEND {
--- a/src/tables/flows.rs
+++ b/src/tables/flows.rs
@@ -153,13 +153,10 @@
 
     /// Keys of the flows that are not open yet.
     pub fn pending(&mut self) -> Vec<FlowKey> {
-        let (rows, index) = (&self.rows, &self.index);
-        let is_pending = |key: &FlowKey| {
-            let slot = index.get(key);
-            slot.is_some_and(|slot| rows[*slot].state != FlowState::Open)
-        };
-        self.pending.retain(is_pending);
-        self.pending.clone()
+        let mut keys = std::mem::take(&mut self.pending);
+        self.keep(&mut keys, |flow| flow.state != FlowState::Open);
+        self.pending.clone_from(&keys);
+        keys
     }
 
     /// Notes that a flow has been probed and waits for the answer.
@@ -169,13 +166,10 @@
 
     /// Keys of the flows that wait for the answer to a probe.
     pub fn doubted(&mut self) -> Vec<FlowKey> {
-        let (rows, index) = (&self.rows, &self.index);
-        let is_doubted = |key: &FlowKey| {
-            let slot = index.get(key);
-            slot.is_some_and(|slot| rows[*slot].probed.is_some())
-        };
-        self.doubted.retain(is_doubted);
-        self.doubted.clone()
+        let mut keys = std::mem::take(&mut self.doubted);
+        self.keep(&mut keys, |flow| flow.probed.is_some());
+        self.doubted.clone_from(&keys);
+        keys
     }
 
     /// Keys of the flows that are due, in the next `share` of the table, going
@@ -193,6 +187,11 @@
         }
         keys
     }
+
+    /// Keeps the keys of flows that are there and pass the test.
+    fn keep(&self, keys: &mut Vec<FlowKey>, test: impl Fn(&Flow) -> bool) {
+        keys.retain(|key| self.get(key).is_some_and(&test));
+    }
 }
 
 impl Serialize for Flows {
