--- a/examples/path_cost.rs
+++ b/examples/path_cost.rs
@@ -393,7 +393,6 @@
         conns: 2_000,
         weight: 1.0,
         draining: false,
-        healthy: true,
-        local: true,
+        ..Endpoint::new("", SocketAddr::from(([10, 1, high, low], 1)))
     }
 }
--- a/examples/swing/baselines.rs
+++ b/examples/swing/baselines.rs
@@ -88,6 +88,7 @@
                 &choose,
             )
         }),
+        pick_track: Policies::shipped().pick_track,
         pick_slot: Box::new(move |tables, service, _, now| {
             let fits =
                 |row: &EndpointRow| row.load.incarnation != 0 && row.running < row.spec.slots;
--- a/examples/swing/world.rs
+++ b/examples/swing/world.rs
@@ -414,7 +414,6 @@
         conns: 2_000,
         weight: 1.0,
         draining: false,
-        healthy: true,
-        local: true,
+        ..Endpoint::new("", SocketAddr::from(([10, 1, net, last], 1)))
     }
 }
--- a/src/config/resolve.rs
+++ b/src/config/resolve.rs
@@ -177,6 +177,7 @@
             draining: own.state == State::Leaving,
             healthy: !self.config.is_unhealthy(&row.name, &own.name),
             local: own.zone == *zone,
+            ..Endpoint::new(&own.name, own.addr)
         }
     }
 
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -141,6 +141,8 @@
     pub revision: u64,
     /// Changed values.
     pub values: Vec<Change>,
+    /// True when these are all values, so that one that is missing was removed.
+    pub whole: bool,
 }
 
 /// The platform's host list of all zones.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -27,6 +27,7 @@
 pub use self::message::{Beat, Fetch, Fetched, Hosts, Update};
 pub use self::tables::{Counters, Identity, Settings, Tables};
 pub use self::values::{Build, Built, Change, Value, Values};
+pub use self::watch::Pace;
 
 /// What happens to the control thread.
 #[derive(Debug)]
@@ -43,6 +44,8 @@
     Hosts(Result<Hosts>),
     /// A message could not be read or trusted.
     Rejected,
+    /// The settings name other hosts to start from.
+    Seeds(Vec<SocketAddr>),
     /// The operator asks this host to leave.
     Leave,
     /// Nothing is in flight on the traffic lanes.
@@ -110,6 +113,7 @@
             Event::Values(answer) => watch::receive_values(tables, now, answer),
             Event::Hosts(answer) => watch::receive_hosts(tables, now, answer),
             Event::Rejected => tables.counters.rejected += 1,
+            Event::Seeds(seeds) => tables.settings.seeds = seeds,
             Event::Leave => leave::start(tables, now, &mut outbox),
             Event::Drained => leave::drained(tables),
         }
--- a/src/control/spread.rs
+++ b/src/control/spread.rs
@@ -3,6 +3,7 @@
 //! Heartbeats tell what a host holds. One that is behind fetches the difference
 //! from one that is ahead, so a change costs its own size.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -79,6 +80,7 @@
     let mut snapshot = tables.snapshot.clone().with_services(built.services);
     snapshot.revision = tables.values.revision;
     snapshot.keys = keys;
+    snapshot.routes = Arc::new(built.routes);
     tables.snapshot = snapshot;
     tables.output.dirty = true;
     log::info!("revision={} state=in_force", tables.values.revision);
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -11,7 +11,8 @@
 
 use super::lease::Timing;
 use super::message::{Card, Fetch, News, Roster, Stamp, Status, Vote};
-use super::values::{Build, ValueTable};
+use super::values::{Build, Change, ValueTable};
+use super::watch::Pace;
 use crate::id::{Id, Incarnation};
 use crate::snapshot::{Host, Snapshot};
 use crate::ticket::Keys;
@@ -33,6 +34,8 @@
     pub drain: Duration,
     /// Checks and builds values.
     pub build: Build,
+    /// How the platform is read.
+    pub pace: Pace,
     /// Seed of the random choices.
     pub random: u64,
 }
@@ -208,6 +211,11 @@
     pub(super) values: Read,
     pub(super) hosts: Read,
     pub(super) started: bool,
+    /// Time until which removals wait, after the platform was away.
+    pub(super) doubt: Duration,
+    /// Removals that wait.
+    #[serde(skip)]
+    pub(super) held: Vec<Change>,
 }
 
 /// One repeated read.
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -1,7 +1,8 @@
 //! Configuration values: in force, and refused drafts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Serialize, Serializer};
@@ -9,6 +10,7 @@
 use super::message::Update;
 use crate::error::Result;
 use crate::id::Name;
+use crate::segment::Route;
 use crate::snapshot::Service;
 use crate::ticket::Keys;
 
@@ -39,6 +41,8 @@
 pub struct Built {
     /// Services in force.
     pub services: Vec<Service>,
+    /// Routes of segments by the address that callers send to.
+    pub routes: HashMap<SocketAddr, Route>,
     /// Sealing keys, if the values name any.
     pub keys: Option<Keys>,
 }
@@ -134,6 +138,7 @@
         Update {
             revision: self.revision,
             values,
+            whole: false,
         }
     }
 
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -3,22 +3,50 @@
 //! Every pause has jitter and failures back off, so that the whole fleet stays
 //! within the platform's read budget, also after an outage.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use super::message::{Hosts, Roster, Update};
 use super::spread;
 use super::tables::{Read, Tables};
+use super::values::{Change, Value, Values};
 use super::{Action, Outbox, roster};
 use crate::error::Result;
+use crate::id::Name;
 
-/// Shortest time that a watch waits for something new.
-const WAIT: Duration = Duration::from_secs(20);
-
-/// Most that is added to [`WAIT`] at random.
-const WAIT_JITTER: Duration = Duration::from_secs(10);
+/// How the platform is read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Shortest time that a watch waits for something new.
+    pub wait: Duration,
+    /// Most that is added to `wait` at random.
+    pub jitter: Duration,
+    /// Longest pause between two watches.
+    pub pause: Duration,
+    /// Pause after the first failure.
+    pub backoff: Duration,
+    /// Longest pause after a failure.
+    pub limit: Duration,
+    /// Time after the platform's return for which removals wait.
+    pub hold: Duration,
+    /// True when there is a host list.
+    pub hosts: bool,
+}
 
-/// Longest pause between two watches.
-const WATCH_PAUSE: Duration = Duration::from_secs(1);
+impl Default for Pace {
+    /// Few calls, for a platform that keeps what lapsed while it was away.
+    fn default() -> Self {
+        Self {
+            wait: Duration::from_secs(20),
+            jitter: Duration::from_secs(10),
+            pause: Duration::from_secs(1),
+            backoff: Duration::from_secs(1),
+            limit: Duration::from_secs(8),
+            hold: Duration::ZERO,
+            hosts: true,
+        }
+    }
+}
 
 /// Shortest pause between two reads of the host list.
 const HOSTS_PAUSE: Duration = Duration::from_secs(4);
@@ -32,25 +60,21 @@
 /// Most that is added to [`HOSTS_PAUSE`] at random, also at the start.
 const HOSTS_JITTER: Duration = Duration::from_secs(2);
 
-/// Pause after the first failure.
-const BACKOFF: Duration = Duration::from_secs(1);
-
-/// Longest pause after a failure.
-const BACKOFF_LIMIT: Duration = Duration::from_secs(8);
-
 /// Starts the reads that are due.
 pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     if !tables.watch.started {
         spread_start(tables, now);
     }
+    release(tables, now);
     if is_due(&tables.watch.values, now) {
         tables.watch.values.pending = true;
         tables.counters.reads += 1;
-        let wait = WAIT + tables.jitter(WAIT_JITTER);
+        let pace = tables.settings.pace;
+        let wait = pace.wait + tables.jitter(pace.jitter);
         let after = tables.values.seen;
         outbox.push(Action::Watch { after, wait });
     }
-    if is_due(&tables.watch.hosts, now) {
+    if tables.settings.pace.hosts && is_due(&tables.watch.hosts, now) {
         tables.watch.hosts.pending = true;
         tables.counters.reads += 1;
         outbox.push(Action::ReadHosts);
@@ -67,8 +91,10 @@
             tables.watch.values.due = now + backoff(tables, failures);
         }
         Ok(update) => {
-            tables.watch.values.failures = 0;
-            tables.watch.values.due = now + tables.jitter(WATCH_PAUSE);
+            regain(tables, now);
+            let pause = tables.settings.pace.pause;
+            tables.watch.values.due = now + tables.jitter(pause);
+            let update = hold(tables, now, update);
             take(tables, &update);
         }
         Err(err) => {
@@ -105,7 +131,8 @@
 
 fn spread_start(tables: &mut Tables, now: Duration) {
     tables.watch.started = true;
-    tables.watch.values.due = now + tables.jitter(WATCH_PAUSE);
+    let pause = tables.settings.pace.pause;
+    tables.watch.values.due = now + tables.jitter(pause);
     tables.watch.hosts.due = now + tables.jitter(HOSTS_JITTER);
 }
 
@@ -133,14 +160,92 @@
 /// Between half and all of a pause that doubles with each failure.
 fn backoff(tables: &mut Tables, failures: u32) -> Duration {
     let doublings = failures.saturating_sub(1).min(16);
-    let pause = BACKOFF.saturating_mul(1 << doublings).min(BACKOFF_LIMIT);
+    let pace = tables.settings.pace;
+    let pause = pace.backoff.saturating_mul(1 << doublings);
+    let pause = pause.min(pace.limit);
     pause / 2 + tables.jitter(pause / 2)
 }
 
+/// Notes that the platform answers again.
+fn regain(tables: &mut Tables, now: Duration) {
+    let failures = std::mem::take(&mut tables.watch.values.failures);
+    if failures > 0 {
+        tables.watch.doubt = now + tables.settings.pace.hold;
+        log::info!("event=store_regained failures={failures}");
+    }
+}
+
+/// Takes out removals while they are in doubt: what lapsed while the platform was
+/// away comes back soon after its return, if it lives.
+fn hold(tables: &mut Tables, now: Duration, mut update: Update) -> Update {
+    if update.whole {
+        let removed = missing(&tables.values.values, &update);
+        update.values.extend(removed);
+    }
+    if now < tables.watch.doubt {
+        let is_removal = |change: &Change| change.value.json.is_none();
+        let (held, kept) = update.values.into_iter().partition(is_removal);
+        update.values = kept;
+        let held: Vec<Change> = held;
+        tables.watch.held.extend(held);
+    }
+    update
+}
+
+/// Removals of the values that a whole update lacks.
+fn missing(values: &Values, update: &Update) -> Vec<Change> {
+    let listed: HashSet<&Name> = update.values.iter().map(|change| &change.key).collect();
+    let known = values.iter().filter(|(_, value)| value.json.is_some());
+    known
+        .filter(|(key, _)| !listed.contains(key))
+        .map(|(key, _)| removal(key, update.revision))
+        .collect()
+}
+
+fn removal(key: &Name, revision: u64) -> Change {
+    Change {
+        key: Name::clone(key),
+        value: Value {
+            revision,
+            json: None,
+        },
+    }
+}
+
+/// Puts the removals that have waited long enough into force.
+fn release(tables: &mut Tables, now: Duration) {
+    if tables.watch.held.is_empty() || now < tables.watch.doubt {
+        return;
+    }
+    let held = std::mem::take(&mut tables.watch.held);
+    let revision = tables.values.revision;
+    let is_current = |change: &&Change| {
+        let known = tables.values.values.get(&change.key);
+        known.is_some_and(|value| value.revision <= change.value.revision)
+    };
+    let due = held.iter().filter(is_current);
+    let due: Vec<Change> = due.map(|change| removal(&change.key, revision)).collect();
+    log::info!(
+        "event=removals_in_force count={} of={}",
+        due.len(),
+        held.len()
+    );
+    let update = Update {
+        revision,
+        values: due,
+        whole: false,
+    };
+    merge(tables, &update);
+}
+
 fn take(tables: &mut Tables, update: &Update) {
-    if update.revision <= tables.values.seen {
+    if update.revision <= tables.values.seen && !update.whole {
         return;
     }
+    merge(tables, update);
+}
+
+fn merge(tables: &mut Tables, update: &Update) {
     let build = tables.settings.build.clone();
     match tables.values.merge(update, &build) {
         Ok(outcome) => spread::put_into_force(tables, outcome),
--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Map, Value};
 
+use super::relay as relay_host;
 use super::serve;
 use super::settings::{Flags, Settings, flags};
 use crate::config::{Config, Difference, KEYS};
@@ -43,6 +44,11 @@
     #[bpaf(command, usage(SERVE_USAGE), footer(SERVE_NOTES))]
     Serve(#[bpaf(external(flags), map(Box::new))] Box<Flags>),
 
+    /// Carry traffic as a host on the users' platform, whose settings file
+    /// `JACINTHHINGE_CONFIG` names.
+    #[bpaf(command)]
+    Relay(#[bpaf(external(relay))] RelayFlags),
+
     /// Check a configuration file, and exit with status 2 if it is refused.
     #[bpaf(command)]
     Check(#[bpaf(external(check))] Check),
@@ -52,6 +58,17 @@
     Dump(#[bpaf(external(dump))] Dump),
 }
 
+#[derive(Bpaf, Clone)]
+#[bpaf(generate(relay))]
+struct RelayFlags {
+    /// Settings file, instead of the one that `JACINTHHINGE_CONFIG` names
+    #[bpaf(argument("FILE"))]
+    settings: Option<PathBuf>,
+    /// Log level, or levels by module; info by default
+    #[bpaf(argument("LEVEL"), fallback("info".to_owned()))]
+    log: String,
+}
+
 #[derive(Bpaf, Clone)]
 struct Check {
     /// Say where each value in effect comes from, at a scope such as
@@ -105,6 +122,7 @@
     };
     let result = match command {
         Command::Serve(flags) => run_serve(*flags),
+        Command::Relay(flags) => relay_host::run(flags.settings, &flags.log),
         Command::Check(check) => run_check(&check),
         Command::Dump(dump) => run_dump(&dump),
     };
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::future::{BoxFuture, ready};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
@@ -21,7 +22,9 @@
 use super::platform::Platform;
 use crate::clock::Clock;
 use crate::control::suspect::TICK;
-use crate::control::{Action, Beat, Control, Event, Fetch, Fetched, Outbox, Settings};
+use crate::control::{
+    Action, Beat, Control, Event, Fetch, Fetched, Hosts, Outbox, Settings, Update,
+};
 use crate::error::{Error, Result};
 use crate::snapshot::Snapshot;
 use crate::wire::{self, PeerKey};
@@ -48,8 +51,50 @@
     pub control: Settings,
     /// Key of messages between hosts.
     pub key: PeerKey,
-    /// Platform to read, if any.
-    pub platform: Option<Platform>,
+    /// Where values and hosts are read.
+    pub source: Source,
+}
+
+/// Reads of the platform.
+#[derive(Clone)]
+pub struct Source {
+    /// Waits for values above a revision.
+    pub watch: Arc<dyn Fn(u64, Duration) -> BoxFuture<'static, Result<Update>> + Send + Sync>,
+    /// Reads the host list.
+    pub hosts: Arc<dyn Fn() -> BoxFuture<'static, Result<Hosts>> + Send + Sync>,
+}
+
+impl Source {
+    /// A platform that never answers.
+    #[must_use]
+    pub fn none() -> Self {
+        Self {
+            watch: Arc::new(|_, _| ready(Err(no_platform())).boxed()),
+            hosts: Arc::new(|| ready(Err(no_platform())).boxed()),
+        }
+    }
+
+    /// The project's own stand-in for a platform.
+    #[must_use]
+    pub fn of(platform: &Platform) -> Self {
+        let (values, hosts) = (platform.clone(), platform.clone());
+        Self {
+            watch: Arc::new(move |after, wait| {
+                let platform = values.clone();
+                async move { platform.watch(after, wait).await }.boxed()
+            }),
+            hosts: Arc::new(move || {
+                let platform = hosts.clone();
+                async move { platform.hosts().await }.boxed()
+            }),
+        }
+    }
+}
+
+impl std::fmt::Debug for Source {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Source(..)")
+    }
 }
 
 /// What ties the control thread to the rest of the process.
@@ -62,6 +107,8 @@
     pub leave: watch::Receiver<bool>,
     /// Requests for a dump of the control tables.
     pub dumps: mpsc::Receiver<oneshot::Sender<serde_json::Value>>,
+    /// Control addresses of hosts to start from.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
 }
 
 impl Links {
@@ -144,6 +191,9 @@
                     continue;
                 }
                 Ok(()) = self.links.leave.changed() => Event::Leave,
+                Ok(()) = self.links.seeds.changed() => {
+                    Event::Seeds(self.links.seeds.borrow_and_update().clone())
+                }
                 _ = ticks.tick() => Event::Tick,
             };
             if self.handle(event).await {
@@ -196,23 +246,13 @@
     }
 
     fn watch(&mut self, after: u64, wait: Duration) {
-        let platform = self.settings.platform.clone();
-        self.tasks.spawn(async move {
-            Event::Values(match platform {
-                Some(platform) => platform.watch(after, wait).await,
-                None => Err(no_platform()),
-            })
-        });
+        let answer = (self.settings.source.watch)(after, wait);
+        self.tasks.spawn(async move { Event::Values(answer.await) });
     }
 
     fn read_hosts(&mut self) {
-        let platform = self.settings.platform.clone();
-        self.tasks.spawn(async move {
-            Event::Hosts(match platform {
-                Some(platform) => platform.hosts().await,
-                None => Err(no_platform()),
-            })
-        });
+        let answer = (self.settings.source.hosts)();
+        self.tasks.spawn(async move { Event::Hosts(answer.await) });
     }
 
     fn serve(&mut self, stream: TcpStream, ask: mpsc::Sender<Question>) {
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -23,6 +23,7 @@
 use crate::error::{Error, Result};
 use crate::id::Name;
 use crate::packet::{Body, PACKET_BYTES};
+use crate::segment::Relay;
 use crate::snapshot::Snapshot;
 use crate::systems::{self, BATCH, TICK};
 use crate::tables::{Arrival, Counters, Outbox, Tables};
@@ -47,6 +48,44 @@
     pub counters: ArcSwap<Counters>,
 }
 
+/// Decodes a datagram and puts it into the inbox that it belongs to.
+pub type Decode = Box<dyn Fn(Bytes, SocketAddr, &mut Tables) -> Result<()> + Send + Sync>;
+
+/// Encodes a segment or a reset; `None` for one that cannot be sent.
+pub type Encode = Box<dyn Fn(&Relay) -> Option<(SocketAddr, Bytes)> + Send + Sync>;
+
+/// How the datagrams of a lane are read and written.
+pub struct Codec {
+    /// Reads a datagram.
+    pub decode: Decode,
+    /// Writes a datagram.
+    pub encode: Encode,
+    /// Most bytes of a datagram.
+    pub size: usize,
+}
+
+impl Codec {
+    /// The project's own packets.
+    #[must_use]
+    pub fn packets() -> Self {
+        Self {
+            decode: Box::new(|bytes, from, tables| {
+                let packet = wire::decode_packet(bytes)?;
+                tables.inbox.push(Arrival::new(from, packet));
+                Ok(())
+            }),
+            encode: Box::new(|_| None),
+            size: PACKET_BYTES,
+        }
+    }
+}
+
+impl std::fmt::Debug for Codec {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Codec({})", self.size)
+    }
+}
+
 /// A running lane.
 #[derive(Debug)]
 pub struct Lane {
@@ -78,7 +117,13 @@
     /// # Errors
     ///
     /// Fails when the address cannot be bound or the thread cannot be started.
-    pub fn start(home: Home, board: Arc<Board>, clock: Clock, seed: u64) -> Result<Self> {
+    pub fn start(
+        home: Home,
+        board: Arc<Board>,
+        clock: Clock,
+        seed: u64,
+        codec: Arc<Codec>,
+    ) -> Result<Self> {
         let socket =
             std::net::UdpSocket::bind(home.addr).map_err(|e| Error::io("bind a lane", e))?;
         socket
@@ -90,7 +135,7 @@
         let shown = Arc::clone(&gauge);
         let thread = std::thread::Builder::new()
             .name(format!("lane-{}", home.addr.port()))
-            .spawn(move || run(tables, &board, &clock, &shown, socket, inbox))
+            .spawn(move || run(tables, &board, &clock, &shown, &codec, socket, inbox))
             .map_err(|e| Error::io("start a lane", e))?;
         Ok(Self {
             home,
@@ -123,6 +168,7 @@
     board: &'a Board,
     clock: &'a Clock,
     gauge: &'a Gauge,
+    codec: &'a Codec,
     socket: UdpSocket,
     buffer: Box<[u8]>,
     gauged: Duration,
@@ -133,6 +179,7 @@
     board: &Board,
     clock: &Clock,
     gauge: &Gauge,
+    codec: &Codec,
     socket: std::net::UdpSocket,
     commands: mpsc::Receiver<Command>,
 ) {
@@ -154,8 +201,9 @@
             board,
             clock,
             gauge,
+            codec,
             socket,
-            buffer: vec![0; PACKET_BYTES + 1].into(),
+            buffer: vec![0; codec.size + 1].into(),
             gauged: Duration::ZERO,
         };
         driver.run(commands).await;
@@ -208,7 +256,7 @@
     }
 
     fn read(&mut self) {
-        while self.tables.inbox.len() < BATCH {
+        while self.tables.waiting() < BATCH {
             let (size, from) = match self.socket.try_recv_from(&mut self.buffer) {
                 Ok(received) => received,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
@@ -221,9 +269,8 @@
 
     fn take(&mut self, size: usize, from: SocketAddr) {
         let bytes = Bytes::copy_from_slice(&self.buffer[..size]);
-        match wire::decode_packet(bytes) {
-            Ok(packet) => self.tables.inbox.push(Arrival::new(from, packet)),
-            Err(_) => self.tables.counters.malformed += 1,
+        if (self.codec.decode)(bytes, from, &mut self.tables).is_err() {
+            self.tables.counters.malformed += 1;
         }
     }
 
@@ -240,6 +287,11 @@
                 self.tables.counters.unsent += 1;
             }
         }
+        for relay in self.out.relays.drain(..) {
+            let sent = (self.codec.encode)(&relay)
+                .is_some_and(|(to, bytes)| self.socket.try_send_to(&bytes, to).is_ok());
+            self.tables.counters.unsent += u64::from(!sent);
+        }
     }
 
     fn show(&mut self, now: Duration) {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,5 +9,6 @@
 pub mod metrics;
 pub mod ops;
 pub mod platform;
+pub mod relay;
 pub mod serve;
 pub mod settings;
--- a/src/front/ops.rs
+++ b/src/front/ops.rs
@@ -44,13 +44,16 @@
 /// Most requests served at once.
 const REQUEST_COUNT: usize = 8;
 
+/// Tells whether the process takes traffic.
+pub type Ready = Arc<dyn Fn() -> bool + Send + Sync>;
+
 /// What the operators' server shows.
 #[derive(Clone)]
 pub struct Ops {
     /// Gives one table, or all without a name; `None` when there is no such table.
     pub dump: Arc<dyn Fn(Option<Name>) -> BoxFuture<'static, Option<Value>> + Send + Sync>,
     /// True while the process takes traffic.
-    pub ready: Arc<dyn Fn() -> bool + Send + Sync>,
+    pub ready: Ready,
 }
 
 impl fmt::Debug for Ops {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -125,6 +125,7 @@
     Ok(Update {
         revision: json.revision,
         values: values.collect(),
+        whole: false,
     })
 }
 
--- /dev/null
+++ b/src/front/relay.rs
@@ -0,0 +1,193 @@
+//! A host on the users' platform.
+//!
+//! It is the same daemon with other formats: lanes carry segments, values come
+//! from the platform's store, and all hosts of a region tell each other of them.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use futures_util::FutureExt;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use super::control::Source;
+use super::lane::Codec;
+use super::serve::{self, Wiring};
+use super::settings::{DEFAULT_LOG, Settings};
+use crate::control::lease::Timing;
+use crate::control::message::Card;
+use crate::control::{self as decisions, Pace};
+use crate::error::{Error, Result};
+use crate::platform::settings::{self, Given};
+use crate::platform::store::Store;
+use crate::platform::{self, header, ready};
+use crate::ticket::Keys;
+use crate::wire::PeerKey;
+
+/// How the store is read: a change has to be in force within 3 s, also after an
+/// answer was lost, and what lapsed while the store was away is back 2 s after its
+/// return.
+const PACE: Pace = Pace {
+    wait: Duration::from_millis(2_500),
+    jitter: Duration::from_millis(500),
+    pause: Duration::from_millis(100),
+    backoff: Duration::from_millis(200),
+    limit: Duration::from_millis(1_500),
+    hold: Duration::from_millis(2_200),
+    hosts: false,
+};
+
+/// Time kept back from the time that the platform grants for a stop.
+const STOP_MARGIN: Duration = Duration::from_millis(800);
+
+/// Time between two looks at the settings file, which may change without a signal.
+const RELOAD_PERIOD: Duration = Duration::from_secs(2);
+
+/// Secret of messages between hosts; the platform gives none, and only its hosts
+/// reach each other's internal ports.
+const SECRET: &str = "jacinthhinge hosts of one region";
+
+/// Runs a host until it has left.
+///
+/// # Errors
+///
+/// Fails when the settings cannot be read, a socket cannot be opened or a thread
+/// cannot be started.
+pub fn run(file: Option<PathBuf>, log: &str) -> Result<(), Report<Error>> {
+    serve::start_log(log)?;
+    let named = std::env::var_os(settings::PATH).map(PathBuf::from);
+    let path = file.or(named).ok_or_else(no_file)?;
+    let given = settings::read(&path)?;
+    let own = own_settings(&given)?;
+    let wiring = wiring(&given, path);
+    serve::run_wired(&own, wiring)
+}
+
+#[cold]
+fn no_file() -> Error {
+    let remedy = "set it to the settings file, or pass --settings FILE";
+    Error::setting(settings::PATH, "missing", remedy)
+}
+
+fn own_settings(given: &Given) -> Result<Settings> {
+    let store = format!("http://{}", given.store);
+    let uri = store.parse().map_err(|_| {
+        let fault = format!("{store} is no address");
+        Error::setting(settings::PATH, fault, "write IP:PORT")
+    })?;
+    Ok(Settings {
+        name: given.name.clone(),
+        zone: given.zone.clone(),
+        region: given.region.clone(),
+        peer_addr: given.peer,
+        lanes: std::iter::once(given.lane).collect(),
+        ops: given.ops,
+        platform: uri,
+        peers: given.seeds.clone(),
+        keys: Keys::new(SECRET, SECRET),
+        peer_key: PeerKey::new(SECRET),
+        statsd: None,
+        log: DEFAULT_LOG.to_owned(),
+    })
+}
+
+fn wiring(given: &Given, path: PathBuf) -> Wiring {
+    let (told, seeds) = watch::channel(given.seeds.clone());
+    let probed = given.ready;
+    Wiring {
+        codec: Arc::new(codec(given.lane.port())),
+        source: source(given),
+        control: control_settings(given),
+        seeds,
+        probes: Box::new(move |is_ready| ready::run(probed, is_ready).boxed()),
+        reload: reload(path, given.clone(), told).boxed(),
+    }
+}
+
+/// Segments, with callers reached at the port `client`.
+fn codec(client: u16) -> Codec {
+    Codec {
+        decode: Box::new(|bytes, _, tables| {
+            tables.segments.push(header::decode(bytes)?);
+            Ok(())
+        }),
+        encode: Box::new(move |relay| header::encode(relay, client)),
+        size: header::PACKET,
+    }
+}
+
+fn source(given: &Given) -> Source {
+    let store = Store::new(given.store);
+    Source {
+        watch: Arc::new(move |after, wait| {
+            let store = store.clone();
+            async move { store.watch(after, wait).await }.boxed()
+        }),
+        ..Source::none()
+    }
+}
+
+fn control_settings(given: &Given) -> decisions::Settings {
+    let card = Card {
+        name: given.name.clone(),
+        zone: given.region.clone(),
+        peer: given.peer,
+        lanes: std::iter::once(given.lane).collect(),
+    };
+    decisions::Settings {
+        card,
+        incarnation: 0,
+        seeds: given.seeds.clone(),
+        keys: Keys::new(SECRET, SECRET),
+        timing: Timing::default(),
+        drain: given.grace.saturating_sub(STOP_MARGIN),
+        build: platform::build(given.zone.clone()),
+        pace: PACE,
+        random: 0,
+    }
+}
+
+/// Reads the settings file again on SIGHUP, and now and then.
+async fn reload(
+    path: PathBuf,
+    mut given: Given,
+    seeds: watch::Sender<Vec<std::net::SocketAddr>>,
+) -> Result<()> {
+    let listen = |source| Error::io("listen for signals", source);
+    let mut hangup = signal(SignalKind::hangup()).map_err(listen)?;
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(RELOAD_PERIOD) => false,
+        };
+        given = renew(&path, given, signalled, &seeds);
+    }
+}
+
+fn renew(
+    path: &Path,
+    given: Given,
+    signalled: bool,
+    seeds: &watch::Sender<Vec<std::net::SocketAddr>>,
+) -> Given {
+    match settings::read(path) {
+        Err(err) => {
+            log::warn!("event=settings_refused cause=\"{err}\"");
+            given
+        }
+        Ok(renewed) if renewed == given => {
+            if signalled {
+                log::info!("event=settings_unchanged");
+            }
+            given
+        }
+        Ok(renewed) => {
+            log::info!("event=settings_in_force seeds={:?}", renewed.seeds);
+            // The receiver ends with the process only.
+            let _ = seeds.send(renewed.seeds.clone());
+            renewed
+        }
+    }
+}
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -3,6 +3,7 @@
 //! SIGTERM or SIGINT asks the host to leave: it announces that, finishes what is in
 //! flight and exits. A second signal ends it at once.
 
+use std::net::SocketAddr;
 use std::process;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -12,21 +13,21 @@
 use error_stack::Report;
 use flexi_logger::{LogSpecification, Logger};
 use futures_util::FutureExt;
-use futures_util::future::BoxFuture;
+use futures_util::future::{BoxFuture, pending};
 use serde_json::{Map, Value, json};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::control::{self, ControlSettings, Links};
-use super::lane::{Board, Lane};
+use super::control::{self, ControlSettings, Links, Source};
+use super::lane::{Board, Codec, Lane};
 use super::metrics::Metrics;
-use super::ops::{self, Ops};
+use super::ops::{self, Ops, Ready};
 use super::platform::Platform;
 use super::settings::Settings;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::control::message::Card;
-use crate::control::{self as decisions, Build, Built, Values};
+use crate::control::{self as decisions, Build, Built, Pace, Values};
 use crate::error::{Error, Result};
 use crate::id::{Id, Incarnation, Name};
 use crate::snapshot::Snapshot;
@@ -47,18 +48,33 @@
 /// Fails when a socket cannot be opened or a thread cannot be started.
 pub fn run(settings: &Settings) -> Result<(), Report<Error>> {
     start_log(&settings.log)?;
+    run_wired(settings, Wiring::packets(settings))
+}
+
+/// Runs a host with other reads, formats and probes, until it has left.
+///
+/// # Errors
+///
+/// Fails when a socket cannot be opened or a thread cannot be started.
+pub fn run_wired(settings: &Settings, wiring: Wiring) -> Result<(), Report<Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|source| Error::io("start the control thread", source))?;
-    runtime.block_on(serve(settings))?;
+    runtime.block_on(serve(settings, wiring))?;
     Ok(())
 }
 
-fn start_log(level: &str) -> Result<()> {
+/// Starts the logger of a host.
+///
+/// # Errors
+///
+/// Fails when the level cannot be read.
+pub fn start_log(level: &str) -> Result<()> {
     let refused = |fault: String| Error::setting("--log", fault, "write a level such as info");
     let spec = LogSpecification::parse(level).map_err(|error| refused(error.to_string()))?;
     let logger = Logger::with(spec)
+        .log_to_stdout()
         .format(flexi_logger::detailed_format)
         .start()
         .map_err(|error| refused(error.to_string()))?;
@@ -67,13 +83,13 @@
     Ok(())
 }
 
-async fn serve(settings: &Settings) -> Result<()> {
+async fn serve(settings: &Settings, wiring: Wiring) -> Result<()> {
     let clock = Clock::monotonic();
     let incarnation = incarnation();
     let board = Arc::new(Board {
         snapshot: ArcSwap::from_pointee(Snapshot::empty(settings.keys.clone())),
     });
-    let lanes = start_lanes(settings, incarnation, &board, &clock)?;
+    let lanes = start_lanes(settings, incarnation, &board, &clock, &wiring.codec)?;
     let (dumps, asked) = Links::dump_channel();
     let (leave, leaving) = watch::channel(false);
     let links = Links {
@@ -81,8 +97,17 @@
         in_flight: in_flight(&lanes),
         leave: leaving.clone(),
         dumps: asked,
+        seeds: wiring.seeds,
+    };
+    let own = ControlSettings {
+        control: decisions::Settings {
+            incarnation,
+            random: incarnation,
+            ..wiring.control
+        },
+        key: settings.peer_key.clone(),
+        source: wiring.source,
     };
-    let own = control_settings(settings, incarnation);
     let metrics = Metrics::new(settings.statsd)?;
     log::info!(
         "host={} zone={} region={} state=started lanes={}",
@@ -92,9 +117,12 @@
         lanes.len()
     );
     let ops = ops_of(&lanes, dumps.clone(), &board, &leaving);
+    let probes = (wiring.probes)(Arc::clone(&ops.ready));
     tokio::select! {
         ended = control::run(own, clock, links) => ended?,
-        ended = ops::run(settings.ops, ops, std::future::pending()) => ended?,
+        ended = probes => ended?,
+        ended = wiring.reload => ended?,
+        ended = ops::run(settings.ops, ops, pending()) => ended?,
         () = report(metrics, &lanes, &dumps), if settings.statsd.is_some() => {},
         failed = on_signals(leave) => failed?,
     }
@@ -115,6 +143,7 @@
     incarnation: Incarnation,
     board: &Arc<Board>,
     clock: &Clock,
+    codec: &Arc<Codec>,
 ) -> Result<Arc<[Lane]>> {
     settings
         .lanes
@@ -126,7 +155,8 @@
                 addr: *addr,
             };
             let seed = incarnation ^ u64::from(addr.port());
-            Lane::start(home, Arc::clone(board), clock.clone(), seed)
+            let (board, codec) = (Arc::clone(board), Arc::clone(codec));
+            Lane::start(home, board, clock.clone(), seed, codec)
         })
         .collect()
 }
@@ -150,26 +180,64 @@
     })
 }
 
-fn control_settings(settings: &Settings, incarnation: Incarnation) -> ControlSettings {
+/// What differs between the hosts of two front ends.
+pub struct Wiring {
+    /// Formats of the lanes.
+    pub codec: Arc<Codec>,
+    /// Reads of the platform.
+    pub source: Source,
+    /// Settings of the control thread, but for its life.
+    pub control: decisions::Settings,
+    /// Control addresses of hosts to start from, as they change.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// Answers probes of readiness.
+    pub probes: Box<dyn FnOnce(Ready) -> BoxFuture<'static, Result<()>>>,
+    /// Reads settings that change.
+    pub reload: BoxFuture<'static, Result<()>>,
+}
+
+impl Wiring {
+    /// Hosts that carry the project's own packets.
+    #[must_use]
+    pub fn packets(settings: &Settings) -> Self {
+        let (_, seeds) = watch::channel(settings.peers.clone());
+        let platform = Platform::new(&settings.platform.to_string());
+        Self {
+            codec: Arc::new(Codec::packets()),
+            source: Source::of(&platform),
+            control: control_settings(settings),
+            seeds,
+            probes: Box::new(|_| pending().boxed()),
+            reload: pending().boxed(),
+        }
+    }
+}
+
+impl std::fmt::Debug for Wiring {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Wiring(..)")
+    }
+}
+
+/// Settings of the control thread of a host that carries the project's own packets.
+#[must_use]
+pub fn control_settings(settings: &Settings) -> decisions::Settings {
     let card = Card {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         peer: settings.peer_addr,
         lanes: settings.lanes.clone(),
     };
-    ControlSettings {
-        control: decisions::Settings {
-            card,
-            incarnation,
-            seeds: settings.peers.clone(),
-            keys: settings.keys.clone(),
-            timing: decisions::lease::Timing::default(),
-            drain: DRAIN,
-            build: build(settings),
-            random: incarnation,
-        },
-        key: settings.peer_key.clone(),
-        platform: Some(Platform::new(&settings.platform.to_string())),
+    decisions::Settings {
+        card,
+        incarnation: 0,
+        seeds: settings.peers.clone(),
+        keys: settings.keys.clone(),
+        timing: decisions::lease::Timing::default(),
+        drain: DRAIN,
+        build: build(settings),
+        pace: Pace::default(),
+        random: 0,
     }
 }
 
@@ -187,6 +255,7 @@
         Ok(Built {
             services: config.services(&host, &zone),
             keys: config.keys(),
+            ..Built::default()
         })
     })
 }
--- a/src/front/settings.rs
+++ b/src/front/settings.rs
@@ -20,7 +20,7 @@
 const SECRET_LENGTH: usize = 16;
 
 const DEFAULT_OPS: &str = "127.0.0.1:9080";
-const DEFAULT_LOG: &str = "info";
+pub(super) const DEFAULT_LOG: &str = "info";
 
 /// Flags of `serve`, as they were written.
 #[derive(Bpaf, Clone, Default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! | module | what it is for |
 //! | --- | --- |
-//! | [`packet`], [`ticket`], [`snapshot`] | what decisions take in: typed packets, sealed tickets, the state published by the control thread |
+//! | [`packet`], [`ticket`], [`segment`], [`snapshot`] | what decisions take in: typed packets, sealed tickets, segments that are passed on unread, the state published by the control thread |
 //! | [`tables`], [`systems`] | decisions on traffic: route, open, ask, dispatch, retry, expire, probe |
 //! | [`control`] | decisions on members of a zone, spread of configuration, the lease |
 //! | [`config`] | the operators' file: defaults, exceptions, checks |
@@ -68,7 +68,7 @@
 //!
 //! ```
 //! use jacinthhinge::control::{
-//!     Action, Build, Built, Change, Control, Event, Settings, Update, Value, Values,
+//!     Action, Build, Built, Change, Control, Event, Pace, Settings, Update, Value, Values,
 //! };
 //! use jacinthhinge::control::lease::Timing;
 //! use jacinthhinge::control::message::Card;
@@ -77,7 +77,7 @@
 //! # fn main() -> Result<(), Box<dyn std::error::Error>> {
 //! let build = Build::new(|values: &Values| {
 //!     let services = values.keys().map(|name| Service::new(name)).collect();
-//!     Ok(Built { services, keys: None })
+//!     Ok(Built { services, ..Built::default() })
 //! });
 //! let peers: [SocketAddr; 2] = ["10.0.1.1:9000".parse()?, "10.0.1.2:9000".parse()?];
 //! let mut hosts = [("sv-a-1", peers[0]), ("sv-a-2", peers[1])].map(|(name, peer)| {
@@ -94,6 +94,7 @@
 //!         timing: Timing::default(),
 //!         drain: Duration::from_secs(5),
 //!         build: build.clone(),
+//!         pace: Pace::default(),
 //!         random: 1,
 //!     };
 //!     Control::new(settings, Duration::ZERO)
@@ -103,7 +104,7 @@
 //!     key: "adserve".into(),
 //!     value: Value { revision: 7, json: Some("{}".into()) },
 //! };
-//! let update = Update { revision: 7, values: vec![change] };
+//! let update = Update { revision: 7, values: vec![change], whole: false };
 //! hosts[0].handle(Duration::ZERO, Event::Values(Ok(update)));
 //!
 //! for tick in 1..=30 {
@@ -159,7 +160,9 @@
 pub mod front;
 pub mod id;
 pub mod packet;
+pub mod platform;
 pub mod prelude;
+pub mod segment;
 pub mod snapshot;
 pub mod systems;
 pub mod tables;
--- /dev/null
+++ b/src/platform/desired.rs
@@ -0,0 +1,127 @@
+//! The operators' desired state.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+use smallvec::SmallVec;
+
+use crate::error::{Error, Result};
+use crate::id::{Id, Name};
+use crate::segment::{Kind, Route};
+
+/// Key of the desired state.
+pub(super) const KEY: &str = "op/config";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireDesired {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    limits: WireLimits,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRoute {
+    name: Name,
+    /// An address of the platform, not a host of the system.
+    host: IpAddr,
+    /// A port between slashes.
+    prefix: String,
+    r#type: WireKind,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    timeout_ms: Duration,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    target_latency_ms: Duration,
+    priority: u32,
+    service: Option<Name>,
+    /// Services by weight, in place of `service`.
+    #[serde(default)]
+    backends: Vec<WireBackend>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireBackend {
+    service: Name,
+    weight: u32,
+}
+
+#[derive(Clone, Copy, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum WireKind {
+    Safe,
+    #[serde(other)]
+    Once,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireService {
+    name: Name,
+    max_conns: u32,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireLimits {
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    idle_timeout_ms: Duration,
+}
+
+/// A desired state.
+#[derive(Debug, Default, PartialEq)]
+pub(super) struct Desired {
+    pub(super) version: u64,
+    pub(super) routes: HashMap<SocketAddr, Route>,
+    /// Most flows of an endpoint, by service.
+    pub(super) conns: HashMap<Name, u32>,
+    pub(super) idle: Duration,
+}
+
+/// Decodes a desired state.
+pub(super) fn decode(json: &str) -> Result<Desired> {
+    let wire: WireDesired = serde_json::from_str(json)
+        .map_err(|err| Error::platform(format!("the desired state is unreadable: {err}")))?;
+    let routes = wire.routes.iter().map(route).collect::<Result<_>>()?;
+    let services = wire.services.into_iter();
+    Ok(Desired {
+        version: wire.version,
+        routes,
+        conns: services.map(|row| (row.name, row.max_conns)).collect(),
+        idle: wire.limits.idle_timeout_ms,
+    })
+}
+
+fn route(wire: &WireRoute) -> Result<(SocketAddr, Route)> {
+    let port = wire.prefix.trim_matches('/').parse().map_err(|_| {
+        let fault = format!("route {} has no port in {}", wire.name, wire.prefix);
+        Error::platform(fault)
+    })?;
+    let mut targets: SmallVec<[(Id, u32); 2]> = wire
+        .backends
+        .iter()
+        .map(|row| (Id::of(&row.service), row.weight))
+        .collect();
+    if let Some(service) = wire.service.as_ref().filter(|_| targets.is_empty()) {
+        targets.push((Id::of(service), 1));
+    }
+    let route = Route {
+        name: wire.name.clone(),
+        targets,
+        kind: match wire.r#type {
+            WireKind::Safe => Kind::Idempotent,
+            WireKind::Once => Kind::Once,
+        },
+        deadline: wire.timeout_ms,
+        aim: wire.target_latency_ms,
+        rank: wire.priority,
+    };
+    Ok((SocketAddr::new(wire.host, port), route))
+}
--- /dev/null
+++ b/src/platform/entry.rs
@@ -0,0 +1,81 @@
+//! What endpoints say of themselves in the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::error::{Error, Result};
+use crate::id::{Id, Name};
+use crate::snapshot::Endpoint;
+
+/// Prefix of the keys of endpoints.
+pub(super) const PREFIX: &str = "servers/";
+
+/// An endpoint's entry as it stands in the store.
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireEntry {
+    service: Name,
+    address: SocketAddr,
+    zone: Name,
+    concurrency: u32,
+    state: WireState,
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    warmup_left_ms: Duration,
+    /// Counts status reports; it has to be there, and says nothing.
+    #[serde(rename = "SeqNo")]
+    _reports: u64,
+    #[serde(rename = "born")]
+    born_ms: u64,
+}
+
+#[derive(Clone, Copy, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum WireState {
+    Ready,
+    Draining,
+}
+
+/// An endpoint and the name of its service.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Entry {
+    pub(super) service: Name,
+    pub(super) endpoint: Endpoint,
+}
+
+/// Decodes the entry at `key`, as a host in `zone` sees it.
+pub(super) fn decode(key: &str, json: &str, zone: &str) -> Result<Entry> {
+    let name = key.strip_prefix(PREFIX).unwrap_or(key);
+    let number = number_of(name)?;
+    let wire: WireEntry = serde_json::from_str(json)
+        .map_err(|err| Error::platform(format!("entry {key} is unreadable: {err}")))?;
+    if wire.concurrency == 0 {
+        return Err(Error::platform(format!("entry {key} has no slots")));
+    }
+    Ok(Entry {
+        service: wire.service,
+        endpoint: Endpoint {
+            id: Id::of(name),
+            slots: wire.concurrency,
+            draining: wire.state == WireState::Draining,
+            local: *wire.zone == *zone,
+            zone: wire.zone,
+            number,
+            born: wire.born_ms,
+            warmup: wire.warmup_left_ms,
+            ..Endpoint::new(name, wire.address)
+        },
+    })
+}
+
+/// The number in an endpoint's id: its hexadecimal digits after the dash.
+fn number_of(name: &str) -> Result<u64> {
+    let digits = name.rsplit('-').next().unwrap_or(name);
+    u64::from_str_radix(digits, 16)
+        .ok()
+        .filter(|number| *number != 0)
+        .ok_or_else(|| Error::platform(format!("endpoint id {name} has no number")))
+}
--- /dev/null
+++ b/src/platform/header.rs
@@ -0,0 +1,130 @@
+//! The head of a packet, and the datagrams that hosts send.
+//!
+//! ```text
+//! seq 0  ack 4  cookie 8  sum 12  len 16  marks 18  pad 19  dst 20  dport 24  sport 26  src 28
+//! ```
+//!
+//! All fields are little-endian. A datagram to an endpoint is the endpoint's number
+//! in 8 bytes, big-endian, and the packet. The sum covers all fields but the cookie
+//! and the padding; a reset carries none.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+
+use crate::error::{Error, Result};
+use crate::segment::{Ends, Mark, Relay, Segment};
+
+/// Bytes of the head.
+pub const HEAD: usize = 32;
+
+/// Most bytes of a packet: the head and 1,200 bytes of data.
+pub const PACKET: usize = HEAD + 1_200;
+
+/// Place of the cookie in the head.
+const COOKIE_AT: usize = 8;
+
+const SYN: u8 = 1;
+const RST: u8 = 8;
+const FIN: u8 = 4;
+
+/// Decodes a caller's packet.
+///
+/// # Errors
+///
+/// Fails when the packet is shorter or longer than its head says.
+pub fn decode(bytes: Bytes) -> Result<Segment> {
+    if bytes.len() < HEAD || bytes.len() > PACKET {
+        return Err(Error::malformed("head of a segment"));
+    }
+    let mut head = &bytes[..HEAD];
+    let seq = head.get_u32_le();
+    let ack = head.get_u32_le();
+    let cookie = head.get_u32_le();
+    let _sum = head.get_u32_le();
+    let len = head.get_u16_le();
+    let marks = head.get_u8();
+    let _pad = head.get_u8();
+    let dst = head.get_u32_le();
+    let dport = head.get_u16_le();
+    let sport = head.get_u16_le();
+    let src = head.get_u32_le();
+    if usize::from(len) != bytes.len() - HEAD {
+        return Err(Error::malformed("length of a segment"));
+    }
+    Ok(Segment {
+        ends: Ends {
+            caller: addr(src, sport),
+            front: addr(dst, dport),
+        },
+        mark: mark_of(marks),
+        seq,
+        ack,
+        cookie,
+        len,
+        bytes,
+    })
+}
+
+/// Encodes what a host sends; callers are reached at the port `client`.
+#[must_use]
+pub fn encode(relay: &Relay, client: u16) -> Option<(SocketAddr, Bytes)> {
+    match relay {
+        Relay::Forward {
+            to,
+            number,
+            cookie,
+            bytes,
+        } => Some((*to, wrap(*number, *cookie, bytes))),
+        Relay::Reset { ends, seq } => {
+            let to = SocketAddr::new(ends.caller.ip(), client);
+            Some((to, reset(ends, *seq)?))
+        }
+    }
+}
+
+fn wrap(number: u64, cookie: Option<u32>, bytes: &Bytes) -> Bytes {
+    let mut datagram = BytesMut::with_capacity(8 + bytes.len());
+    datagram.put_u64(number);
+    match cookie {
+        None => datagram.extend_from_slice(bytes),
+        Some(cookie) => {
+            datagram.extend_from_slice(&bytes[..COOKIE_AT]);
+            datagram.put_u32_le(cookie);
+            datagram.extend_from_slice(&bytes[COOKIE_AT + 4..]);
+        }
+    }
+    datagram.freeze()
+}
+
+fn reset(ends: &Ends, seq: u32) -> Option<Bytes> {
+    let (SocketAddr::V4(caller), SocketAddr::V4(front)) = (ends.caller, ends.front) else {
+        return None;
+    };
+    let mut packet = BytesMut::with_capacity(HEAD);
+    packet.put_u32_le(seq);
+    packet.put_bytes(0, 14);
+    packet.put_u8(RST);
+    packet.put_u8(0);
+    packet.put_u32_le(caller.ip().to_bits());
+    packet.put_u16_le(caller.port());
+    packet.put_u16_le(front.port());
+    packet.put_u32_le(front.ip().to_bits());
+    Some(packet.freeze())
+}
+
+fn mark_of(flags: u8) -> Mark {
+    if flags & RST != 0 {
+        Mark::Reset
+    } else if flags & SYN != 0 {
+        Mark::Open
+    } else if flags & FIN != 0 {
+        Mark::Fin
+    } else {
+        Mark::Data
+    }
+}
+
+fn addr(ip: u32, port: u16) -> SocketAddr {
+    SocketAddrV4::new(Ipv4Addr::from_bits(ip), port).into()
+}
--- /dev/null
+++ b/src/platform/ready.rs
@@ -0,0 +1,35 @@
+//! The probe by which routers learn whether a host takes traffic.
+
+use std::net::SocketAddr;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use tokio::net::TcpListener;
+
+use crate::error::{Error, Result};
+use crate::front::ops::Ready;
+
+/// Path of the probe.
+const PATH: &str = "/-/readiness";
+
+/// Answers the probe on `addr` for ever.
+///
+/// # Errors
+///
+/// Fails when the address cannot be listened on.
+pub async fn run(addr: SocketAddr, ready: Ready) -> Result<()> {
+    let failed = |source| Error::io("listen for readiness probes", source);
+    let listener = TcpListener::bind(addr).await.map_err(failed)?;
+    let routes = Router::new().route(PATH, get(answer)).with_state(ready);
+    axum::serve(listener, routes).await.map_err(failed)
+}
+
+async fn answer(State(ready): State<Ready>) -> StatusCode {
+    if ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
--- /dev/null
+++ b/src/platform/services.rs
@@ -0,0 +1,123 @@
+//! Services and routes out of the store's values.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use super::desired::{self, Desired};
+use super::entry::{self, Entry};
+use crate::control::{Build, Built, Value, Values};
+use crate::id::Name;
+use crate::snapshot::Service;
+
+/// Values decoded before, by key and revision.
+#[derive(Default)]
+struct Cache {
+    desired: Arc<Desired>,
+    desired_at: u64,
+    entries: HashMap<Name, (u64, Option<Entry>)>,
+}
+
+/// How a host in `zone` makes services and routes of the store's values.
+///
+/// An entry that cannot be read names no endpoint; a desired state that cannot be
+/// read, or is older than the one in force, leaves that in force.
+#[must_use]
+pub fn build(zone: Name) -> Build {
+    let cache = Mutex::new(Cache::default());
+    Build::new(move |values: &Values| {
+        let mut cache = cache.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(cache.build(values, &zone))
+    })
+}
+
+impl Cache {
+    fn build(&mut self, values: &Values, zone: &str) -> Built {
+        if let Some(value) = values.get(desired::KEY) {
+            self.take_desired(value);
+        }
+        self.entries.retain(|key, _| values.contains_key(key));
+        let mut services: HashMap<Name, Service> = HashMap::new();
+        for (name, conns) in &self.desired.conns {
+            let mut service = Service::new(name);
+            service.idle = self.desired.idle;
+            services.insert(Arc::clone(name), service);
+            let _ = conns;
+        }
+        let entries = values
+            .iter()
+            .filter(|(key, _)| key.starts_with(entry::PREFIX));
+        for (key, value) in entries {
+            let Some(entry) = decode(&mut self.entries, key, value, zone) else {
+                continue;
+            };
+            let Some(service) = services.get_mut(&entry.service) else {
+                continue;
+            };
+            let mut endpoint = entry.endpoint.clone();
+            endpoint.conns = self.desired.conns[&entry.service];
+            service.endpoints.push(endpoint);
+        }
+        Built {
+            services: services.into_values().collect(),
+            routes: self.desired.routes.clone(),
+            keys: None,
+        }
+    }
+
+    fn take_desired(&mut self, value: &Value) {
+        let Some(json) = value.json.as_deref() else {
+            return;
+        };
+        if value.revision <= self.desired_at {
+            return;
+        }
+        self.desired_at = value.revision;
+        match desired::decode(json) {
+            Ok(desired) if desired.version < self.desired.version => {
+                let (newer, older) = (self.desired.version, desired.version);
+                log::warn!("event=desired_refused version={older} in_force={newer} cause=older");
+            }
+            Ok(desired) => {
+                log::info!(
+                    "event=desired_in_force version={} before={} routes={} revision={}",
+                    desired.version,
+                    self.desired.version,
+                    desired.routes.len(),
+                    value.revision
+                );
+                self.desired = Arc::new(desired);
+            }
+            Err(err) => {
+                log::warn!(
+                    "event=desired_refused revision={} cause=\"{err}\"",
+                    value.revision
+                );
+            }
+        }
+    }
+}
+
+fn decode<'a>(
+    known: &'a mut HashMap<Name, (u64, Option<Entry>)>,
+    key: &Name,
+    value: &Value,
+    zone: &str,
+) -> Option<&'a Entry> {
+    let fresh = known.get(key).is_none_or(|(at, _)| *at != value.revision);
+    if fresh {
+        let decoded = value
+            .json
+            .as_deref()
+            .map(|json| entry::decode(key, json, zone));
+        let entry = match decoded {
+            Some(Ok(entry)) => Some(entry),
+            Some(Err(err)) => {
+                log::warn!("event=entry_refused key={key} cause=\"{err}\"");
+                None
+            }
+            None => None,
+        };
+        known.insert(Arc::clone(key), (value.revision, entry));
+    }
+    known.get(key)?.1.as_ref()
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,124 @@
+//! The settings file that the platform gives each process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_with::{DurationSeconds, serde_as};
+
+use crate::error::{Error, Result};
+use crate::id::Name;
+
+/// Environment variable with the path of the settings file.
+pub const PATH: &str = "JACINTHHINGE_CONFIG";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireSettings {
+    node_name: Name,
+    ip: IpAddr,
+    zone: Name,
+    region: Name,
+    listen: WireListen,
+    /// First and last of the ports for messages between hosts.
+    internal_ports: (u16, u16),
+    /// Addresses that tell hosts to start from; only their IP numbers are used.
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    bounds: WireBounds,
+    #[serde(rename = "platform")]
+    store: WireStore,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireListen {
+    datagram_addr: SocketAddr,
+    ready_addr: SocketAddr,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireBounds {
+    #[serde_as(as = "DurationSeconds<f64>")]
+    grace_s: Duration,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireStore {
+    address: SocketAddr,
+}
+
+/// What a process is told by the platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Given {
+    /// Name of this host.
+    pub name: Name,
+    /// Its zone.
+    pub zone: Name,
+    /// Region of the zone.
+    pub region: Name,
+    /// Address that routers send callers' packets to.
+    pub lane: SocketAddr,
+    /// Address that routers probe.
+    pub ready: SocketAddr,
+    /// Address for messages between hosts.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub ops: SocketAddr,
+    /// Hosts to start from.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Time between the request to stop and the end by force.
+    pub grace: Duration,
+}
+
+/// Reads the settings file.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read or lacks a field.
+pub fn read(path: &Path) -> Result<Given> {
+    let text = std::fs::read_to_string(path).map_err(|source| {
+        let fault = format!("{} cannot be read: {source}", path.display());
+        Error::setting(PATH, fault, "name the file that the platform has written")
+    })?;
+    parse(&text)
+}
+
+/// Parses the text of a settings file.
+///
+/// # Errors
+///
+/// Fails when a field is missing or has another form.
+pub fn parse(text: &str) -> Result<Given> {
+    let wire: WireSettings = serde_json::from_str(text).map_err(|err| {
+        let fault = format!("the settings file is unreadable: {err}");
+        Error::setting(PATH, fault, "let the platform write the file again")
+    })?;
+    let (first, last) = wire.internal_ports;
+    if first == last {
+        let fault = "one internal port only".to_owned();
+        return Err(Error::setting(PATH, fault, "give two ports or more"));
+    }
+    let at = |port| SocketAddr::new(wire.ip, port);
+    let peer = at(first);
+    let seeds = wire.seeds.iter();
+    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), first));
+    Ok(Given {
+        name: wire.node_name,
+        zone: wire.zone,
+        region: wire.region,
+        lane: wire.listen.datagram_addr,
+        ready: wire.listen.ready_addr,
+        peer,
+        ops: at(first + 1),
+        seeds: seeds.filter(|seed| *seed != peer).collect(),
+        store: wire.store.address,
+        grace: wire.bounds.grace_s,
+    })
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,200 @@
+//! Client of the platform's store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::http::{Request, StatusCode, Uri};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use serde_with::base64::Base64;
+use serde_with::serde_as;
+use tower::ServiceExt;
+use tower::timeout::Timeout;
+
+use crate::control::message::Update;
+use crate::control::{Change, Value};
+use crate::error::{Error, Result};
+use crate::id::Name;
+
+/// Time that an answer may take beyond the wait that was asked for.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Time that a connection may take to open.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time between keep-alive probes of an idle connection.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Keep-alive probes without an answer after which a connection is dead.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Most bytes of an answer.
+const ANSWER_BYTES: usize = 32 << 20;
+
+/// Most pages of a range.
+const PAGE_LIMIT: usize = 1_000;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WirePage {
+    #[serde(rename = "items")]
+    items: Vec<WireItem>,
+    has_more: bool,
+    store_revision: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireEvents {
+    #[serde(rename = "events")]
+    events: Vec<WireItem>,
+    store_revision: u64,
+}
+
+/// An item, or the event that it was written or deleted.
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireItem {
+    key: Name,
+    #[serde_as(as = "Option<Base64>")]
+    #[serde(default)]
+    value: Option<Vec<u8>>,
+    revision: u64,
+    #[serde(default)]
+    deleted: bool,
+}
+
+/// Client of the store.
+#[derive(Clone, Debug)]
+pub struct Store {
+    base: SocketAddr,
+    client: Client<HttpConnector, Empty<Bytes>>,
+}
+
+impl Store {
+    /// Client of the store at `base`.
+    #[must_use]
+    pub fn new(base: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_keepalive_interval(Some(KEEPALIVE));
+        connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
+        connector.set_nodelay(true);
+        Self {
+            base,
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    /// Waits for values above a revision; reads all values when there is none, or
+    /// when the store has forgotten what came after it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer in time, or answers nonsense.
+    pub async fn watch(&self, after: u64, wait: Duration) -> Result<Update> {
+        if after == 0 {
+            return self.read_all().await;
+        }
+        let millis = wait.as_millis();
+        let path = format!("/-/kv-watch?Prefix=&after={after}&WaitMs={millis}");
+        let (status, body) = self.get(&path, wait + ANSWER_LIMIT).await?;
+        match status {
+            StatusCode::OK => parse_events(&body),
+            StatusCode::GONE => self.read_all().await,
+            _ => Err(refused(status)),
+        }
+    }
+
+    async fn read_all(&self) -> Result<Update> {
+        let mut update = Update {
+            whole: true,
+            ..Update::default()
+        };
+        let mut after = None::<Name>;
+        for _ in 0..PAGE_LIMIT {
+            let from = after.as_deref().unwrap_or_default();
+            let path = format!("/-/kv-range?Prefix=&after={from}");
+            let (status, body) = self.get(&path, ANSWER_LIMIT).await?;
+            if status != StatusCode::OK {
+                return Err(refused(status));
+            }
+            let page: WirePage = serde_json::from_slice(&body).map_err(nonsense)?;
+            if after.is_none() {
+                // Pages are read one after the other; what changes meanwhile comes
+                // again with the watch from the first page's revision on.
+                update.revision = page.store_revision;
+            }
+            after = page.items.last().map(|item| item.key.clone());
+            update.values.extend(page.items.into_iter().map(change));
+            if !page.has_more || after.is_none() {
+                return Ok(update);
+            }
+        }
+        Err(Error::platform("a range without an end"))
+    }
+
+    async fn get(&self, path: &str, limit: Duration) -> Result<(StatusCode, Bytes)> {
+        let uri: Uri = format!("http://{}{path}", self.base)
+            .parse()
+            .map_err(|_| Error::setting("platform", "no URL", "give IP:PORT"))?;
+        let read = tower::service_fn(|uri| read(&self.client, uri));
+        Timeout::new(read, limit)
+            .oneshot(uri)
+            .await
+            .map_err(|err| Error::platform(err.to_string()))
+    }
+}
+
+/// Parses the answer to a watch.
+///
+/// # Errors
+///
+/// Fails when it is no such answer.
+pub fn parse_events(bytes: &[u8]) -> Result<Update> {
+    let wire: WireEvents = serde_json::from_slice(bytes).map_err(nonsense)?;
+    Ok(Update {
+        revision: wire.store_revision,
+        values: wire.events.into_iter().map(change).collect(),
+        whole: false,
+    })
+}
+
+/// A value that is no text cannot be an entry; it is taken over as it is shown.
+fn change(item: WireItem) -> Change {
+    let text = |bytes: Vec<u8>| Name::from(String::from_utf8_lossy(&bytes));
+    Change {
+        key: item.key,
+        value: Value {
+            revision: item.revision,
+            json: item.value.filter(|_| !item.deleted).map(text),
+        },
+    }
+}
+
+async fn read(
+    client: &Client<HttpConnector, Empty<Bytes>>,
+    uri: Uri,
+) -> Result<(StatusCode, Bytes), tower::BoxError> {
+    let request = Request::get(uri).body(Empty::new())?;
+    let response = client.request(request).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), ANSWER_BYTES);
+    Ok((status, body.collect().await?.to_bytes()))
+}
+
+#[cold]
+fn refused(status: StatusCode) -> Error {
+    Error::platform(format!("status {status}"))
+}
+
+#[allow(clippy::needless_pass_by_value, reason = "made for map_err")]
+fn nonsense(err: serde_json::Error) -> Error {
+    Error::platform(format!("unreadable answer: {err}"))
+}
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -13,6 +13,7 @@
 
 use crate::id::{FlowKey, Id, Incarnation, Name, rendezvous};
 use crate::packet::Class;
+use crate::segment::Route;
 use crate::ticket::{Home, Keys};
 
 /// All that a traffic lane needs to decide.
@@ -24,6 +25,8 @@
     pub services: Arc<HashMap<Id, Arc<Service>>>,
     /// Service that holds each endpoint address.
     pub addresses: Arc<HashMap<SocketAddr, Id>>,
+    /// Routes of segments by the address that callers send to.
+    pub routes: Arc<HashMap<SocketAddr, Route>>,
     /// Hosts of the zone that are believed alive, this one included.
     pub hosts: Arc<[Host]>,
     /// Time at which `hosts` last changed.
@@ -141,6 +144,12 @@
     pub healthy: bool,
     /// True when it stands in this host's own zone.
     pub local: bool,
+    /// Number that its segments are addressed to; zero where packets name it.
+    pub number: u64,
+    /// Wall-clock millisecond of its start, zero where its load report tells it.
+    pub born: u64,
+    /// Time for which it says that it is still slow after its start.
+    pub warmup: Duration,
 }
 
 impl Service {
@@ -201,6 +210,9 @@
             draining: false,
             healthy: true,
             local: true,
+            number: 0,
+            born: 0,
+            warmup: Duration::ZERO,
         }
     }
 }
@@ -213,6 +225,7 @@
             revision: 0,
             services: Arc::default(),
             addresses: Arc::default(),
+            routes: Arc::default(),
             hosts: Arc::from([]),
             changed: Duration::ZERO,
             keys,
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -19,6 +19,7 @@
 mod policies;
 mod probe;
 mod recover;
+mod relay;
 mod retry;
 mod route;
 mod settle;
@@ -64,8 +65,10 @@
     ask::run(tables, now, out);
     settle::run(tables, now, out);
     dispatch::run(tables, now, out);
+    relay::run(tables, now, out);
     wake::settle(tables, before);
     tables.inbox.clear();
+    tables.segments.clear();
 }
 
 /// Runs the systems that only time drives, at least every [`TICK`].
@@ -79,6 +82,7 @@
     let swept = sweep(tables, now);
     idle::run(tables, &swept, now);
     drain::run(tables, &swept, now, out);
+    relay::run_timers(tables, now);
 }
 
 /// Flows that a timer system may have to act on, of the next part of the table.
--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -46,6 +46,13 @@
 /// Longest pause of an endpoint that keeps refusing, as a multiple of the first.
 const PAUSE_LIMIT: u32 = 8;
 
+/// Slots that an idle open flow is taken to use: a long flow asks about once a
+/// second for work of some tens of milliseconds.
+const IDLE_LOAD: f64 = 0.05;
+
+/// Share of its due that an endpoint gets while it says that it is slow.
+const COLD_SHARE: f64 = 0.5;
+
 /// A choice among endpoints: lower scores first, remote ones only when no local fits.
 struct Choice {
     id: Id,
@@ -88,6 +95,36 @@
     })
 }
 
+/// Endpoint for a flow that is passed on unread: the least busy by what this lane
+/// has seen, in the own zone while that has room.
+pub(super) fn pick_track(
+    tables: &mut Tables,
+    parts: &Parts,
+    service: Id,
+    tried: &[Id],
+    now: Duration,
+) -> Option<Id> {
+    let parts = Parts {
+        sample: parts.relay_sample,
+        ..*parts
+    };
+    pick(tables, &parts, service, now, |row| {
+        if tried.contains(&row.spec.id) || row.flows >= row.spec.conns {
+            return None;
+        }
+        let slots = f64::from(row.spec.slots.max(1));
+        let idle = f64::from(row.flows.saturating_sub(row.running)) * IDLE_LOAD;
+        let share = (f64::from(row.running) + row.recent_slots(now) + idle) / slots;
+        let next = 1.0 / slots;
+        let remote = !row.spec.local || share + next > parts.relay_spill;
+        Some(Judgment {
+            remote,
+            share,
+            next,
+        })
+    })
+}
+
 /// Endpoint for a request: the least busy of those that can take it.
 pub(super) fn pick_slot(
     tables: &mut Tables,
@@ -235,6 +272,13 @@
     let age = now.saturating_sub(row.since).as_secs_f64();
     let ramp = (age / parts.ramp.as_secs_f64().max(f64::EPSILON)).clamp(RAMP_START, 1.0);
     let kept = (1.0 - row.shed).max(SHED_FLOOR);
+    if row.spec.number != 0 {
+        return if row.spec.warmup.is_zero() {
+            kept
+        } else {
+            COLD_SHARE
+        };
+    }
     ramp * kept
 }
 
@@ -248,13 +292,13 @@
 /// unhealthy and has not proved the opposite.
 fn is_silent(row: &EndpointRow, parts: &Parts, now: Duration) -> bool {
     let mute = row.asked.is_some_and(|asked| now >= asked + parts.silence);
-    mute || (!row.spec.healthy && now >= row.heard + DOUBT)
+    row.down.is_some() || mute || (!row.spec.healthy && now >= row.heard + DOUBT)
 }
 
 /// Asks endpoints that are silent or reported unhealthy to speak.
 pub(super) fn probe(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     let mut ids: SmallVec<[Id; 16]> = SmallVec::new();
-    for row in tables.endpoints.iter() {
+    for row in tables.endpoints.iter().filter(|row| row.spec.number == 0) {
         if row.asked.is_some() || !row.spec.healthy {
             ids.push(row.spec.id);
         }
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -31,6 +31,8 @@
 pub struct Policies {
     /// Endpoint of a flow.
     pub pick_conn: PickConn,
+    /// Endpoint of a flow that is passed on unread.
+    pub pick_track: PickConn,
     /// Endpoint of a request.
     pub pick_slot: PickSlot,
     /// Request that goes next.
@@ -63,6 +65,11 @@
     pub yielding: Duration,
     /// Share of the connections of the own zone above which flows spill over.
     pub spill: f64,
+    /// Share of an endpoint's slots in use above which flows that are passed on
+    /// unread spill over to other zones.
+    pub relay_spill: f64,
+    /// Endpoints looked at for a flow that is passed on unread.
+    pub relay_sample: usize,
     /// Largest wait in the queue, as a share of the slack until the deadline.
     pub slack: f64,
 }
@@ -78,6 +85,8 @@
         balance: 1.0,
         yielding: Duration::from_millis(300),
         spill: 0.8,
+        relay_spill: 1.4,
+        relay_sample: 256,
         slack: 0.5,
     };
 }
@@ -96,6 +105,9 @@
             pick_conn: Box::new(move |tables, service, refused, now| {
                 place::pick_conn(tables, &parts, service, refused, now)
             }),
+            pick_track: Box::new(move |tables, service, refused, now| {
+                place::pick_track(tables, &parts, service, refused, now)
+            }),
             pick_slot: Box::new(move |tables, service, class, now| {
                 place::pick_slot(tables, &parts, service, class, now)
             }),
--- /dev/null
+++ b/src/systems/relay/evidence.rs
@@ -0,0 +1,174 @@
+//! What a caller's segments tell of its endpoint.
+//!
+//! Progress is an acknowledgement that moves, or the first segment after the
+//! handshake. Repeats of data without progress tell of an endpoint that does not
+//! answer, of a lost packet or of slow work: an endpoint acknowledges every second
+//! packet, so that one repeat is normal while a request is at work for long. Only
+//! several flows of an endpoint that stall together show that it is down.
+
+use std::time::Duration;
+
+use super::{load, unload};
+use crate::segment::{Mark, Segment, is_after};
+use crate::tables::{EndpointRow, Stall, Tables, Track, TrackState};
+
+/// Shortest time after which data that comes again is a repeat. Callers repeat
+/// after 200 ms; packets of one burst that overtake each other come much sooner.
+const REPEAT_AFTER: Duration = Duration::from_millis(150);
+
+/// Segments that a caller sends ahead of acknowledgements.
+const FLIGHT: u32 = 16;
+
+/// Repeats that a request at work for long does not cause.
+const STALL_REPEATS: u32 = 2;
+
+/// Flows with so many repeats that show an endpoint to be down.
+const STALL_FLOWS: usize = 2;
+
+/// Time within which another endpoint must have been heard, so that the silence
+/// is not this host's own.
+const OWN_SILENCE: Duration = Duration::from_millis(500);
+
+/// Most flows noted against an endpoint.
+const STALL_LIMIT: usize = 16;
+
+/// What a segment tells of its endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Finding {
+    /// Nothing against it.
+    Alive,
+    /// It is down, and the flow waits for it.
+    Dead,
+}
+
+pub(super) fn note(
+    tables: &mut Tables,
+    track: &mut Track,
+    segment: &Segment,
+    now: Duration,
+) -> Finding {
+    track.heard = now;
+    if is_progress(track, segment) {
+        progress(tables, track, segment, now);
+    }
+    if segment.len > 0 {
+        if is_after(segment.end(), track.sent) {
+            send(tables, track, segment, now);
+        } else if is_repeat(track, now) {
+            repeat(tables, track, now);
+        }
+    }
+    if segment.mark == Mark::Fin {
+        track.state = TrackState::Closing;
+        track.asked = None;
+        unload(tables, track);
+    }
+    let row = tables.endpoints.get(track.endpoint);
+    let down = row.is_some_and(|row| row.down.is_some());
+    if down && track.asked.is_some() && track.repeats > 0 {
+        Finding::Dead
+    } else {
+        Finding::Alive
+    }
+}
+
+fn is_progress(track: &Track, segment: &Segment) -> bool {
+    track.state == TrackState::Opening || is_after(segment.ack, track.acked)
+}
+
+fn progress(tables: &mut Tables, track: &mut Track, segment: &Segment, now: Duration) {
+    if track.state == TrackState::Opening {
+        track.state = TrackState::Open;
+        track.sent = segment.seq;
+    } else if let Some(asked) = track.asked.take() {
+        let time = now.saturating_sub(asked);
+        tables.endpoints.note_time(track.endpoint, time, now);
+        unload(tables, track);
+    }
+    track.acked = segment.ack;
+    track.flight = 0;
+    track.repeats = 0;
+    hear(tables, track, now);
+}
+
+/// Notes that the endpoint of a flow answers.
+fn hear(tables: &mut Tables, track: &Track, now: Duration) {
+    let Some(row) = tables.endpoints.get_mut(track.endpoint) else {
+        return;
+    };
+    row.heard = now;
+    row.asked = None;
+    row.stalls.clear();
+    if let Some(since) = row.down.take() {
+        let name = row.spec.name.clone();
+        let silent = now.saturating_sub(since).as_millis();
+        tables.counters.ups += 1;
+        log::info!("event=endpoint_up endpoint={name} down_ms={silent}");
+    }
+}
+
+fn send(tables: &mut Tables, track: &mut Track, segment: &Segment, now: Duration) {
+    track.sent = segment.end();
+    track.moved = now;
+    track.flight += 1;
+    if track.flight > FLIGHT {
+        // The caller sends further only when earlier data was acknowledged.
+        track.flight = 1;
+        track.repeats = 0;
+        hear(tables, track, now);
+    }
+    if track.asked.is_none() {
+        track.asked = Some(now);
+        track.flight = 1;
+        track.repeats = 0;
+        tables.tracks.ask(track.ends, now);
+    }
+    load(tables, track, now);
+}
+
+fn is_repeat(track: &Track, now: Duration) -> bool {
+    let last = track.moved.max(track.repeated);
+    track.asked.is_some() && now >= last + REPEAT_AFTER
+}
+
+fn repeat(tables: &mut Tables, track: &mut Track, now: Duration) {
+    track.repeats += 1;
+    track.repeated = now;
+    tables.counters.data_repeats += 1;
+    let stall = Stall {
+        ends: track.ends,
+        repeats: track.repeats,
+        since: track.moved,
+    };
+    let others = hears_others(tables, track, now);
+    let Some(row) = tables.endpoints.get_mut(track.endpoint) else {
+        return;
+    };
+    row.stalls.retain(|known| known.ends != stall.ends);
+    if row.stalls.len() < STALL_LIMIT {
+        row.stalls.push(stall);
+    }
+    if row.down.is_none() && others && is_down(row) {
+        row.down = Some(now);
+        tables.counters.downs += 1;
+        log::warn!(
+            "event=endpoint_down endpoint={} zone={} stalled_flows={} heard_ms_ago={}",
+            row.spec.name,
+            row.spec.zone,
+            row.stalls.len(),
+            now.saturating_sub(row.heard).as_millis()
+        );
+    }
+}
+
+/// True when several flows have stalled at an endpoint that was not heard since.
+fn is_down(row: &EndpointRow) -> bool {
+    let is_stalled = |stall: &&Stall| stall.repeats >= STALL_REPEATS && stall.since >= row.heard;
+    row.stalls.iter().filter(is_stalled).count() >= STALL_FLOWS
+}
+
+fn hears_others(tables: &Tables, track: &Track, now: Duration) -> bool {
+    tables.endpoints.iter().any(|row| {
+        row.spec.id != track.endpoint && !row.heard.is_zero() && now < row.heard + OWN_SILENCE
+    })
+}
--- /dev/null
+++ b/src/systems/relay/mod.rs
@@ -0,0 +1,108 @@
+//! Flows that are passed on unread.
+//!
+//! An opening segment is placed at an endpoint and gets its cookie; a later one
+//! goes where its cookie says, whatever this lane knows of the flow. What callers
+//! repeat and acknowledge tells which endpoints answer.
+
+mod evidence;
+mod open;
+mod pass;
+mod silence;
+
+use std::time::Duration;
+
+use crate::id::Id;
+use crate::segment::{Relay, Segment};
+use crate::tables::{Holder, Outbox, Tables, Track};
+
+/// Takes in the segments of this tick.
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for segment in std::mem::take(&mut tables.segments) {
+        tables.counters.segments += 1;
+        tables.tracks.touch(now);
+        if tables.snapshot.routes.is_empty() {
+            // A host that has just started knows neither routes nor endpoints; the
+            // caller repeats the segment.
+            continue;
+        }
+        if segment.is_opening() {
+            open::run(tables, &segment, now, out);
+        } else {
+            pass::run(tables, &segment, now, out);
+        }
+    }
+}
+
+/// Runs what only time drives.
+pub(super) fn run_timers(tables: &mut Tables, now: Duration) {
+    silence::run(tables, now);
+    for track in tables.tracks.expire(now) {
+        forget(tables, &track);
+    }
+}
+
+/// Takes over the endpoints of a new snapshot.
+pub(super) fn sync(tables: &mut Tables, now: Duration) {
+    for id in tables.cookies.sync(&tables.snapshot, now) {
+        log::info!("event=endpoint_gone endpoint={id:?}");
+    }
+}
+
+/// Passes a segment on.
+fn forward(segment: &Segment, holder: &Holder, cookie: Option<u32>, out: &mut Outbox) {
+    out.relays.push(Relay::Forward {
+        to: holder.addr,
+        number: holder.number,
+        cookie,
+        bytes: segment.bytes.clone(),
+    });
+}
+
+/// Resets the flow of a segment towards its caller.
+fn reset(segment: &Segment, out: &mut Outbox) {
+    out.relays.push(Relay::Reset {
+        ends: segment.ends,
+        seq: if segment.is_opening() { 0 } else { segment.ack },
+    });
+}
+
+/// Counts a flow on an endpoint.
+fn admit(tables: &mut Tables, id: Id) {
+    if let Some(row) = tables.endpoints.get_mut(id) {
+        row.flows += 1;
+    }
+}
+
+/// Counts work of a flow as load on its endpoint.
+fn load(tables: &mut Tables, track: &mut Track, now: Duration) {
+    if !track.loaded {
+        track.loaded = true;
+        tables
+            .endpoints
+            .acquire(track.endpoint, Duration::ZERO, now);
+    }
+}
+
+/// Stops counting work of a flow as load.
+fn unload(tables: &mut Tables, track: &mut Track) {
+    if track.loaded {
+        track.loaded = false;
+        tables.endpoints.release(track.endpoint, false);
+    }
+}
+
+/// Stops counting a flow on its endpoint.
+fn forget(tables: &mut Tables, track: &Track) {
+    let mut track = track.clone();
+    unload(tables, &mut track);
+    if let Some(row) = tables.endpoints.get_mut(track.endpoint) {
+        row.flows = row.flows.saturating_sub(1);
+    }
+}
+
+/// Ends a flow here.
+fn end(tables: &mut Tables, segment: &Segment) {
+    if let Some(track) = tables.tracks.remove(&segment.ends) {
+        forget(tables, &track);
+    }
+}
--- /dev/null
+++ b/src/systems/relay/open.rs
@@ -0,0 +1,155 @@
+//! Places new flows.
+//!
+//! A caller that gets no answer repeats its opening segment; each copy goes to
+//! another endpoint. The caller acknowledges one answer only, so the flow opens
+//! once however many endpoints were asked.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use smallvec::SmallVec;
+
+use super::{admit, forget, forward, load, reset};
+use crate::id::Id;
+use crate::segment::{Route, Segment};
+use crate::tables::{Holder, Outbox, Tables, Track, TrackState};
+
+/// Time between two opening segments that try an endpoint which does not answer.
+/// The caller's first copy, 200 ms later, goes elsewhere.
+const TRIAL_PERIOD: Duration = Duration::from_secs(1);
+
+/// Most endpoints passed over because their cookie names another.
+const CLAIMS: usize = 4;
+
+pub(super) fn run(tables: &mut Tables, segment: &Segment, now: Duration, out: &mut Outbox) {
+    let Some(route) = tables.snapshot.routes.get(&segment.ends.front).cloned() else {
+        tables.counters.unrouted += 1;
+        reset(segment, out);
+        return;
+    };
+    let known = tables.tracks.get(&segment.ends);
+    let copy = known
+        .filter(|track| track.start == Some(segment.seq))
+        .cloned();
+    match copy {
+        Some(track) if track.state != TrackState::Opening => repeat(tables, segment, &track, out),
+        Some(track) => place(tables, segment, &route, Some(track), now, out),
+        None => {
+            super::end(tables, segment);
+            place(tables, segment, &route, None, now, out);
+        }
+    }
+}
+
+/// Passes a late copy on to the endpoint that holds the flow.
+fn repeat(tables: &Tables, segment: &Segment, track: &Track, out: &mut Outbox) {
+    let cookie = tables.cookies.claim(track.endpoint);
+    if let Some(holder) = cookie.and_then(|cookie| tables.cookies.find(cookie)) {
+        forward(segment, holder, cookie, out);
+    }
+}
+
+fn place(
+    tables: &mut Tables,
+    segment: &Segment,
+    route: &Route,
+    earlier: Option<Track>,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    let mut track = Track::new(segment, Id(0), now);
+    if let Some(earlier) = earlier {
+        track.tried.clone_from(&earlier.tried);
+        track.tried.push(earlier.endpoint);
+        track.since = earlier.since;
+        tables.counters.moved += 1;
+        forget(tables, &earlier);
+    }
+    let Some((holder, cookie)) = choose(tables, route, &track.tried, now) else {
+        tables.counters.crowded += 1;
+        tables.tracks.remove(&segment.ends);
+        reset(segment, out);
+        return;
+    };
+    tables.counters.placed += 1;
+    track.endpoint = holder.id;
+    admit(tables, holder.id);
+    load(tables, &mut track, now);
+    if let Some(row) = tables.endpoints.get_mut(holder.id) {
+        row.asked.get_or_insert(now);
+    }
+    tables.tracks.ask(track.ends, now);
+    tables.tracks.insert(track);
+    forward(segment, &holder, Some(cookie), out);
+}
+
+/// An endpoint for a new flow, with the cookie that names it.
+fn choose(
+    tables: &mut Tables,
+    route: &Route,
+    tried: &[Id],
+    now: Duration,
+) -> Option<(Holder, u32)> {
+    let service = choose_service(tables, route)?;
+    if tried.is_empty()
+        && let Some(id) = trial(tables, service, now)
+    {
+        return claim(tables, id);
+    }
+    let policies = Arc::clone(&tables.policies);
+    let mut passed: SmallVec<[Id; 4]> = tried.into();
+    for _ in 0..CLAIMS {
+        let id = (policies.pick_track)(tables, service, &passed, now)
+            .or_else(|| (policies.pick_track)(tables, service, &[], now))?;
+        match claim(tables, id) {
+            Some(found) => return Some(found),
+            None => passed.push(id),
+        }
+    }
+    None
+}
+
+fn claim(tables: &Tables, id: Id) -> Option<(Holder, u32)> {
+    let cookie = tables.cookies.claim(id)?;
+    let holder = tables.cookies.find(cookie)?.clone();
+    Some((holder, cookie))
+}
+
+/// One of a route's services, by their weights, among those with endpoints.
+fn choose_service(tables: &mut Tables, route: &Route) -> Option<Id> {
+    let usable: SmallVec<[(Id, u32); 2]> = route
+        .targets
+        .iter()
+        .filter(|(id, weight)| *weight > 0 && tables.endpoints.count(*id) > 0)
+        .copied()
+        .collect();
+    let total: u32 = usable.iter().map(|(_, weight)| weight).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut left = tables.rng.random_range(0..total);
+    for (id, weight) in usable {
+        match left.checked_sub(weight) {
+            Some(rest) => left = rest,
+            None => return Some(id),
+        }
+    }
+    None
+}
+
+/// An endpoint that does not answer and is due to be tried again.
+fn trial(tables: &mut Tables, service: Id, now: Duration) -> Option<Id> {
+    let id = tables
+        .endpoints
+        .of(service)
+        .find(|row| {
+            let silent = row.down.is_some() || super::super::place::is_mute(row, now);
+            silent && row.is_open(now) && now >= row.tried + TRIAL_PERIOD
+        })
+        .map(|row| row.spec.id)?;
+    if let Some(row) = tables.endpoints.get_mut(id) {
+        row.tried = now;
+    }
+    Some(id)
+}
--- a/src/systems/sync.rs
+++ b/src/systems/sync.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::probe;
+use super::{probe, relay};
 use crate::snapshot::Snapshot;
 use crate::tables::{Outbox, Tables};
 
 pub(super) fn run(tables: &mut Tables, snapshot: Arc<Snapshot>, now: Duration, out: &mut Outbox) {
     let same = Arc::ptr_eq(&tables.snapshot.services, &snapshot.services);
     tables.snapshot = snapshot;
+    if !same {
+        relay::sync(tables, now);
+    }
     if same {
         return;
     }
@@ -17,7 +20,7 @@
     let fresh: Vec<_> = tables
         .endpoints
         .iter()
-        .filter(|row| row.load.incarnation == 0)
+        .filter(|row| row.load.incarnation == 0 && row.spec.number == 0)
         .map(|row| row.spec.id)
         .collect();
     for id in fresh {
--- a/src/systems/wake.rs
+++ b/src/systems/wake.rs
@@ -35,7 +35,7 @@
 /// A short batch was read from a socket that held no more, at some time after the
 /// tick `before`.
 pub(super) fn settle(tables: &mut Tables, before: Duration) {
-    if tables.inbox.len() < BATCH {
+    if tables.waiting() < BATCH {
         tables.dry = before;
     }
 }
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -57,4 +57,30 @@
     pub unsent: u64,
     /// Endpoints that named another service.
     pub reassigned: u64,
+    /// Segments received.
+    pub segments: u64,
+    /// Opening segments passed on.
+    pub placed: u64,
+    /// Copies of opening segments passed on to another endpoint.
+    pub moved: u64,
+    /// Opening segments without a route.
+    pub unrouted: u64,
+    /// Opening segments refused for want of an endpoint.
+    pub crowded: u64,
+    /// Segments whose cookie names no endpoint.
+    pub unknown_cookies: u64,
+    /// Flows whose cookie changed while they were open.
+    pub cookie_moves: u64,
+    /// Flows reset because their endpoint has gone.
+    pub gone_resets: u64,
+    /// Flows reset because their endpoint is down.
+    pub down_resets: u64,
+    /// Flows reset because their route was removed.
+    pub route_resets: u64,
+    /// Repeats of data that an endpoint has left without an answer.
+    pub data_repeats: u64,
+    /// Endpoints taken to be down.
+    pub downs: u64,
+    /// Endpoints heard again after they were down.
+    pub ups: u64,
 }
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -7,6 +7,7 @@
 
 use crate::id::Id;
 use crate::packet::Load;
+use crate::segment::Ends;
 use crate::snapshot::{Endpoint, Snapshot};
 use crate::ticket::Target;
 
@@ -66,6 +67,23 @@
     pub leaving: Option<Duration>,
     /// Time until which it gets no traffic.
     pub barred: Duration,
+    /// Flows whose data it has left without an answer since it was last heard.
+    pub stalls: Vec<Stall>,
+    /// Time since when it is taken to be down.
+    pub down: Option<Duration>,
+    /// Time of the last opening segment sent to try it.
+    pub tried: Duration,
+}
+
+/// A flow whose data has no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Stall {
+    /// The flow.
+    pub ends: Ends,
+    /// Repeats of its data.
+    pub repeats: u32,
+    /// Time at which the data was first sent.
+    pub since: Duration,
 }
 
 impl EndpointRow {
@@ -239,14 +257,21 @@
             return;
         };
         row.running += 1;
-        row.recent = row.recent_slots(now) * RECENT.as_secs_f64() + time.as_secs_f64();
-        row.faded = now;
         let service = row.service;
+        self.note_time(id, time, now);
         if let Some(group) = self.services.get_mut(&service) {
             group.running += 1;
         }
     }
 
+    /// Adds slot time that a request on an endpoint turned out to take.
+    pub fn note_time(&mut self, id: Id, time: Duration, now: Duration) {
+        if let Some(row) = self.get_mut(id) {
+            row.recent = row.recent_slots(now) * RECENT.as_secs_f64() + time.as_secs_f64();
+            row.faded = now;
+        }
+    }
+
     /// Stops counting a request on an endpoint.
     pub fn release(&mut self, id: Id, acked: bool) {
         let Some(row) = self.get_mut(id) else {
@@ -264,6 +289,7 @@
         let kept = self
             .get(spec.id)
             .filter(|row| row.service == service && row.spec.addr == spec.addr)
+            .filter(|row| row.spec.born == spec.born)
             .cloned();
         let mut row = kept.unwrap_or_else(|| EndpointRow::new(spec.clone(), service, now));
         row.spec = spec.clone();
@@ -313,6 +339,9 @@
             since: now,
             leaving: None,
             barred: Duration::ZERO,
+            stalls: Vec::new(),
+            down: None,
+            tried: Duration::ZERO,
         }
     }
 }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -5,12 +5,14 @@
 //! them. Rows are plain structs, keyed by small ids.
 
 mod budget;
+mod cookies;
 mod counters;
 mod endpoints;
 mod flows;
 mod inbox;
 mod requests;
 mod spent;
+mod tracks;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,15 +22,18 @@
 use serde_json::{Value, json};
 
 pub use self::budget::{BURST, Budgets};
+pub use self::cookies::{Cookies, Holder, cookie_of};
 pub use self::counters::Counters;
-pub use self::endpoints::{EndpointRow, Endpoints};
+pub use self::endpoints::{EndpointRow, Endpoints, Stall};
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::inbox::{Arrival, Stage};
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::spent::SPENT;
+pub use self::tracks::{Track, TrackState, Tracks};
 
 use crate::id::FlowKey;
 use crate::packet::{Body, Packet};
+use crate::segment::{Relay, Segment};
 use crate::snapshot::Snapshot;
 use crate::systems::Policies;
 use crate::ticket::{Home, Side, Target, Ticket};
@@ -42,6 +47,12 @@
     pub snapshot: Arc<Snapshot>,
     /// Packets of this tick.
     pub inbox: Vec<Arrival>,
+    /// Segments of this tick.
+    pub segments: Vec<Segment>,
+    /// Endpoints by the cookies of their flows.
+    pub cookies: Cookies,
+    /// Flows whose segments pass through this lane.
+    pub tracks: Tracks,
     /// Flows this lane is home to.
     pub flows: Flows,
     /// Requests this lane is home to.
@@ -76,6 +87,9 @@
             me,
             snapshot,
             inbox: Vec::new(),
+            segments: Vec::new(),
+            cookies: Cookies::default(),
+            tracks: Tracks::default(),
             flows: Flows::default(),
             requests: Requests::new(&me),
             budgets: Budgets::default(),
@@ -114,10 +128,18 @@
         })
     }
 
+    /// Packets and segments that wait for this tick.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.inbox.len() + self.segments.len()
+    }
+
     /// Requests that still run and flows that still open.
     #[must_use]
     pub fn in_flight(&self, now: Duration) -> usize {
-        self.requests.in_flight(now) + self.flows.opening()
+        self.requests.in_flight(now)
+            + self.flows.opening()
+            + usize::from(self.tracks.is_active(now))
     }
 
     /// One table, or all of them, as JSON; `None` for an unknown name.
@@ -130,12 +152,14 @@
                 "endpoints": self.endpoints,
                 "flows": self.flows,
                 "requests": self.requests,
+                "tracks": self.tracks,
                 "snapshot": self.dump_snapshot(),
             })),
             Some("counters") => Some(json!(self.counters)),
             Some("endpoints") => Some(json!(self.endpoints)),
             Some("flows") => Some(json!(self.flows)),
             Some("requests") => Some(json!(self.requests)),
+            Some("tracks") => Some(json!(self.tracks)),
             Some("snapshot") => Some(self.dump_snapshot()),
             Some(_) => None,
         }
@@ -166,6 +190,8 @@
 pub struct Outbox {
     /// Datagrams to send.
     pub sends: Vec<Send>,
+    /// Segments to pass on, and resets.
+    pub relays: Vec<Relay>,
 }
 
 impl Outbox {
--- /dev/null
+++ b/src/tables/tracks.rs
@@ -0,0 +1,194 @@
+//! Flows whose segments pass through this lane.
+//!
+//! A row is evidence, not state that a flow depends on: a host without it passes
+//! the flow's segments by their cookie alike.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Serialize, Serializer};
+use smallvec::SmallVec;
+
+use crate::id::Id;
+use crate::segment::{Ends, Segment};
+
+/// Time without a segment after which a row is forgotten; flows that are idle for
+/// longer are closed by the endpoints.
+const MEMORY: Duration = Duration::from_secs(20);
+
+/// Rows looked at in one timer tick.
+const SWEEP: usize = 64;
+
+/// Time since the last segment for which a lane counts as active: routers need two
+/// missed probes of 500 ms to move flows to another host.
+const ACTIVE: Duration = Duration::from_millis(1_200);
+
+/// How far a flow has come, as its caller's segments tell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum TrackState {
+    /// The caller has asked for it.
+    Opening,
+    /// The caller has acknowledged the endpoint.
+    Open,
+    /// The caller has ended its direction.
+    Closing,
+}
+
+/// A flow, as far as this lane has seen it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Track {
+    /// Its ends.
+    pub ends: Ends,
+    /// Endpoint that its segments go to.
+    pub endpoint: Id,
+    /// How far it has come.
+    pub state: TrackState,
+    /// Number of the opening segment, if this lane has seen it.
+    pub start: Option<u32>,
+    /// Endpoints that did not answer its opening.
+    pub tried: SmallVec<[Id; 2]>,
+    /// Time of the first segment seen.
+    pub since: Duration,
+    /// Time of the last segment seen.
+    pub heard: Duration,
+    /// Number after the last byte sent.
+    pub sent: u32,
+    /// Time at which `sent` last moved.
+    pub moved: Duration,
+    /// Number that the caller last acknowledged.
+    pub acked: u32,
+    /// Time of the first data without an answer.
+    pub asked: Option<Duration>,
+    /// Segments sent since `asked`.
+    pub flight: u32,
+    /// Repeats of data since `asked`.
+    pub repeats: u32,
+    /// Time of the last repeat.
+    pub repeated: Duration,
+    /// True while it counts as load on its endpoint.
+    pub loaded: bool,
+}
+
+impl Track {
+    /// A flow that begins with `segment`.
+    #[must_use]
+    pub fn new(segment: &Segment, endpoint: Id, now: Duration) -> Self {
+        let opening = segment.is_opening();
+        Self {
+            ends: segment.ends,
+            endpoint,
+            state: if opening {
+                TrackState::Opening
+            } else {
+                TrackState::Open
+            },
+            start: opening.then_some(segment.seq),
+            tried: SmallVec::new(),
+            since: now,
+            heard: now,
+            sent: segment.seq,
+            moved: now,
+            acked: segment.ack,
+            asked: None,
+            flight: 0,
+            repeats: 0,
+            repeated: now,
+            loaded: false,
+        }
+    }
+}
+
+/// Flows by their ends.
+#[derive(Debug, Default)]
+pub struct Tracks {
+    rows: HashMap<Ends, Track>,
+    ages: VecDeque<(Duration, Ends)>,
+    asked: VecDeque<(Duration, Ends)>,
+    heard: Option<Duration>,
+}
+
+impl Tracks {
+    /// Number of flows.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// True without flows.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Flow of these ends.
+    #[must_use]
+    pub fn get(&self, ends: &Ends) -> Option<&Track> {
+        self.rows.get(ends)
+    }
+
+    /// Flow of these ends, to change.
+    pub fn get_mut(&mut self, ends: &Ends) -> Option<&mut Track> {
+        self.rows.get_mut(ends)
+    }
+
+    /// Adds or replaces a flow; returns the one before.
+    pub fn insert(&mut self, track: Track) -> Option<Track> {
+        if !self.rows.contains_key(&track.ends) {
+            self.ages.push_back((track.since, track.ends));
+        }
+        self.rows.insert(track.ends, track)
+    }
+
+    /// Takes a flow out.
+    pub fn remove(&mut self, ends: &Ends) -> Option<Track> {
+        self.rows.remove(ends)
+    }
+
+    /// Notes that a flow waits for an answer.
+    pub fn ask(&mut self, ends: Ends, now: Duration) {
+        self.asked.push_back((now, ends));
+    }
+
+    /// Ends of the flows that have waited for an answer since before `limit`.
+    pub fn overdue(&mut self, limit: Duration) -> Vec<Ends> {
+        let count = self.asked.partition_point(|(asked, _)| *asked <= limit);
+        self.asked.drain(..count).map(|(_, ends)| ends).collect()
+    }
+
+    /// Takes out flows that have been silent for long.
+    pub fn expire(&mut self, now: Duration) -> Vec<Track> {
+        let mut gone = Vec::new();
+        for _ in 0..SWEEP.min(self.ages.len()) {
+            let Some((due, ends)) = self.ages.front().copied() else {
+                break;
+            };
+            if now < due + MEMORY {
+                break;
+            }
+            self.ages.pop_front();
+            match self.rows.get(&ends).map(|track| track.heard) {
+                Some(heard) if now < heard + MEMORY => self.ages.push_back((heard, ends)),
+                Some(_) => gone.extend(self.rows.remove(&ends)),
+                None => {}
+            }
+        }
+        gone
+    }
+
+    /// Notes that a segment has come.
+    pub fn touch(&mut self, now: Duration) {
+        self.heard = Some(now);
+    }
+
+    /// True while segments come.
+    #[must_use]
+    pub fn is_active(&self, now: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + ACTIVE)
+    }
+}
+
+impl Serialize for Tracks {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.rows.values())
+    }
+}
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -280,6 +280,7 @@
         update: Update {
             revision: wire.revision,
             values: wire.values.into_iter().map(decode_value).collect(),
+            whole: false,
         },
         pending: wire.pending.map(decode_roster).transpose()?,
         base: wire.base.map(decode_roster).transpose()?,
--- a/tests/common/ends.rs
+++ b/tests/common/ends.rs
@@ -93,8 +93,7 @@
             conns: 2_000,
             weight: 1.0,
             draining: self.leaving,
-            healthy: true,
-            local: true,
+            ..Endpoint::new(&self.name, self.addr)
         }
     }
 
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -244,8 +244,7 @@
         conns: CONNS,
         weight: 1.0,
         draining: false,
-        healthy: true,
-        local: true,
+        ..Endpoint::new("", SocketAddr::from(([10, 1, 0, index], 1)))
     }
 }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -7,8 +7,8 @@
 
 use jacinthhinge::control::lease::Timing;
 use jacinthhinge::control::message::{Fetch, Stamp, Vote};
-use jacinthhinge::control::{Beat, Build, Built, Settings};
-use jacinthhinge::front::control::{self, ControlSettings, Links};
+use jacinthhinge::control::{Beat, Build, Built, Pace, Settings};
+use jacinthhinge::front::control::{self, ControlSettings, Links, Source};
 use jacinthhinge::front::platform::{Platform, parse_hosts, parse_values};
 use jacinthhinge::prelude::*;
 use jacinthhinge::wire::{self, PeerKey};
@@ -28,12 +28,7 @@
 }
 
 impl Running {
-    fn start(
-        name: &str,
-        peer: SocketAddr,
-        seeds: Vec<SocketAddr>,
-        platform: Option<Platform>,
-    ) -> Self {
+    fn start(name: &str, peer: SocketAddr, seeds: Vec<SocketAddr>, source: Source) -> Self {
         let published = Arc::new(Mutex::new(Vec::new()));
         let (leave, leaving) = watch::channel(false);
         let (dumps, asked) = Links::dump_channel();
@@ -43,11 +38,12 @@
             in_flight: Arc::new(|| 0),
             leave: leaving,
             dumps: asked,
+            seeds: watch::channel(Vec::new()).1,
         };
         let settings = ControlSettings {
             control: settings(name, peer, seeds),
             key: PeerKey::new("secret"),
-            platform,
+            source,
         };
         let ended = tokio::spawn(control::run(settings, Clock::monotonic(), links));
         Self {
@@ -89,6 +85,7 @@
         timing: Timing::default(),
         drain: Duration::from_secs(5),
         build: Build::new(|_| Ok(Built::default())),
+        pace: Pace::default(),
         random: 7,
     }
 }
@@ -111,8 +108,8 @@
 #[tokio::test]
 async fn hosts_meet_leave_and_end_over_sockets() {
     let (one, two) = (free_addr(), free_addr());
-    let first = Running::start("sv-a-1", one, vec![two], None);
-    let second = Running::start("sv-a-2", two, vec![one], None);
+    let first = Running::start("sv-a-1", one, vec![two], Source::none());
+    let second = Running::start("sv-a-2", two, vec![one], Source::none());
     until(|| first.hosts().len() == 2 && second.hosts().len() == 2).await;
     second.leave.send(true).expect("running");
     let ended = tokio::time::timeout(LIMIT, second.ended).await;
@@ -128,7 +125,7 @@
 
 #[tokio::test]
 async fn strange_datagrams_are_counted_and_change_nothing() {
-    let host = Running::start("sv-a-1", free_addr(), vec![], None);
+    let host = Running::start("sv-a-1", free_addr(), vec![], Source::none());
     until(|| host.hosts().len() == 1).await;
     let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback");
     let foreign = wire::encode_beat(&beat(), &PeerKey::new("another"));
@@ -146,7 +143,7 @@
 
 #[tokio::test]
 async fn fetch_needs_the_key() {
-    let host = Running::start("sv-a-1", free_addr(), vec![], None);
+    let host = Running::start("sv-a-1", free_addr(), vec![], Source::none());
     until(|| host.hosts().len() == 1).await;
     let ask = Fetch {
         members: true,
--- a/tests/regression/pause_after_clock.rs
+++ b/tests/regression/pause_after_clock.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Instant;
 
-use jacinthhinge::front::lane::{Board, Lane};
+use jacinthhinge::front::lane::{Board, Codec, Lane};
 use jacinthhinge::prelude::*;
 use jacinthhinge::wire;
 
@@ -76,7 +76,7 @@
     let board = Arc::new(Board {
         snapshot: Arc::new(snapshot).into(),
     });
-    let running = Lane::start(me, board, clock, 1).expect("a lane");
+    let running = Lane::start(me, board, clock, 1, Arc::new(Codec::packets())).expect("a lane");
     home.set_read_timeout(Some(ms(600))).expect("a timeout");
     std::thread::sleep(ms(200));
     armed.store(true, Ordering::SeqCst);
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -161,6 +161,7 @@
             timing: self.timing,
             drain: Duration::from_secs(5),
             build: self.build.clone(),
+            pace: jacinthhinge::control::Pace::default(),
             random: self.lives,
         };
         let node = Node {
