Read the store at once when a host starts

Cause: the first read waited for a random time up to 100 ms and then for the next tick; after all hosts lost power each came into force 120 to 150 ms after its start. Change: the pause before the first read is a setting of its own, zero on the platform.

--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -21,6 +21,8 @@
     pub wait: Duration,
     /// Most that is added to `wait` at random.
     pub jitter: Duration,
+    /// Longest pause before the first watch.
+    pub start: Duration,
     /// Longest pause between two watches.
     pub pause: Duration,
     /// Pause after the first failure.
@@ -39,6 +41,7 @@
         Self {
             wait: Duration::from_secs(20),
             jitter: Duration::from_secs(10),
+            start: Duration::from_secs(1),
             pause: Duration::from_secs(1),
             backoff: Duration::from_secs(1),
             limit: Duration::from_secs(8),
@@ -131,8 +134,8 @@
 
 fn spread_start(tables: &mut Tables, now: Duration) {
     tables.watch.started = true;
-    let pause = tables.settings.pace.pause;
-    tables.watch.values.due = now + tables.jitter(pause);
+    let start = tables.settings.pace.start;
+    tables.watch.values.due = now + tables.jitter(start);
     tables.watch.hosts.due = now + tables.jitter(HOSTS_JITTER);
 }
 
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -28,10 +28,12 @@
 
 /// How the store is read: a change has to be in force within 3 s, also after an
 /// answer was lost, and what lapsed while the store was away is back 2 s after its
-/// return.
+/// return. A start does not wait, since a host is of no use before its first read and
+/// even the start of all hosts is one read of each.
 const PACE: Pace = Pace {
     wait: Duration::from_millis(2_500),
     jitter: Duration::from_millis(500),
+    start: Duration::ZERO,
     pause: Duration::from_millis(100),
     backoff: Duration::from_millis(200),
     limit: Duration::from_millis(1_500),
