Spill over to other zones by expected time against the aim

Cause: a request with an answer of one packet counted as load for 300 ms, since callers do not acknowledge such an answer at once. Endpoints of the own zone looked full, long flows went to other zones and stalled when those were cut off. Change: each endpoint keeps its usual time to answer; a request counts as load for three times that, and a flow leaves the zone when the expected time is over 0.6 of the route's aim.

--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -101,6 +101,7 @@
     tables: &mut Tables,
     parts: &Parts,
     service: Id,
+    aim: Duration,
     tried: &[Id],
     now: Duration,
 ) -> Option<Id> {
@@ -116,7 +117,8 @@
         let idle = f64::from(row.flows.saturating_sub(row.running)) * IDLE_LOAD;
         let share = (f64::from(row.running) + row.recent_slots(now) + idle) / slots;
         let next = 1.0 / slots;
-        let remote = !row.spec.local || share + next > parts.relay_spill;
+        let wait = (share + next).max(1.0) * row.answer;
+        let remote = !row.spec.local || wait > parts.relay_spill * aim.as_secs_f64();
         Some(Judgment {
             remote,
             share,
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -14,6 +14,11 @@
 /// Chooses the endpoint of a new flow among those that have not refused it.
 pub type PickConn = Box<dyn Fn(&mut Tables, Id, &[Id], Duration) -> Option<Id> + Send + Sync>;
 
+/// Chooses the endpoint of a flow that is passed on unread, among those that have
+/// not left it without an answer, so that its requests are answered within a time.
+pub type PickTrack =
+    Box<dyn Fn(&mut Tables, Id, Duration, &[Id], Duration) -> Option<Id> + Send + Sync>;
+
 /// Chooses the endpoint of a request.
 pub type PickSlot = Box<dyn Fn(&mut Tables, Id, Class, Duration) -> Option<Id> + Send + Sync>;
 
@@ -32,7 +37,7 @@
     /// Endpoint of a flow.
     pub pick_conn: PickConn,
     /// Endpoint of a flow that is passed on unread.
-    pub pick_track: PickConn,
+    pub pick_track: PickTrack,
     /// Endpoint of a request.
     pub pick_slot: PickSlot,
     /// Request that goes next.
@@ -65,8 +70,8 @@
     pub yielding: Duration,
     /// Share of the connections of the own zone above which flows spill over.
     pub spill: f64,
-    /// Share of an endpoint's slots in use above which flows that are passed on
-    /// unread spill over to other zones.
+    /// Share of the aim that a request may take at an endpoint before flows that are
+    /// passed on unread spill over to other zones.
     pub relay_spill: f64,
     /// Endpoints looked at for a flow that is passed on unread.
     pub relay_sample: usize,
@@ -85,7 +90,7 @@
         balance: 1.0,
         yielding: Duration::from_millis(300),
         spill: 0.8,
-        relay_spill: 1.4,
+        relay_spill: 0.6,
         relay_sample: 256,
         slack: 0.5,
     };
@@ -105,8 +110,8 @@
             pick_conn: Box::new(move |tables, service, refused, now| {
                 place::pick_conn(tables, &parts, service, refused, now)
             }),
-            pick_track: Box::new(move |tables, service, refused, now| {
-                place::pick_track(tables, &parts, service, refused, now)
+            pick_track: Box::new(move |tables, service, aim, tried, now| {
+                place::pick_track(tables, &parts, service, aim, tried, now)
             }),
             pick_slot: Box::new(move |tables, service, class, now| {
                 place::pick_slot(tables, &parts, service, class, now)
--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::{load, unload};
+use super::{load, silence, unload};
 use crate::segment::{Mark, Segment, is_after};
 use crate::tables::{EndpointRow, Stall, Tables, Track, TrackState};
 
@@ -83,6 +83,9 @@
     } else if let Some(asked) = track.asked.take() {
         let time = now.saturating_sub(asked);
         tables.endpoints.note_time(track.endpoint, time, now);
+        if let Some(row) = tables.endpoints.get_mut(track.endpoint) {
+            row.note_answer(time);
+        }
         unload(tables, track);
     }
     track.acked = segment.ack;
@@ -121,7 +124,10 @@
         track.asked = Some(now);
         track.flight = 1;
         track.repeats = 0;
-        tables.tracks.ask(track.ends, now);
+        if let Some(row) = tables.endpoints.get(track.endpoint) {
+            let due = silence::unloading(row, now);
+            tables.tracks.check(track.ends, due);
+        }
     }
     load(tables, track, now);
 }
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -79,7 +79,7 @@
     if let Some(row) = tables.endpoints.get_mut(holder.id) {
         row.asked.get_or_insert(now);
     }
-    tables.tracks.ask(track.ends, now);
+    tables.tracks.check(track.ends, now);
     tables.tracks.insert(track);
     forward(segment, &holder, Some(cookie), out);
 }
@@ -100,8 +100,8 @@
     let policies = Arc::clone(&tables.policies);
     let mut passed: SmallVec<[Id; 4]> = tried.into();
     for _ in 0..CLAIMS {
-        let id = (policies.pick_track)(tables, service, &passed, now)
-            .or_else(|| (policies.pick_track)(tables, service, &[], now))?;
+        let id = (policies.pick_track)(tables, service, route.aim, &passed, now)
+            .or_else(|| (policies.pick_track)(tables, service, route.aim, &[], now))?;
         match claim(tables, id) {
             Some(found) => return Some(found),
             None => passed.push(id),
--- a/src/systems/relay/silence.rs
+++ b/src/systems/relay/silence.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::{forget, unload};
-use crate::tables::{Tables, Track, TrackState};
+use crate::tables::{EndpointRow, Tables, Track, TrackState};
 
 /// Time after which a request without a repeat is done: callers repeat after
 /// 200 ms, and a busy host reads late.
@@ -15,32 +15,60 @@
 /// Time after which a caller gives up a flow that does not open.
 const OPEN_LIMIT: Duration = Duration::from_millis(1_400);
 
+/// Usual times of an endpoint's answer for which a request counts as load.
+const LOAD_SPAN: f64 = 3.0;
+
+/// Shortest time for which a request counts as load.
+const LOAD_LEAST: Duration = Duration::from_millis(50);
+
+/// Time at which a request sent now to an endpoint stops being load, unless its
+/// answer is seen before.
+pub(super) fn unloading(row: &EndpointRow, now: Duration) -> Duration {
+    let span = Duration::from_secs_f64(row.answer * LOAD_SPAN);
+    now + span.clamp(LOAD_LEAST, DONE_AFTER)
+}
+
 pub(super) fn run(tables: &mut Tables, now: Duration) {
-    let limit = now.saturating_sub(DONE_AFTER);
-    for ends in tables.tracks.overdue(limit) {
+    for ends in tables.tracks.due(now) {
         let Some(mut track) = tables.tracks.get(&ends).cloned() else {
             continue;
         };
-        if track.state == TrackState::Opening {
-            wait(tables, &track, now);
-            continue;
-        }
-        let due = track.asked.is_none_or(|asked| asked <= limit);
-        if !due || track.repeats > 0 {
-            continue;
+        match track.state {
+            TrackState::Opening => wait(tables, &track, now),
+            _ if track.repeats == 0 => {
+                settle(tables, &mut track, now);
+                tables.tracks.insert(track);
+            }
+            _ => {}
         }
+    }
+}
+
+/// Stops counting a request as load, and takes it as done when it is.
+fn settle(tables: &mut Tables, track: &mut Track, now: Duration) {
+    let Some(asked) = track.asked else {
+        unload(tables, track);
+        return;
+    };
+    let done = asked + DONE_AFTER;
+    let row = tables.endpoints.get(track.endpoint);
+    if row.is_none_or(|row| unloading(row, asked) <= now) {
+        unload(tables, track);
+    }
+    if done <= now {
         track.asked = None;
-        unload(tables, &mut track);
-        tables.tracks.insert(track);
+    } else {
+        tables.tracks.check(track.ends, done);
     }
 }
 
 /// Forgets a flow that its caller has given up, and looks at others again later.
 fn wait(tables: &mut Tables, track: &Track, now: Duration) {
-    if now >= track.since + OPEN_LIMIT {
+    let limit = track.since + OPEN_LIMIT;
+    if now >= limit {
         forget(tables, track);
         tables.tracks.remove(&track.ends);
     } else {
-        tables.tracks.ask(track.ends, now);
+        tables.tracks.check(track.ends, limit);
     }
 }
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -11,7 +11,7 @@
 use crate::snapshot::{Endpoint, Snapshot};
 use crate::ticket::Target;
 
-/// Weight of the latest event in the shares of [`EndpointRow`].
+/// Weight of the latest event in the shares and means of [`EndpointRow`].
 const LATEST: f64 = 0.05;
 
 /// Time over which the slot time sent to an endpoint fades.
@@ -67,6 +67,8 @@
     pub leaving: Option<Duration>,
     /// Time until which it gets no traffic.
     pub barred: Duration,
+    /// Usual time until it answers a request, in seconds.
+    pub answer: f64,
     /// Flows whose data it has left without an answer since it was last heard.
     pub stalls: Vec<Stall>,
     /// Time since when it is taken to be down.
@@ -98,6 +100,15 @@
         self.shed += LATEST * (f64::from(u8::from(refused)) - self.shed);
     }
 
+    /// Notes how long it took to answer a request.
+    pub fn note_answer(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        if self.answer == 0.0 {
+            self.answer = time;
+        }
+        self.answer += LATEST * (time - self.answer);
+    }
+
     /// Slots that this lane has lately kept busy on it.
     #[must_use]
     pub fn recent_slots(&self, now: Duration) -> f64 {
@@ -339,6 +350,7 @@
             since: now,
             leaving: None,
             barred: Duration::ZERO,
+            answer: 0.0,
             stalls: Vec::new(),
             down: None,
             tried: Duration::ZERO,
--- a/src/tables/tracks.rs
+++ b/src/tables/tracks.rs
@@ -3,7 +3,8 @@
 //! A row is evidence, not state that a flow depends on: a host without it passes
 //! the flow's segments by their cookie alike.
 
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Serialize, Serializer};
@@ -103,7 +104,7 @@
 pub struct Tracks {
     rows: HashMap<Ends, Track>,
     ages: VecDeque<(Duration, Ends)>,
-    asked: VecDeque<(Duration, Ends)>,
+    checks: BinaryHeap<Reverse<(Duration, Ends)>>,
     heard: Option<Duration>,
 }
 
@@ -144,15 +145,27 @@
         self.rows.remove(ends)
     }
 
-    /// Notes that a flow waits for an answer.
-    pub fn ask(&mut self, ends: Ends, now: Duration) {
-        self.asked.push_back((now, ends));
+    /// Asks for a look at a flow at the time `due`.
+    pub fn check(&mut self, ends: Ends, due: Duration) {
+        self.checks.push(Reverse((due, ends)));
     }
 
-    /// Ends of the flows that have waited for an answer since before `limit`.
-    pub fn overdue(&mut self, limit: Duration) -> Vec<Ends> {
-        let count = self.asked.partition_point(|(asked, _)| *asked <= limit);
-        self.asked.drain(..count).map(|(_, ends)| ends).collect()
+    /// Takes out the flows that are due to be looked at.
+    pub fn due(&mut self, now: Duration) -> Vec<Ends> {
+        let mut due = Vec::new();
+        while let Some(Reverse((at, ends))) = self.checks.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.checks.pop();
+            due.push(ends);
+        }
+        due
+    }
+
+    /// All flows.
+    pub fn iter(&self) -> impl Iterator<Item = &Track> + '_ {
+        self.rows.values()
     }
 
     /// Takes out flows that have been silent for long.
