Tell cut zones and silent endpoints sooner, and reset the flows that wait for them

Cause: in a cut each endpoint of the other zones had to be found silent by itself, 0.6 to 2.4 s after the cut, and flows waited for their caller's next repeat to be reset. Requests of stock-feed have 1.2 s. Change: a judge runs each timer tick. Most of a zone's endpoints with flows of the lane stalled together mean the zone; leaving ones do not count. Flows that wait for a fallen endpoint are reset at once; later ones at their first repeat, or at once while the silence has just been found again.

--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -82,7 +82,7 @@
     let swept = sweep(tables, now);
     idle::run(tables, &swept, now);
     drain::run(tables, &swept, now, out);
-    relay::run_timers(tables, now);
+    relay::run_timers(tables, now, out);
 }
 
 /// Flows that a timer system may have to act on, of the next part of the table.
--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::{load, silence, unload};
+use super::{judge, load, silence, unload};
 use crate::segment::{Mark, Segment, is_after};
 use crate::tables::{EndpointRow, Stall, Tables, Track, TrackState};
 
@@ -19,15 +19,9 @@
 /// Segments that a caller sends ahead of acknowledgements.
 const FLIGHT: u32 = 16;
 
-/// Repeats that a request at work for long does not cause.
-const STALL_REPEATS: u32 = 2;
-
-/// Flows with so many repeats that show an endpoint to be down.
-const STALL_FLOWS: usize = 2;
-
-/// Time within which another endpoint must have been heard, so that the silence
-/// is not this host's own.
-const OWN_SILENCE: Duration = Duration::from_millis(500);
+/// Time for which the silence that a flow has found counts against others: a flow
+/// that comes later is passed on, so that an endpoint which answers again is seen.
+const DOUBT_SPAN: Duration = Duration::from_secs(2);
 
 /// Most flows noted against an endpoint.
 const STALL_LIMIT: usize = 16;
@@ -64,14 +58,19 @@
         unload(tables, track);
     }
     let row = tables.endpoints.get(track.endpoint);
-    let down = row.is_some_and(|row| row.down.is_some());
-    if down && track.asked.is_some() && track.repeats > 0 {
+    if row.is_some_and(|row| is_hopeless(row, track, now)) {
         Finding::Dead
     } else {
         Finding::Alive
     }
 }
 
+/// True when a flow waits for an endpoint that is down.
+fn is_hopeless(row: &EndpointRow, track: &Track, now: Duration) -> bool {
+    let doubted = now < row.doubted + DOUBT_SPAN;
+    row.down.is_some() && track.asked.is_some() && (track.repeats > 0 || doubted)
+}
+
 fn is_progress(track: &Track, segment: &Segment) -> bool {
     track.state == TrackState::Opening || is_after(segment.ack, track.acked)
 }
@@ -102,11 +101,18 @@
     row.heard = now;
     row.asked = None;
     row.stalls.clear();
-    if let Some(since) = row.down.take() {
-        let name = row.spec.name.clone();
-        let silent = now.saturating_sub(since).as_millis();
+    if let Some(down) = row.down.take() {
+        let zone = down.zone.then(|| row.spec.zone.clone());
         tables.counters.ups += 1;
-        log::info!("event=endpoint_up endpoint={name} down_ms={silent}");
+        log::info!(
+            "event=endpoint_up endpoint={} zone={} down_ms={}",
+            row.spec.name,
+            row.spec.zone,
+            now.saturating_sub(down.since).as_millis()
+        );
+        if let Some(zone) = zone {
+            judge::clear(tables, &zone, now);
+        }
     }
 }
 
@@ -146,35 +152,12 @@
         repeats: track.repeats,
         since: track.moved,
     };
-    let others = hears_others(tables, track, now);
     let Some(row) = tables.endpoints.get_mut(track.endpoint) else {
         return;
     };
+    row.doubted = now;
     row.stalls.retain(|known| known.ends != stall.ends);
     if row.stalls.len() < STALL_LIMIT {
         row.stalls.push(stall);
     }
-    if row.down.is_none() && others && is_down(row) {
-        row.down = Some(now);
-        tables.counters.downs += 1;
-        log::warn!(
-            "event=endpoint_down endpoint={} zone={} stalled_flows={} heard_ms_ago={}",
-            row.spec.name,
-            row.spec.zone,
-            row.stalls.len(),
-            now.saturating_sub(row.heard).as_millis()
-        );
-    }
-}
-
-/// True when several flows have stalled at an endpoint that was not heard since.
-fn is_down(row: &EndpointRow) -> bool {
-    let is_stalled = |stall: &&Stall| stall.repeats >= STALL_REPEATS && stall.since >= row.heard;
-    row.stalls.iter().filter(is_stalled).count() >= STALL_FLOWS
-}
-
-fn hears_others(tables: &Tables, track: &Track, now: Duration) -> bool {
-    tables.endpoints.iter().any(|row| {
-        row.spec.id != track.endpoint && !row.heard.is_zero() && now < row.heard + OWN_SILENCE
-    })
 }
--- /dev/null
+++ b/src/systems/relay/judge.rs
@@ -0,0 +1,209 @@
+//! Tells which endpoints and zones are down.
+//!
+//! One flow that stalls tells little: its packets may be lost or its request long
+//! at work. Several flows that stall together at an endpoint from which nothing else
+//! is heard show that it is down, or that the way to it is cut. The endpoints of a
+//! zone that fall silent together show a cut zone, and sooner. Silence of everything
+//! is this host's own and shows nothing.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{forget, reset_track};
+use crate::id::{Id, Name};
+use crate::tables::{Down, EndpointRow, Outbox, Tables};
+
+/// Repeats that a request at work for long does not cause: an endpoint acknowledges
+/// the first one.
+const STALL_REPEATS: u32 = 2;
+
+/// Flows with so many repeats that show an endpoint to be down.
+const STALL_FLOWS: usize = 2;
+
+/// Flows with one repeat that show the same, when nothing was heard for a while.
+const MUTE_FLOWS: usize = 3;
+
+/// Shortest silence of an endpoint with such flows: two repeats of 200 ms.
+const MUTE_AFTER: Duration = Duration::from_millis(400);
+
+/// Shortest silence of a zone whose endpoints stall together: one repeat.
+const ZONE_MUTE_AFTER: Duration = Duration::from_millis(250);
+
+/// Fewest endpoints that have to stall together to show that their zone is cut off.
+const ZONE_ENDPOINTS: usize = 2;
+
+/// Share of the endpoints with flows of this lane that have to stall with them. Those
+/// of one release leave together too, but only some of a zone's.
+const ZONE_SHARE: f64 = 0.6;
+
+/// Time within which another endpoint must have been heard, so that the silence
+/// is not this host's own.
+const OWN_SILENCE: Duration = Duration::from_millis(300);
+
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    if tables.endpoints.iter().all(|row| row.stalls.is_empty()) {
+        return;
+    }
+    let mut fallen = fallen_zones(tables, now);
+    fallen.extend(fallen_endpoints(tables, now));
+    if !fallen.is_empty() {
+        give_up(tables, &fallen, now, out);
+    }
+}
+
+/// Takes the endpoints of a zone to be up again, since one of them answers.
+pub(super) fn clear(tables: &mut Tables, zone: &Name, now: Duration) {
+    log::info!("event=zone_up zone={zone}");
+    for row in tables.endpoints.iter_mut() {
+        if row.spec.zone == *zone && row.down.is_some_and(|down| down.zone) {
+            row.down = None;
+            row.asked = None;
+            row.stalls.clear();
+            row.tried = now;
+        }
+    }
+}
+
+/// What the endpoints of a zone show.
+#[derive(Default)]
+struct Evidence {
+    flows: usize,
+    endpoints: usize,
+    used: usize,
+    heard: Duration,
+}
+
+fn fallen_zones(tables: &mut Tables, now: Duration) -> Vec<Id> {
+    let mut zones: BTreeMap<Name, Evidence> = BTreeMap::new();
+    for row in tables.endpoints.iter() {
+        let zone = zones.entry(row.spec.zone.clone()).or_default();
+        zone.heard = zone.heard.max(row.heard);
+        if row.leaving.is_some() {
+            continue;
+        }
+        let flows = stalled(row, 1);
+        zone.flows += flows;
+        zone.endpoints += usize::from(flows > 0);
+        zone.used += usize::from(row.flows > 0);
+    }
+    let is_silent = |zone: &Evidence| {
+        let enough = zone.flows >= MUTE_FLOWS && zone.endpoints >= ZONE_ENDPOINTS;
+        enough
+            && share(zone.endpoints, zone.used) >= ZONE_SHARE
+            && now >= zone.heard + ZONE_MUTE_AFTER
+    };
+    let hears = |name: &Name| {
+        let others = zones.iter().filter(|(other, _)| *other != name);
+        others
+            .map(|(_, zone)| zone.heard)
+            .any(|heard| is_recent(heard, now))
+    };
+    let silent: Vec<Name> = zones
+        .iter()
+        .filter(|(name, zone)| is_silent(zone) && hears(name))
+        .map(|(name, _)| name.clone())
+        .collect();
+    let mut fallen = Vec::new();
+    for zone in silent {
+        let evidence = &zones[&zone];
+        let rows = tables.endpoints.iter_mut();
+        let up = rows.filter(|row| row.spec.zone == zone && row.down.is_none());
+        let before = fallen.len();
+        for row in up {
+            row.down = Some(Down {
+                since: now,
+                zone: true,
+            });
+            fallen.push(row.spec.id);
+        }
+        if fallen.len() > before {
+            log::warn!(
+                "event=zone_down zone={zone} stalled_flows={} stalled_endpoints={} heard_ms_ago={}",
+                evidence.flows,
+                evidence.endpoints,
+                now.saturating_sub(evidence.heard).as_millis()
+            );
+        }
+    }
+    fallen
+}
+
+fn fallen_endpoints(tables: &mut Tables, now: Duration) -> Vec<Id> {
+    let heard = latest_two(tables);
+    let mut fallen = Vec::new();
+    for row in tables.endpoints.iter_mut() {
+        let others = heard.iter().filter(|(id, _)| *id != row.spec.id);
+        let hears = others
+            .map(|(_, heard)| *heard)
+            .any(|heard| is_recent(heard, now));
+        if row.down.is_some() || !hears || !is_down(row, now) {
+            continue;
+        }
+        row.down = Some(Down {
+            since: now,
+            zone: false,
+        });
+        tables.counters.downs += 1;
+        fallen.push(row.spec.id);
+        log::warn!(
+            "event=endpoint_down endpoint={} zone={} stalled_flows={} heard_ms_ago={}",
+            row.spec.name,
+            row.spec.zone,
+            row.stalls.len(),
+            now.saturating_sub(row.heard).as_millis()
+        );
+    }
+    fallen
+}
+
+/// The two endpoints that were heard last.
+fn latest_two(tables: &Tables) -> Vec<(Id, Duration)> {
+    let mut heard: Vec<_> = tables
+        .endpoints
+        .iter()
+        .map(|row| (row.spec.id, row.heard))
+        .collect();
+    heard.sort_unstable_by_key(|(_, heard)| std::cmp::Reverse(*heard));
+    heard.truncate(2);
+    heard
+}
+
+fn share(part: usize, whole: usize) -> f64 {
+    let count = |number| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+    count(part) / count(whole.max(1))
+}
+
+fn is_recent(heard: Duration, now: Duration) -> bool {
+    !heard.is_zero() && now < heard + OWN_SILENCE
+}
+
+fn is_down(row: &EndpointRow, now: Duration) -> bool {
+    let mute = now >= row.heard + MUTE_AFTER && stalled(row, 1) >= MUTE_FLOWS;
+    mute || stalled(row, STALL_REPEATS) >= STALL_FLOWS
+}
+
+/// Flows that have repeated their data so often since the endpoint was heard.
+fn stalled(row: &EndpointRow, repeats: u32) -> usize {
+    let stalls = row.stalls.iter();
+    stalls
+        .filter(|stall| stall.repeats >= repeats && stall.since + MUTE_AFTER / 2 >= row.heard)
+        .count()
+}
+
+/// Resets the flows that wait for endpoints which are down, so that requests that
+/// may be repeated have time left.
+fn give_up(tables: &mut Tables, fallen: &[Id], now: Duration, out: &mut Outbox) {
+    let waiting: Vec<_> = tables
+        .tracks
+        .iter()
+        .filter(|track| fallen.contains(&track.endpoint))
+        .filter(|track| track.asked.is_some() && track.repeats > 0)
+        .map(|track| track.ends)
+        .collect();
+    for ends in waiting {
+        if let Some(track) = tables.tracks.remove(&ends) {
+            forget(tables, &track);
+            reset_track(tables, &track, now, out);
+        }
+    }
+}
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -5,6 +5,7 @@
 //! repeat and acknowledge tells which endpoints answer.
 
 mod evidence;
+mod judge;
 mod open;
 mod pass;
 mod silence;
@@ -34,7 +35,8 @@
 }
 
 /// Runs what only time drives.
-pub(super) fn run_timers(tables: &mut Tables, now: Duration) {
+pub(super) fn run_timers(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    judge::run(tables, now, out);
     silence::run(tables, now);
     for track in tables.tracks.expire(now) {
         forget(tables, &track);
@@ -66,6 +68,24 @@
     });
 }
 
+/// Resets a flow whose endpoint is down towards its caller.
+fn reset_track(tables: &mut Tables, track: &Track, now: Duration, out: &mut Outbox) {
+    tables.counters.down_resets += 1;
+    let waited = track.asked.map(|asked| now.saturating_sub(asked));
+    log::info!(
+        "event=reset cause=endpoint_down flow={}->{} endpoint={:?} repeats={} waited_ms={}",
+        track.ends.caller,
+        track.ends.front,
+        track.endpoint,
+        track.repeats,
+        waited.unwrap_or_default().as_millis()
+    );
+    out.relays.push(Relay::Reset {
+        ends: track.ends,
+        seq: track.acked,
+    });
+}
+
 /// Counts a flow on an endpoint.
 fn admit(tables: &mut Tables, id: Id) {
     if let Some(row) = tables.endpoints.get_mut(id) {
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use smallvec::SmallVec;
 
+use super::super::place::is_mute;
 use super::{admit, forget, forward, load, reset};
 use crate::id::Id;
 use crate::segment::{Route, Segment};
@@ -19,6 +20,10 @@
 /// The caller's first copy, 200 ms later, goes elsewhere.
 const TRIAL_PERIOD: Duration = Duration::from_secs(1);
 
+/// The same for endpoints of other zones, which are used only when the own zone is
+/// short of room.
+const REMOTE_TRIAL_PERIOD: Duration = Duration::from_secs(3);
+
 /// Most endpoints passed over because their cookie names another.
 const CLAIMS: usize = 4;
 
@@ -64,6 +69,9 @@
         track.tried.push(earlier.endpoint);
         track.since = earlier.since;
         tables.counters.moved += 1;
+        if let Some(row) = tables.endpoints.get_mut(earlier.endpoint) {
+            row.doubted = now;
+        }
         forget(tables, &earlier);
     }
     let Some((holder, cookie)) = choose(tables, route, &track.tried, now) else {
@@ -138,18 +146,24 @@
     None
 }
 
-/// An endpoint that does not answer and is due to be tried again.
+/// An endpoint that does not answer and is due to be tried again. Those of a zone
+/// that is cut off take turns, and other zones are tried less often.
 fn trial(tables: &mut Tables, service: Id, now: Duration) -> Option<Id> {
-    let id = tables
-        .endpoints
-        .of(service)
-        .find(|row| {
-            let silent = row.down.is_some() || super::super::place::is_mute(row, now);
-            silent && row.is_open(now) && now >= row.tried + TRIAL_PERIOD
-        })
-        .map(|row| row.spec.id)?;
-    if let Some(row) = tables.endpoints.get_mut(id) {
-        row.tried = now;
+    let row = tables.endpoints.of(service).find(|row| {
+        let silent = row.down.is_some() || is_mute(row, now);
+        let period = if row.spec.local {
+            TRIAL_PERIOD
+        } else {
+            REMOTE_TRIAL_PERIOD
+        };
+        silent && row.is_open(now) && now >= row.tried + period
+    })?;
+    let (id, zone) = (row.spec.id, row.spec.zone.clone());
+    let cut = row.down.is_some_and(|down| down.zone);
+    for row in tables.endpoints.iter_mut() {
+        if row.spec.id == id || (cut && row.spec.zone == zone) {
+            row.tried = now;
+        }
     }
     Some(id)
 }
--- a/src/systems/relay/pass.rs
+++ b/src/systems/relay/pass.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::evidence::{self, Finding};
-use super::{admit, end, forget, forward, reset};
+use super::{admit, end, forget, forward, reset, reset_track};
 use crate::segment::{Mark, Segment};
 use crate::tables::{Holder, Outbox, Tables, Track, TrackState};
 
@@ -40,17 +40,10 @@
     let mut track = adopt(tables, segment, &holder, now);
     match evidence::note(tables, &mut track, segment, now) {
         Finding::Dead => {
-            tables.counters.down_resets += 1;
-            log::info!(
-                "event=reset cause=endpoint_down flow={}->{} endpoint={:?} repeats={}",
-                segment.ends.caller,
-                segment.ends.front,
-                holder.id,
-                track.repeats
-            );
             tables.tracks.remove(&segment.ends);
             forget(tables, &track);
-            reset(segment, out);
+            track.acked = segment.ack;
+            reset_track(tables, &track, now, out);
         }
         Finding::Alive => {
             tables.tracks.insert(track);
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -71,12 +71,23 @@
     pub answer: f64,
     /// Flows whose data it has left without an answer since it was last heard.
     pub stalls: Vec<Stall>,
-    /// Time since when it is taken to be down.
-    pub down: Option<Duration>,
+    /// What shows that it is down.
+    pub down: Option<Down>,
+    /// Time at which a flow last found it silent.
+    pub doubted: Duration,
     /// Time of the last opening segment sent to try it.
     pub tried: Duration,
 }
 
+/// Belief that an endpoint does not answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Down {
+    /// Time at which it was first believed.
+    pub since: Duration,
+    /// True when the endpoints of its zone fell silent together.
+    pub zone: bool,
+}
+
 /// A flow whose data has no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct Stall {
@@ -239,6 +250,11 @@
         self.rows.iter()
     }
 
+    /// All endpoints, to change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut EndpointRow> + '_ {
+        self.rows.iter_mut()
+    }
+
     /// Takes in what an endpoint says of itself; true when it has restarted.
     pub fn report(&mut self, id: Id, load: Load, now: Duration) -> bool {
         let Some(row) = self.get_mut(id) else {
@@ -353,6 +369,7 @@
             answer: 0.0,
             stalls: Vec::new(),
             down: None,
+            doubted: Duration::ZERO,
             tried: Duration::ZERO,
         }
     }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -24,7 +24,7 @@
 pub use self::budget::{BURST, Budgets};
 pub use self::cookies::{Cookies, Holder, cookie_of};
 pub use self::counters::Counters;
-pub use self::endpoints::{EndpointRow, Endpoints, Stall};
+pub use self::endpoints::{Down, EndpointRow, Endpoints, Stall};
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::inbox::{Arrival, Stage};
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
