Log JSON lines with a budget by kind, through a bounded queue

Cause: an engineer on call has only logs; lines were text of several forms and a full pipe could stop a lane. Change: one schema for every line, with the event as its name and what decided it as fields; a line for each placement and reset; a queue of 4,096 lines to a thread of its own, 250 lines a second and kind, what is left out counted and told.

--- a/src/control/leave.rs
+++ b/src/control/leave.rs
@@ -18,7 +18,7 @@
     tables.me.version += 1;
     tables.pulse.due = now;
     beat::run(tables, now, outbox);
-    log::info!("host={} state=leaving", tables.me.card.name);
+    log::info!("leaving");
 }
 
 /// Notes that nothing is in flight.
@@ -37,7 +37,7 @@
         return;
     }
     say_farewell(tables, now, outbox);
-    log::info!("host={} state=left waited={waited:?}", tables.me.card.name);
+    log::info!(waited_ms = waited.as_secs_f64() * 1e3; "left");
     outbox.push(Action::Exit);
 }
 
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -84,11 +84,7 @@
     if news.status == Status::Dead {
         return;
     }
-    log::info!(
-        "host={} state=joined incarnation={}",
-        card.name,
-        news.incarnation
-    );
+    log::info!(member:% = card.name, incarnation = news.incarnation; "member_joined");
     let member = Member {
         id: news.id,
         incarnation: news.incarnation,
--- a/src/control/spread.rs
+++ b/src/control/spread.rs
@@ -83,7 +83,7 @@
     snapshot.routes = Arc::new(built.routes);
     tables.snapshot = snapshot;
     tables.output.dirty = true;
-    log::info!("revision={} state=in_force", tables.values.revision);
+    log::info!(revision = tables.values.revision; "values_in_force");
 }
 
 /// Members whose view has differed from this host's for too long.
@@ -167,7 +167,7 @@
         Ok(outcome) => put_into_force(tables, outcome),
         Err(err) => {
             tables.counters.refused_values += 1;
-            log::warn!("source=host state=refused cause=\"{err}\"");
+            log::warn!(source = "host", cause:% = err; "values_refused");
         }
     }
 }
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -156,7 +156,7 @@
 fn note_failure(tables: &mut Tables, failures: u32, err: &crate::Error) {
     tables.counters.read_failures += 1;
     if failures == 1 {
-        log::warn!("source=platform state=failing cause=\"{err}\"");
+        log::warn!(cause:% = err; "store_lost");
     }
 }
 
@@ -174,7 +174,7 @@
     let failures = std::mem::take(&mut tables.watch.values.failures);
     if failures > 0 {
         tables.watch.doubt = now + tables.settings.pace.hold;
-        log::info!("event=store_regained failures={failures}");
+        log::info!(failures; "store_regained");
     }
 }
 
@@ -228,11 +228,7 @@
     };
     let due = held.iter().filter(is_current);
     let due: Vec<Change> = due.map(|change| removal(&change.key, revision)).collect();
-    log::info!(
-        "event=removals_in_force count={} of={}",
-        due.len(),
-        held.len()
-    );
+    log::info!(count = due.len(), held = held.len(); "removals_in_force");
     let update = Update {
         revision,
         values: due,
@@ -254,7 +250,7 @@
         Ok(outcome) => spread::put_into_force(tables, outcome),
         Err(err) => {
             tables.counters.refused_values += 1;
-            log::warn!("revision={} state=refused cause=\"{err}\"", update.revision);
+            log::warn!(source = "store", revision = update.revision, cause:% = err; "values_refused");
         }
     }
 }
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -235,7 +235,7 @@
 
     async fn send(&mut self, to: SocketAddr, beat: Beat) {
         if let Err(err) = self.beats.send((beat, to)).await {
-            log::debug!("heartbeat to {to}: {err}");
+            log::debug!(to:%, cause:% = err; "heartbeat_unsent");
         }
     }
 
@@ -259,7 +259,7 @@
         let key = self.settings.key.clone();
         self.served.spawn(async move {
             if let Ok(Err(err)) = timeout(FETCH_LIMIT, serve(stream, &ask, &key)).await {
-                log::debug!("fetch not served: {err}");
+                log::debug!(cause:% = err; "fetch_unserved");
             }
         });
     }
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -187,12 +187,12 @@
         .enable_all()
         .build();
     let Ok(runtime) = runtime else {
-        log::error!("lane={} state=failed cause=runtime", tables.me.addr);
+        log::error!(lane:% = tables.me.addr, cause = "runtime"; "lane_failed");
         return;
     };
     runtime.block_on(async {
         let Ok(socket) = UdpSocket::from_std(socket) else {
-            log::error!("lane={} state=failed cause=socket", tables.me.addr);
+            log::error!(lane:% = tables.me.addr, cause = "socket"; "lane_failed");
             return;
         };
         let driver = Driver {
--- /dev/null
+++ b/src/front/logs.rs
@@ -0,0 +1,180 @@
+//! Logs as JSON lines on standard output.
+//!
+//! A line has `time`, `level`, `host`, `event` and what the event is about. A thread
+//! that logs never waits: lines go through a bounded queue to a thread of its own,
+//! and each kind of event has a budget of lines a second. What is left out is
+//! counted, and told once a second and kind as the event `left_out`.
+
+use std::collections::HashMap;
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, LogSpecification, Logger};
+use log::kv::{Error as KvError, Key, Value as KvValue, VisitSource};
+use log::{Level, LevelFilter, Record};
+use serde_json::{Map, Value, json};
+
+use crate::error::{Error, Result};
+use crate::id::Name;
+
+/// Lines that may wait to be written; about a megabyte.
+const QUEUE: usize = 4_096;
+
+/// Lines a second of one kind of event, well above what a host in health writes: a
+/// new flow is one line, and a host of a tenth of a core opens some 100 a second.
+const BUDGET: u32 = 250;
+
+/// Lines a second of one kind of warning or error, which go before others.
+const WARNING_BUDGET: u32 = 1_000;
+
+/// Span of a budget.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// Starts the logger of a host.
+///
+/// # Errors
+///
+/// Fails when the level cannot be read or the writing thread cannot be started.
+pub fn start(level: &str, host: &str) -> Result<()> {
+    let refused = |fault: String| Error::setting("--log", fault, "write a level such as info");
+    let spec = LogSpecification::parse(level).map_err(|error| refused(error.to_string()))?;
+    let (sender, lines) = sync_channel(QUEUE);
+    std::thread::Builder::new()
+        .name("logs".to_owned())
+        .spawn(move || write_all(&lines))
+        .map_err(|source| Error::io("start the log thread", source))?;
+    let writer = Lines {
+        host: host.into(),
+        sender,
+        budgets: Mutex::default(),
+    };
+    let logger = Logger::with(spec)
+        .log_to_writer(Box::new(writer))
+        .start()
+        .map_err(|error| refused(error.to_string()))?;
+    // The handle would stop the logger when dropped; the process logs until its end.
+    std::mem::forget(logger);
+    Ok(())
+}
+
+/// Writes lines as they come, those that wait together in one call.
+fn write_all(lines: &Receiver<String>) {
+    let mut out = io::stdout().lock();
+    while let Ok(first) = lines.recv() {
+        let mut text = first;
+        for line in lines.try_iter() {
+            text.push_str(&line);
+        }
+        if out.write_all(text.as_bytes()).is_err() {
+            // Nobody reads the logs any more; the host goes on.
+            return;
+        }
+    }
+}
+
+struct Lines {
+    host: Name,
+    sender: SyncSender<String>,
+    budgets: Mutex<Budgets>,
+}
+
+impl LogWriter for Lines {
+    fn write(&self, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+        let event = record.args().to_string();
+        let time = now.format_rfc3339();
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = budgets.admit(&event, record.level(), Instant::now());
+        for (event, count) in std::mem::take(&mut budgets.told) {
+            let told = json!({
+                "time": time, "level": "WARN", "host": self.host, "event": "left_out",
+                "kind": event, "count": count,
+            });
+            self.send(&mut budgets, format!("{told}\n"), "left_out");
+        }
+        if kept {
+            let line = self.line(&time, &event, record);
+            self.send(&mut budgets, line, &event);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn max_log_level(&self) -> LevelFilter {
+        LevelFilter::Trace
+    }
+}
+
+impl Lines {
+    fn line(&self, time: &str, event: &str, record: &Record) -> String {
+        let mut fields = Fields(Map::new());
+        fields.0.insert("time".to_owned(), json!(time));
+        fields
+            .0
+            .insert("level".to_owned(), json!(record.level().as_str()));
+        fields.0.insert("host".to_owned(), json!(self.host));
+        fields.0.insert("event".to_owned(), json!(event));
+        // The fields come from the program's own macros, which cannot fail.
+        let _ = record.key_values().visit(&mut fields);
+        format!("{}\n", Value::Object(fields.0))
+    }
+
+    /// Queues a line, or counts it as left out when the queue is full.
+    fn send(&self, budgets: &mut Budgets, line: String, event: &str) {
+        if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
+            budgets.leave_out(event);
+        }
+    }
+}
+
+/// Lines of each kind of event in the current span.
+#[derive(Default)]
+struct Budgets {
+    since: Option<Instant>,
+    spent: HashMap<String, u32>,
+    left: HashMap<String, u64>,
+    told: HashMap<String, u64>,
+}
+
+impl Budgets {
+    /// Takes a line off the budget of its kind; false when that is spent.
+    fn admit(&mut self, event: &str, level: Level, now: Instant) -> bool {
+        let is_over = |since| now.duration_since(since) >= SPAN;
+        if self.since.is_none_or(is_over) {
+            self.since = Some(now);
+            self.spent.clear();
+            self.told = std::mem::take(&mut self.left);
+        }
+        let limit = if level <= Level::Warn {
+            WARNING_BUDGET
+        } else {
+            BUDGET
+        };
+        let spent = self.spent.entry(event.to_owned()).or_default();
+        *spent += 1;
+        let kept = *spent <= limit;
+        if !kept {
+            self.leave_out(event);
+        }
+        kept
+    }
+
+    fn leave_out(&mut self, event: &str) {
+        *self.left.entry(event.to_owned()).or_default() += 1;
+    }
+}
+
+struct Fields(Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: KvValue<'kvs>) -> Result<(), KvError> {
+        let value = serde_json::to_value(&value).unwrap_or_else(|_| json!(value.to_string()));
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,6 +6,7 @@
 pub mod command;
 pub mod control;
 pub mod lane;
+pub mod logs;
 pub mod metrics;
 pub mod ops;
 pub mod platform;
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -14,6 +14,7 @@
 
 use super::control::Source;
 use super::lane::Codec;
+use super::logs;
 use super::serve::{self, Wiring};
 use super::settings::{DEFAULT_LOG, Settings};
 use crate::control::lease::Timing;
@@ -58,10 +59,10 @@
 /// Fails when the settings cannot be read, a socket cannot be opened or a thread
 /// cannot be started.
 pub fn run(file: Option<PathBuf>, log: &str) -> Result<(), Report<Error>> {
-    serve::start_log(log)?;
     let named = std::env::var_os(settings::PATH).map(PathBuf::from);
     let path = file.or(named).ok_or_else(no_file)?;
     let given = settings::read(&path)?;
+    logs::start(log, &given.name)?;
     let own = own_settings(&given)?;
     let wiring = wiring(&given, path);
     serve::run_wired(&own, wiring)
@@ -176,17 +177,17 @@
 ) -> Given {
     match settings::read(path) {
         Err(err) => {
-            log::warn!("event=settings_refused cause=\"{err}\"");
+            log::warn!(cause:% = err; "settings_refused");
             given
         }
         Ok(renewed) if renewed == given => {
             if signalled {
-                log::info!("event=settings_unchanged");
+                log::info!("settings_unchanged");
             }
             given
         }
         Ok(renewed) => {
-            log::info!("event=settings_in_force seeds={:?}", renewed.seeds);
+            log::info!(seeds:? = renewed.seeds; "settings_in_force");
             // The receiver ends with the process only.
             let _ = seeds.send(renewed.seeds.clone());
             renewed
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -11,7 +11,6 @@
 
 use arc_swap::ArcSwap;
 use error_stack::Report;
-use flexi_logger::{LogSpecification, Logger};
 use futures_util::FutureExt;
 use futures_util::future::{BoxFuture, pending};
 use serde_json::{Map, Value, json};
@@ -20,6 +19,7 @@
 
 use super::control::{self, ControlSettings, Links, Source};
 use super::lane::{Board, Codec, Lane};
+use super::logs;
 use super::metrics::Metrics;
 use super::ops::{self, Ops, Ready};
 use super::platform::Platform;
@@ -47,7 +47,7 @@
 ///
 /// Fails when a socket cannot be opened or a thread cannot be started.
 pub fn run(settings: &Settings) -> Result<(), Report<Error>> {
-    start_log(&settings.log)?;
+    logs::start(&settings.log, &settings.name)?;
     run_wired(settings, Wiring::packets(settings))
 }
 
@@ -65,24 +65,6 @@
     Ok(())
 }
 
-/// Starts the logger of a host.
-///
-/// # Errors
-///
-/// Fails when the level cannot be read.
-pub fn start_log(level: &str) -> Result<()> {
-    let refused = |fault: String| Error::setting("--log", fault, "write a level such as info");
-    let spec = LogSpecification::parse(level).map_err(|error| refused(error.to_string()))?;
-    let logger = Logger::with(spec)
-        .log_to_stdout()
-        .format(flexi_logger::detailed_format)
-        .start()
-        .map_err(|error| refused(error.to_string()))?;
-    // The handle would stop the logger when dropped; the process logs until its end.
-    std::mem::forget(logger);
-    Ok(())
-}
-
 async fn serve(settings: &Settings, wiring: Wiring) -> Result<()> {
     let clock = Clock::monotonic();
     let incarnation = incarnation();
@@ -110,11 +92,9 @@
     };
     let metrics = Metrics::new(settings.statsd)?;
     log::info!(
-        "host={} zone={} region={} state=started lanes={}",
-        settings.name,
-        settings.zone,
-        settings.region,
-        lanes.len()
+        zone:% = settings.zone, region:% = settings.region,
+        lanes:? = settings.lanes, peers:? = settings.peers, platform:% = settings.platform;
+        "started"
     );
     let ops = ops_of(&lanes, dumps.clone(), &board, &leaving);
     let probes = (wiring.probes)(Arc::clone(&ops.ready));
@@ -127,7 +107,7 @@
         failed = on_signals(leave) => failed?,
     }
     stop_lanes(lanes).await;
-    log::info!("host={} state=left", settings.name);
+    log::info!("ended");
     Ok(())
 }
 
@@ -310,10 +290,10 @@
         }
     };
     next().await;
-    log::info!("state=leaving cause=signal");
+    log::info!(cause = "signal"; "stopping");
     let _ = leave.send(true);
     next().await;
-    log::warn!("state=ended cause=second_signal");
+    log::warn!(cause = "second_signal"; "ended");
     process::exit(CUT_SHORT)
 }
 
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -75,23 +75,18 @@
         match desired::decode(json) {
             Ok(desired) if desired.version < self.desired.version => {
                 let (newer, older) = (self.desired.version, desired.version);
-                log::warn!("event=desired_refused version={older} in_force={newer} cause=older");
+                log::warn!(version = older, in_force = newer, cause = "older"; "desired_refused");
             }
             Ok(desired) => {
                 log::info!(
-                    "event=desired_in_force version={} before={} routes={} revision={}",
-                    desired.version,
-                    self.desired.version,
-                    desired.routes.len(),
-                    value.revision
+                    version = desired.version, before = self.desired.version,
+                    routes = desired.routes.len(), revision = value.revision;
+                    "desired_in_force"
                 );
                 self.desired = Arc::new(desired);
             }
             Err(err) => {
-                log::warn!(
-                    "event=desired_refused revision={} cause=\"{err}\"",
-                    value.revision
-                );
+                log::warn!(revision = value.revision, cause:% = err; "desired_refused");
             }
         }
     }
@@ -112,7 +107,7 @@
         let entry = match decoded {
             Some(Ok(entry)) => Some(entry),
             Some(Err(err)) => {
-                log::warn!("event=entry_refused key={key} cause=\"{err}\"");
+                log::warn!(key:%, revision = value.revision, cause:% = err; "entry_refused");
                 None
             }
             None => None,
--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::{judge, load, silence, unload};
+use super::{judge, load, millis, silence, unload};
 use crate::segment::{Mark, Segment, is_after};
 use crate::tables::{EndpointRow, Stall, Tables, Track, TrackState};
 
@@ -105,10 +105,9 @@
         let zone = down.zone.then(|| row.spec.zone.clone());
         tables.counters.ups += 1;
         log::info!(
-            "event=endpoint_up endpoint={} zone={} down_ms={}",
-            row.spec.name,
-            row.spec.zone,
-            now.saturating_sub(down.since).as_millis()
+            endpoint:% = row.spec.name, zone:% = row.spec.zone,
+            down_ms = millis(now.saturating_sub(down.since));
+            "endpoint_up"
         );
         if let Some(zone) = zone {
             judge::clear(tables, &zone, now);
--- a/src/systems/relay/judge.rs
+++ b/src/systems/relay/judge.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{forget, reset_track};
+use super::{forget, millis, reset_track};
 use crate::id::{Id, Name};
 use crate::tables::{Down, EndpointRow, Outbox, Tables};
 
@@ -53,7 +53,7 @@
 
 /// Takes the endpoints of a zone to be up again, since one of them answers.
 pub(super) fn clear(tables: &mut Tables, zone: &Name, now: Duration) {
-    log::info!("event=zone_up zone={zone}");
+    log::info!(zone:%; "zone_up");
     for row in tables.endpoints.iter_mut() {
         if row.spec.zone == *zone && row.down.is_some_and(|down| down.zone) {
             row.down = None;
@@ -118,10 +118,10 @@
         }
         if fallen.len() > before {
             log::warn!(
-                "event=zone_down zone={zone} stalled_flows={} stalled_endpoints={} heard_ms_ago={}",
-                evidence.flows,
-                evidence.endpoints,
-                now.saturating_sub(evidence.heard).as_millis()
+                zone:%, stalled_flows = evidence.flows, stalled_endpoints = evidence.endpoints,
+                used_endpoints = evidence.used,
+                heard_ms = millis(now.saturating_sub(evidence.heard));
+                "zone_down"
             );
         }
     }
@@ -146,11 +146,9 @@
         tables.counters.downs += 1;
         fallen.push(row.spec.id);
         log::warn!(
-            "event=endpoint_down endpoint={} zone={} stalled_flows={} heard_ms_ago={}",
-            row.spec.name,
-            row.spec.zone,
-            row.stalls.len(),
-            now.saturating_sub(row.heard).as_millis()
+            endpoint:% = row.spec.name, zone:% = row.spec.zone, stalled_flows = row.stalls.len(),
+            heard_ms = millis(now.saturating_sub(row.heard));
+            "endpoint_down"
         );
     }
     fallen
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -12,7 +12,7 @@
 
 use std::time::Duration;
 
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::segment::{Relay, Segment};
 use crate::tables::{Holder, Outbox, Tables, Track};
 
@@ -46,7 +46,7 @@
 /// Takes over the endpoints of a new snapshot.
 pub(super) fn sync(tables: &mut Tables, now: Duration) {
     for id in tables.cookies.sync(&tables.snapshot, now) {
-        log::info!("event=endpoint_gone endpoint={id:?}");
+        log::info!(endpoint:? = id; "endpoint_gone");
     }
 }
 
@@ -60,8 +60,24 @@
     });
 }
 
-/// Resets the flow of a segment towards its caller.
-fn reset(segment: &Segment, out: &mut Outbox) {
+/// Name of an endpoint, or its id when it is no longer listed.
+fn name_of(tables: &Tables, id: Id) -> Name {
+    let row = tables.endpoints.get(id);
+    row.map_or_else(|| format!("{id:?}").into(), |row| row.spec.name.clone())
+}
+
+/// Whole milliseconds, for log lines.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Resets the flow of a segment towards its caller, and says why.
+fn reset(segment: &Segment, cause: &str, out: &mut Outbox) {
+    log::info!(
+        caller:% = segment.ends.caller, front:% = segment.ends.front, cause,
+        copies = if segment.is_opening() { segment.ack } else { 0 };
+        "reset"
+    );
     out.relays.push(Relay::Reset {
         ends: segment.ends,
         seq: if segment.is_opening() { 0 } else { segment.ack },
@@ -71,14 +87,13 @@
 /// Resets a flow whose endpoint is down towards its caller.
 fn reset_track(tables: &mut Tables, track: &Track, now: Duration, out: &mut Outbox) {
     tables.counters.down_resets += 1;
+    let name = name_of(tables, track.endpoint);
     let waited = track.asked.map(|asked| now.saturating_sub(asked));
     log::info!(
-        "event=reset cause=endpoint_down flow={}->{} endpoint={:?} repeats={} waited_ms={}",
-        track.ends.caller,
-        track.ends.front,
-        track.endpoint,
-        track.repeats,
-        waited.unwrap_or_default().as_millis()
+        caller:% = track.ends.caller, front:% = track.ends.front, endpoint:% = name,
+        cause = "endpoint_down", repeats = track.repeats,
+        waited_ms = millis(waited.unwrap_or_default());
+        "reset"
     );
     out.relays.push(Relay::Reset {
         ends: track.ends,
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -30,7 +30,7 @@
 pub(super) fn run(tables: &mut Tables, segment: &Segment, now: Duration, out: &mut Outbox) {
     let Some(route) = tables.snapshot.routes.get(&segment.ends.front).cloned() else {
         tables.counters.unrouted += 1;
-        reset(segment, out);
+        reset(segment, "no_route", out);
         return;
     };
     let known = tables.tracks.get(&segment.ends);
@@ -77,10 +77,11 @@
     let Some((holder, cookie)) = choose(tables, route, &track.tried, now) else {
         tables.counters.crowded += 1;
         tables.tracks.remove(&segment.ends);
-        reset(segment, out);
+        reset(segment, "no_endpoint", out);
         return;
     };
     tables.counters.placed += 1;
+    note(tables, segment, route, &holder, now);
     track.endpoint = holder.id;
     admit(tables, holder.id);
     load(tables, &mut track, now);
@@ -92,6 +93,21 @@
     forward(segment, &holder, Some(cookie), out);
 }
 
+/// Logs where a new flow goes, and what decided that.
+fn note(tables: &Tables, segment: &Segment, route: &Route, holder: &Holder, now: Duration) {
+    let Some(row) = tables.endpoints.get(holder.id) else {
+        return;
+    };
+    let silent = row.down.is_some() || is_mute(row, now);
+    log::info!(
+        caller:% = segment.ends.caller, front:% = segment.ends.front, route:% = route.name,
+        endpoint:% = row.spec.name, zone:% = row.spec.zone, copies = segment.ack,
+        running = row.running, flows = row.flows, trial = silent,
+        revision = tables.snapshot.revision;
+        "placed"
+    );
+}
+
 /// An endpoint for a new flow, with the cookie that names it.
 fn choose(
     tables: &mut Tables,
--- a/src/systems/relay/pass.rs
+++ b/src/systems/relay/pass.rs
@@ -12,12 +12,17 @@
         tables.counters.route_resets += 1;
         end(tables, segment);
         if segment.mark != Mark::Reset {
-            reset(segment, out);
+            reset(segment, "route_removed", out);
         }
         return;
     }
     let Some(holder) = find(tables, segment) else {
         tables.counters.unknown_cookies += 1;
+        log::warn!(
+            caller:% = segment.ends.caller, front:% = segment.ends.front, cookie = segment.cookie,
+            revision = tables.snapshot.revision;
+            "cookie_unknown"
+        );
         return;
     };
     if segment.mark == Mark::Reset {
@@ -27,14 +32,8 @@
     }
     if holder.gone.is_some() && segment.len > 0 {
         tables.counters.gone_resets += 1;
-        log::info!(
-            "event=reset cause=endpoint_gone flow={}->{} endpoint={:?}",
-            segment.ends.caller,
-            segment.ends.front,
-            holder.id
-        );
         end(tables, segment);
-        reset(segment, out);
+        reset(segment, "endpoint_gone", out);
         return;
     }
     let mut track = adopt(tables, segment, &holder, now);
