--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -27,6 +27,9 @@
 /// Exit status when a file, a flag or a variable was refused.
 const REFUSED: u8 = 2;
 
+/// Port for operators on the users' platform; the usual one of metrics exporters.
+const OPS_PORT: u16 = 9_464;
+
 /// Longest time that a dump may take.
 const DUMP_LIMIT: Duration = Duration::from_secs(10);
 
@@ -64,6 +67,9 @@
     /// Settings file, instead of the one that `JACINTHHINGE_CONFIG` names
     #[bpaf(argument("FILE"))]
     settings: Option<PathBuf>,
+    /// Port of this host for metrics, dumps and probes, 9464 by default
+    #[bpaf(argument("PORT"), fallback(OPS_PORT))]
+    ops_port: u16,
     /// Log level, or levels by module; info by default
     #[bpaf(argument("LEVEL"), fallback("info".to_owned()))]
     log: String,
@@ -122,7 +128,7 @@
     };
     let result = match command {
         Command::Serve(flags) => run_serve(*flags),
-        Command::Relay(flags) => relay_host::run(flags.settings, &flags.log),
+        Command::Relay(flags) => relay_host::run(flags.settings, flags.ops_port, &flags.log),
         Command::Check(check) => run_check(&check),
         Command::Dump(dump) => run_dump(&dump),
     };
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -26,7 +26,7 @@
 use crate::segment::Relay;
 use crate::snapshot::Snapshot;
 use crate::systems::{self, BATCH, TICK};
-use crate::tables::{Arrival, Counters, Outbox, Tables};
+use crate::tables::{Arrival, Counters, Outbox, Tables, Timings};
 use crate::ticket::Home;
 use crate::wire;
 
@@ -44,6 +44,10 @@
     pub in_flight: AtomicUsize,
     /// Open flows.
     pub flows: AtomicUsize,
+    /// Tracked flows that are passed on unread.
+    pub tracks: AtomicUsize,
+    /// Endpoints that are taken to be down.
+    pub down: AtomicUsize,
     /// Counters since the start, renewed every second.
     pub counters: ArcSwap<Counters>,
 }
@@ -93,6 +97,8 @@
     pub home: Home,
     /// What it shows of itself.
     pub gauge: Arc<Gauge>,
+    /// Its histograms.
+    pub timings: Timings,
     commands: mpsc::Sender<Command>,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
@@ -133,6 +139,7 @@
         let (commands, inbox) = mpsc::channel(COMMAND_QUEUE);
         let tables = Tables::new(home, board.snapshot.load_full(), seed);
         let shown = Arc::clone(&gauge);
+        let timings = tables.timings.clone();
         let thread = std::thread::Builder::new()
             .name(format!("lane-{}", home.addr.port()))
             .spawn(move || run(tables, &board, &clock, &shown, &codec, socket, inbox))
@@ -140,6 +147,7 @@
         Ok(Self {
             home,
             gauge,
+            timings,
             commands,
             thread: Mutex::new(Some(thread)),
         })
@@ -303,6 +311,14 @@
         self.gauged = now;
         let flows = self.tables.flows.len();
         self.gauge.flows.store(flows, Ordering::Relaxed);
+        let tracks = self.tables.tracks.len();
+        self.gauge.tracks.store(tracks, Ordering::Relaxed);
+        let down = self
+            .tables
+            .endpoints
+            .iter()
+            .filter(|row| row.down.is_some());
+        self.gauge.down.store(down.count(), Ordering::Relaxed);
         self.gauge.counters.store(Arc::new(self.tables.counters));
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod command;
 pub mod control;
+pub mod expose;
 pub mod lane;
 pub mod logs;
 pub mod metrics;
--- a/src/front/ops.rs
+++ b/src/front/ops.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `/dump` | all tables, as JSON |
 //! | `/dump/NAME` | one table, as JSON |
+//! | `/metrics` | counters, gauges and histograms as text |
 //! | `/live` | 200 while the process runs |
 //! | `/ready` | 200 while it takes traffic, else 503 |
 
@@ -52,6 +53,8 @@
 pub struct Ops {
     /// Gives one table, or all without a name; `None` when there is no such table.
     pub dump: Arc<dyn Fn(Option<Name>) -> BoxFuture<'static, Option<Value>> + Send + Sync>,
+    /// Gives all metrics as text.
+    pub metrics: Arc<dyn Fn() -> BoxFuture<'static, Option<String>> + Send + Sync>,
     /// True while the process takes traffic.
     pub ready: Ready,
 }
@@ -115,6 +118,7 @@
     Router::new()
         .route("/dump", get(dump_all))
         .route("/dump/{name}", get(dump_one))
+        .route("/metrics", get(metrics))
         .route("/live", get(live))
         .route("/ready", get(ready))
         .fallback(no_path)
@@ -149,6 +153,17 @@
     }
 }
 
+async fn metrics(State(ops): State<Ops>) -> Response {
+    match (ops.metrics)().await {
+        Some(text) => text.into_response(),
+        None => refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the metrics cannot be gathered",
+            "try again, and restart the process if it stays so",
+        ),
+    }
+}
+
 async fn live() -> &'static str {
     "live\n"
 }
@@ -168,7 +183,7 @@
     refuse(
         StatusCode::NOT_FOUND,
         "there is no such path",
-        "use /dump, /dump/NAME, /live or /ready",
+        "use /dump, /dump/NAME, /metrics, /live or /ready",
     )
 }
 
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -3,6 +3,7 @@
 //! It is the same daemon with other formats: lanes carry segments, values come
 //! from the platform's store, and all hosts of a region tell each other of them.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,12 +59,12 @@
 ///
 /// Fails when the settings cannot be read, a socket cannot be opened or a thread
 /// cannot be started.
-pub fn run(file: Option<PathBuf>, log: &str) -> Result<(), Report<Error>> {
+pub fn run(file: Option<PathBuf>, ops_port: u16, log: &str) -> Result<(), Report<Error>> {
     let named = std::env::var_os(settings::PATH).map(PathBuf::from);
     let path = file.or(named).ok_or_else(no_file)?;
     let given = settings::read(&path)?;
     logs::start(log, &given.name)?;
-    let own = own_settings(&given)?;
+    let own = own_settings(&given, ops_port)?;
     let wiring = wiring(&given, path);
     serve::run_wired(&own, wiring)
 }
@@ -74,7 +75,7 @@
     Error::setting(settings::PATH, "missing", remedy)
 }
 
-fn own_settings(given: &Given) -> Result<Settings> {
+fn own_settings(given: &Given, ops_port: u16) -> Result<Settings> {
     let store = format!("http://{}", given.store);
     let uri = store.parse().map_err(|_| {
         let fault = format!("{store} is no address");
@@ -86,7 +87,7 @@
         region: given.region.clone(),
         peer_addr: given.peer,
         lanes: std::iter::once(given.lane).collect(),
-        ops: given.ops,
+        ops: SocketAddr::new(given.peer.ip(), ops_port),
         platform: uri,
         peers: given.seeds.clone(),
         keys: Keys::new(SECRET, SECRET),
@@ -156,7 +157,7 @@
 async fn reload(
     path: PathBuf,
     mut given: Given,
-    seeds: watch::Sender<Vec<std::net::SocketAddr>>,
+    seeds: watch::Sender<Vec<SocketAddr>>,
 ) -> Result<()> {
     let listen = |source| Error::io("listen for signals", source);
     let mut hangup = signal(SignalKind::hangup()).map_err(listen)?;
@@ -173,7 +174,7 @@
     path: &Path,
     given: Given,
     signalled: bool,
-    seeds: &watch::Sender<Vec<std::net::SocketAddr>>,
+    seeds: &watch::Sender<Vec<SocketAddr>>,
 ) -> Given {
     match settings::read(path) {
         Err(err) => {
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::process;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime};
 
 use arc_swap::ArcSwap;
@@ -18,6 +18,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::control::{self, ControlSettings, Links, Source};
+use super::expose::Exposition;
 use super::lane::{Board, Codec, Lane};
 use super::logs;
 use super::metrics::Metrics;
@@ -310,7 +311,14 @@
     let lanes = Arc::clone(lanes);
     let board = Arc::clone(board);
     let leaving = leaving.clone();
+    let (shown, source) = (Arc::clone(&lanes), control.clone());
+    let held = Arc::clone(&board);
     Ops {
+        metrics: Arc::new(move || {
+            let (lanes, control) = (Arc::clone(&shown), source.clone());
+            let snapshot = held.snapshot.load_full();
+            async move { expose(&lanes, &control, &snapshot).await }.boxed()
+        }),
         dump: Arc::new(move |name| dump(Arc::clone(&lanes), control.clone(), name)),
         ready: Arc::new(move || {
             let snapshot = board.snapshot.load();
@@ -319,6 +327,48 @@
     }
 }
 
+/// All metrics of the process as text.
+async fn expose(lanes: &[Lane], control: &DumpSender, snapshot: &Snapshot) -> Option<String> {
+    let mut counters = total(lanes);
+    counters.extend(control_counters(control).await);
+    let sum = |gauge: fn(&Lane) -> &AtomicUsize| {
+        let values = lanes.iter().map(|lane| gauge(lane).load(Ordering::Relaxed));
+        count(values.sum())
+    };
+    let endpoints = snapshot
+        .services
+        .values()
+        .map(|service| service.endpoints.len());
+    let gauges = vec![
+        ("flows", sum(|lane| &lane.gauge.flows)),
+        ("tracked_flows", sum(|lane| &lane.gauge.tracks)),
+        ("endpoints_down", sum(|lane| &lane.gauge.down)),
+        ("endpoints", count(endpoints.sum())),
+        ("routes", count(snapshot.routes.len())),
+        ("hosts", count(snapshot.hosts.len())),
+        ("leaving", count(usize::from(snapshot.leaving))),
+    ];
+    let timings = lanes
+        .iter()
+        .map(|lane| (lane.home.addr.to_string(), lane.timings.clone()));
+    let exposition = Exposition {
+        counters,
+        gauges,
+        timings: timings.collect(),
+    };
+    match exposition.render() {
+        Ok(text) => Some(text),
+        Err(err) => {
+            log::warn!(cause:% = err; "metrics_failed");
+            None
+        }
+    }
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
 /// One table of each lane, the control tables, or all of them.
 fn dump(
     lanes: Arc<[Lane]>,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -67,8 +67,6 @@
     pub ready: SocketAddr,
     /// Address for messages between hosts.
     pub peer: SocketAddr,
-    /// Address for operators.
-    pub ops: SocketAddr,
     /// Hosts to start from.
     pub seeds: Vec<SocketAddr>,
     /// Address of the store.
@@ -100,13 +98,8 @@
         let fault = format!("the settings file is unreadable: {err}");
         Error::setting(PATH, fault, "let the platform write the file again")
     })?;
-    let (first, last) = wire.internal_ports;
-    if first == last {
-        let fault = "one internal port only".to_owned();
-        return Err(Error::setting(PATH, fault, "give two ports or more"));
-    }
-    let at = |port| SocketAddr::new(wire.ip, port);
-    let peer = at(first);
+    let (first, _) = wire.internal_ports;
+    let peer = SocketAddr::new(wire.ip, first);
     let seeds = wire.seeds.iter();
     let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), first));
     Ok(Given {
@@ -116,7 +109,6 @@
         lane: wire.listen.datagram_addr,
         ready: wire.listen.ready_addr,
         peer,
-        ops: at(first + 1),
         seeds: seeds.filter(|seed| *seed != peer).collect(),
         store: wire.store.address,
         grace: wire.bounds.grace_s,
--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -10,7 +10,7 @@
 
 use super::{judge, load, millis, silence, unload};
 use crate::segment::{Mark, Segment, is_after};
-use crate::tables::{EndpointRow, Stall, Tables, Track, TrackState};
+use crate::tables::{EndpointRow, Stall, Tables, Track, TrackState, observe};
 
 /// Shortest time after which data that comes again is a repeat. Callers repeat
 /// after 200 ms; packets of one burst that overtake each other come much sooner.
@@ -78,9 +78,11 @@
 fn progress(tables: &mut Tables, track: &mut Track, segment: &Segment, now: Duration) {
     if track.state == TrackState::Opening {
         track.state = TrackState::Open;
+        observe(&tables.timings.open, now.saturating_sub(track.since));
         track.sent = segment.seq;
     } else if let Some(asked) = track.asked.take() {
         let time = now.saturating_sub(asked);
+        observe(&tables.timings.answer, time);
         tables.endpoints.note_time(track.endpoint, time, now);
         if let Some(row) = tables.endpoints.get_mut(track.endpoint) {
             row.note_answer(time);
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::id::{Id, Name};
 use crate::segment::{Relay, Segment};
-use crate::tables::{Holder, Outbox, Tables, Track};
+use crate::tables::{Holder, Outbox, Tables, Track, observe};
 
 /// Takes in the segments of this tick.
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
@@ -89,6 +89,9 @@
     tables.counters.down_resets += 1;
     let name = name_of(tables, track.endpoint);
     let waited = track.asked.map(|asked| now.saturating_sub(asked));
+    if let Some(waited) = waited {
+        observe(&tables.timings.reset, waited);
+    }
     log::info!(
         caller:% = track.ends.caller, front:% = track.ends.front, endpoint:% = name,
         cause = "endpoint_down", repeats = track.repeats,
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -12,6 +12,7 @@
 mod inbox;
 mod requests;
 mod spent;
+mod timings;
 mod tracks;
 
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 pub use self::inbox::{Arrival, Stage};
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::spent::SPENT;
+pub use self::timings::{Timings, observe};
 pub use self::tracks::{Track, TrackState, Tracks};
 
 use crate::id::FlowKey;
@@ -65,6 +67,8 @@
     pub policies: Arc<Policies>,
     /// Counters since the start.
     pub counters: Counters,
+    /// Histograms since the start.
+    pub timings: Timings,
     /// Seeded source of random choices.
     pub rng: SmallRng,
     /// Time of the last tick.
@@ -96,6 +100,7 @@
             policies: Arc::new(Policies::shipped()),
             endpoints,
             counters: Counters::default(),
+            timings: Timings::default(),
             rng: SmallRng::seed_from_u64(seed),
             ticked: Duration::ZERO,
             dry: Duration::ZERO,
--- /dev/null
+++ b/src/tables/timings.rs
@@ -0,0 +1,37 @@
+//! How long flows of this lane waited, in seconds.
+
+use std::time::Duration;
+
+use prometheus_client::metrics::histogram::Histogram;
+
+/// Upper bounds of the buckets in seconds: the callers' repeats come after 0.2, 0.6
+/// and 1.4, and the aims of the users' routes lie between 0.1 and 1.2.
+const BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.45, 0.65, 1.0, 1.5, 3.0,
+];
+
+/// Histograms of a lane.
+#[derive(Clone, Debug)]
+pub struct Timings {
+    /// From the opening segment to its acknowledgement by the caller.
+    pub open: Histogram,
+    /// From a request to the first acknowledgement of its answer.
+    pub answer: Histogram,
+    /// From a request to the reset of its flow.
+    pub reset: Histogram,
+}
+
+impl Default for Timings {
+    fn default() -> Self {
+        Self {
+            open: Histogram::new(BOUNDS),
+            answer: Histogram::new(BOUNDS),
+            reset: Histogram::new(BOUNDS),
+        }
+    }
+}
+
+/// Adds a time to a histogram.
+pub fn observe(histogram: &Histogram, time: Duration) {
+    histogram.observe(time.as_secs_f64());
+}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -328,6 +328,7 @@
         async move { table }.boxed()
     };
     Ops {
+        metrics: Arc::new(|| std::future::ready(Some("jacinthhinge_flows 1\n".to_owned())).boxed()),
         dump: Arc::new(dump),
         ready: Arc::new(move || ready),
     }
@@ -417,6 +418,7 @@
 #[test]
 fn a_slow_dump_is_cut_off() {
     let ops = Ops {
+        metrics: Arc::new(|| std::future::ready(None).boxed()),
         dump: Arc::new(|_| futures_util::future::pending().boxed()),
         ready: Arc::new(|| true),
     };
