Weigh endpoints by their usual time to answer

Cause: placement compared requests in progress only, so an endpoint that had turned slow, or another zone already full, looked as good as a quick one. Change: load counts in units of the service's usual answer time; other zones count half as much again.

--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -50,6 +50,10 @@
 /// second for work of some tens of milliseconds.
 const IDLE_LOAD: f64 = 0.05;
 
+/// How much busier an endpoint of the own zone may be before a flow that finds no
+/// room there goes to another zone, whose other load this lane does not see.
+const DISTANCE: f64 = 1.5;
+
 /// Share of its due that an endpoint gets while it says that it is slow.
 const COLD_SHARE: f64 = 0.5;
 
@@ -109,6 +113,8 @@
         sample: parts.relay_sample,
         ..*parts
     };
+    let usual = usual_answer(tables, service);
+    let limit = parts.relay_spill * aim.as_secs_f64();
     pick(tables, &parts, service, now, |row| {
         if tried.contains(&row.spec.id) || row.flows >= row.spec.conns {
             return None;
@@ -117,16 +123,30 @@
         let idle = f64::from(row.flows.saturating_sub(row.running)) * IDLE_LOAD;
         let share = (f64::from(row.running) + row.recent_slots(now) + idle) / slots;
         let next = 1.0 / slots;
-        let wait = (share + next).max(1.0) * row.answer;
-        let remote = !row.spec.local || wait > parts.relay_spill * aim.as_secs_f64();
+        let answer = match row.answer {
+            0.0 => usual,
+            answer => answer,
+        };
+        let wait = (share + next).max(1.0) * answer;
+        let slowness = if usual == 0.0 { 1.0 } else { answer / usual };
+        let distance = if row.spec.local { 1.0 } else { DISTANCE };
         Some(Judgment {
-            remote,
-            share,
-            next,
+            remote: !row.spec.local || wait > limit,
+            share: share * slowness * distance,
+            next: next * slowness * distance,
         })
     })
 }
 
+/// Mean of the usual times in which a service's endpoints answer, in seconds; zero
+/// when none is known.
+fn usual_answer(tables: &Tables, service: Id) -> f64 {
+    let rows = tables.endpoints.of(service);
+    let known = rows.map(|row| row.answer).filter(|answer| *answer > 0.0);
+    let (count, sum) = known.fold((0_u32, 0.0), |(count, sum), time| (count + 1, sum + time));
+    sum / f64::from(count.max(1))
+}
+
 /// Endpoint for a request: the least busy of those that can take it.
 pub(super) fn pick_slot(
     tables: &mut Tables,
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -14,6 +14,10 @@
 /// Weight of the latest event in the shares and means of [`EndpointRow`].
 const LATEST: f64 = 0.05;
 
+/// Weight of the latest answer in the usual time of an endpoint: a lane sees a few
+/// answers a second of each, and an endpoint that turns slow has to show soon.
+const LATEST_ANSWER: f64 = 0.1;
+
 /// Time over which the slot time sent to an endpoint fades.
 pub const RECENT: Duration = Duration::from_secs(1);
 
@@ -117,7 +121,7 @@
         if self.answer == 0.0 {
             self.answer = time;
         }
-        self.answer += LATEST * (time - self.answer);
+        self.answer += LATEST_ANSWER * (time - self.answer);
     }
 
     /// Slots that this lane has lately kept busy on it.
