Count flows that callers have closed no longer as load

Change: a flow stops counting with its caller's FIN. Test first: flow_that_its_caller_has_closed_counts_no_longer.

--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::{judge, load, millis, silence, unload};
+use super::{forget, judge, load, millis, silence, unload};
 use crate::segment::{Mark, Segment, is_after};
 use crate::tables::{EndpointRow, Stall, Tables, Track, TrackState, observe};
 
@@ -45,17 +45,18 @@
     if is_progress(track, segment) {
         progress(tables, track, segment, now);
     }
-    if segment.len > 0 {
+    if segment.len > 0 && track.state != TrackState::Closing {
         if is_after(segment.end(), track.sent) {
             send(tables, track, segment, now);
         } else if is_repeat(track, now) {
             repeat(tables, track, now);
         }
     }
-    if segment.mark == Mark::Fin {
+    if segment.mark == Mark::Fin && track.state != TrackState::Closing {
+        forget(tables, track);
         track.state = TrackState::Closing;
         track.asked = None;
-        unload(tables, track);
+        track.loaded = false;
     }
     let row = tables.endpoints.get(track.endpoint);
     if row.is_some_and(|row| is_hopeless(row, track, now)) {
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::id::{Id, Name};
 use crate::segment::{Relay, Segment};
-use crate::tables::{Holder, Outbox, Tables, Track, observe};
+use crate::tables::{Holder, Outbox, Tables, Track, TrackState, observe};
 
 /// Takes in the segments of this tick.
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
@@ -129,8 +129,11 @@
     }
 }
 
-/// Stops counting a flow on its endpoint.
+/// Stops counting a flow on its endpoint; one that is closing no longer counts.
 fn forget(tables: &mut Tables, track: &Track) {
+    if track.state == TrackState::Closing {
+        return;
+    }
     let mut track = track.clone();
     unload(tables, &mut track);
     if let Some(row) = tables.endpoints.get_mut(track.endpoint) {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -322,3 +322,19 @@
     world.publish(&snapshot(&[second]));
     assert!(reaches(&world.take(segment), 2));
 }
+
+#[test]
+fn flow_that_its_caller_has_closed_counts_no_longer() {
+    let mut world = World::new(&local(1));
+    let number = world.establish(1);
+    world.ask(1, number);
+    let mut last = data(1, number, 101, 0, 900);
+    last.mark = Mark::Fin;
+    for _ in 0..2 {
+        assert!(reaches(&world.take(last.clone()), number));
+    }
+    assert_eq!(world.flows_of(number), 0);
+    world.wait(Duration::from_secs(25));
+    assert_eq!(world.flows_of(number), 0);
+    assert!(world.lane.tracks.is_empty());
+}
