Give endpoints that look quick no more than their due

Change: the usual answer time counts against an endpoint, up to three times the service's, and never for it.

--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -50,6 +50,11 @@
 /// second for work of some tens of milliseconds.
 const IDLE_LOAD: f64 = 0.05;
 
+/// Most that the usual time of an endpoint's answers counts against it. One that
+/// looks quicker than others gets no more for it: it may just not have been asked since
+/// they filled up.
+const SLOWNESS_LIMIT: f64 = 3.0;
+
 /// How much busier an endpoint of the own zone may be before a flow that finds no
 /// room there goes to another zone, whose other load this lane does not see.
 const DISTANCE: f64 = 1.5;
@@ -128,7 +133,7 @@
             answer => answer,
         };
         let wait = (share + next).max(1.0) * answer;
-        let slowness = if usual == 0.0 { 1.0 } else { answer / usual };
+        let slowness = (answer / usual.max(f64::MIN_POSITIVE)).clamp(1.0, SLOWNESS_LIMIT);
         let distance = if row.spec.local { 1.0 } else { DISTANCE };
         Some(Judgment {
             remote: !row.spec.local || wait > limit,
