--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -18,6 +18,7 @@
 use super::relay as relay_host;
 use super::serve;
 use super::settings::{Flags, Settings, flags};
+use super::story::{self, Wanted};
 use crate::config::{Config, Difference, KEYS};
 use crate::error::{Error, Result};
 
@@ -52,6 +53,11 @@
     #[bpaf(command)]
     Relay(#[bpaf(external(relay))] RelayFlags),
 
+    /// Put the log lines of all hosts on one flow or endpoint in order, and say in
+    /// a sentence what happened.
+    #[bpaf(command)]
+    Trace(#[bpaf(external(trace))] Trace),
+
     /// Check a configuration file, and exit with status 2 if it is refused.
     #[bpaf(command)]
     Check(#[bpaf(external(check))] Check),
@@ -91,6 +97,19 @@
     file: PathBuf,
 }
 
+#[derive(Bpaf, Clone)]
+struct Trace {
+    /// Address and port of the caller
+    #[bpaf(argument("IP:PORT"))]
+    flow: Option<SocketAddr>,
+    /// Name of an endpoint
+    #[bpaf(argument("NAME"))]
+    endpoint: Option<String>,
+    /// Log files of the hosts
+    #[bpaf(positional("LOG"), some("name the log files"))]
+    files: Vec<PathBuf>,
+}
+
 #[derive(Bpaf, Clone)]
 struct Dump {
     /// Print this table only
@@ -106,6 +125,7 @@
   jacinthhinge check config/hraunvik.toml --explain endpoint/a-3
   jacinthhinge check new.toml --diff published.toml
   jacinthhinge dump 127.0.0.1:9080 --table flows
+  jacinthhinge trace --flow 192.0.2.7:40001 sv-a-1.log sv-b-1.log
   jacinthhinge serve --help";
 
 const SERVE_USAGE: &str = "Usage: jacinthhinge serve --name=NAME --zone=ZONE --region=REGION \
@@ -130,6 +150,7 @@
         Command::Serve(flags) => run_serve(*flags),
         Command::Relay(flags) => relay_host::run(flags.settings, flags.ops_port, &flags.log),
         Command::Check(check) => run_check(&check),
+        Command::Trace(trace) => run_trace(&trace),
         Command::Dump(dump) => run_dump(&dump),
     };
     match result {
@@ -219,6 +240,31 @@
     Report::new(source).change_context(error)
 }
 
+fn run_trace(trace: &Trace) -> Result<(), Report<Error>> {
+    let mut lines = Vec::new();
+    for path in &trace.files {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| unreadable(&name, source))?;
+        lines.extend(story::parse(&text));
+    }
+    let wanted = match (trace.flow, &trace.endpoint) {
+        (Some(flow), _) => Wanted::Flow(flow.to_string()),
+        (None, Some(endpoint)) => Wanted::Endpoint(endpoint.clone()),
+        (None, None) => return Err(no_subject().into()),
+    };
+    let story = story::tell(lines, &wanted);
+    for line in &story.lines {
+        show(line)?;
+    }
+    Ok(show(&story.summary)?)
+}
+
+#[cold]
+fn no_subject() -> Error {
+    let remedy = "pass --flow IP:PORT of the caller or --endpoint NAME";
+    Error::setting("trace", "nothing to look for".to_owned(), remedy)
+}
+
 fn run_dump(dump: &Dump) -> Result<(), Report<Error>> {
     let addr: SocketAddr = dump.addr.parse().map_err(|_| wrong_addr(&dump.addr))?;
     let path = match &dump.table {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -14,3 +14,4 @@
 pub mod relay;
 pub mod serve;
 pub mod settings;
+pub mod story;
--- /dev/null
+++ b/src/front/story.rs
@@ -0,0 +1,153 @@
+//! Tells from the logs of all hosts what happened to a flow or an endpoint.
+
+use std::collections::BTreeSet;
+
+use serde_json::{Map, Value};
+
+/// What to look for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Wanted {
+    /// The flow of a caller, by its address and port.
+    Flow(String),
+    /// An endpoint, by its name.
+    Endpoint(String),
+}
+
+/// Log lines in order, and what they amount to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Story {
+    /// The lines that matter, as they were written.
+    pub lines: Vec<String>,
+    /// What happened.
+    pub summary: String,
+}
+
+/// A log line.
+pub type Line = Map<String, Value>;
+
+/// Reads the log lines of a text; what is no log line is passed over.
+#[must_use]
+pub fn parse(text: &str) -> Vec<Line> {
+    let objects = text
+        .lines()
+        .filter_map(|line| line.find('{').map(|at| &line[at..]));
+    objects
+        .filter_map(|json| serde_json::from_str::<Line>(json).ok())
+        .filter(|line| line.contains_key("event"))
+        .collect()
+}
+
+/// Puts the lines on what is wanted in order and says what happened.
+///
+/// ```
+/// use jacinthhinge::front::story::{Wanted, parse, tell};
+///
+/// let log = r#"{"time":"12:00:01","host":"sv-a-1","event":"reset","caller":"192.0.2.7:4000","cause":"no_route","front":"198.18.0.1:443"}"#;
+/// let story = tell(parse(log), &Wanted::Flow("192.0.2.7:4000".to_owned()));
+/// assert_eq!(
+///     story.summary,
+///     "The flow was refused by sv-a-1: no desired state in force serves 198.18.0.1:443."
+/// );
+/// ```
+#[must_use]
+pub fn tell(mut lines: Vec<Line>, wanted: &Wanted) -> Story {
+    lines.sort_by(|a, b| text(a, "time").cmp(text(b, "time")));
+    let own: Vec<Line> = lines
+        .iter()
+        .filter(|line| is_own(line, wanted))
+        .cloned()
+        .collect();
+    let names: BTreeSet<&str> = own.iter().map(|line| text(line, "endpoint")).collect();
+    let matters = |line: &&Line| is_own(line, wanted) || is_belief(line, &names);
+    Story {
+        lines: lines
+            .iter()
+            .filter(matters)
+            .map(|line| Value::Object(line.clone()).to_string())
+            .collect(),
+        summary: match wanted {
+            Wanted::Flow(_) => tell_flow(&own),
+            Wanted::Endpoint(name) => tell_endpoint(&own, name),
+        },
+    }
+}
+
+fn text<'a>(line: &'a Line, field: &str) -> &'a str {
+    line.get(field).and_then(Value::as_str).unwrap_or_default()
+}
+
+fn number(line: &Line, field: &str) -> u64 {
+    line.get(field).and_then(Value::as_u64).unwrap_or_default()
+}
+
+fn is_own(line: &Line, wanted: &Wanted) -> bool {
+    match wanted {
+        Wanted::Flow(caller) => text(line, "caller") == caller,
+        Wanted::Endpoint(name) => text(line, "endpoint") == name,
+    }
+}
+
+/// True for what hosts believed of the endpoints concerned, or of whole zones.
+fn is_belief(line: &Line, names: &BTreeSet<&str>) -> bool {
+    match text(line, "event") {
+        "endpoint_down" | "endpoint_up" | "endpoint_gone" => names.contains(text(line, "endpoint")),
+        "zone_down" | "zone_up" => true,
+        _ => false,
+    }
+}
+
+fn tell_flow(own: &[Line]) -> String {
+    let Some(last) = own.last() else {
+        return "No host has logged this flow.".to_owned();
+    };
+    let (host, front) = (text(last, "host"), text(last, "front"));
+    let endpoint = text(last, "endpoint");
+    match (text(last, "event"), text(last, "cause")) {
+        ("reset", "no_route") => {
+            format!("The flow was refused by {host}: no desired state in force serves {front}.")
+        }
+        ("reset", "no_endpoint") => {
+            format!("The flow was refused by {host}: no endpoint behind {front} could take it.")
+        }
+        ("reset", "route_removed") => {
+            format!("The flow was reset by {host}: the route of {front} was removed.")
+        }
+        ("reset", "endpoint_gone") => {
+            format!("The flow was reset by {host}: its endpoint is no longer listed.")
+        }
+        ("reset", "endpoint_down") => format!(
+            "The flow opened and stalled: {host} reset it after {} ms, since {endpoint} did not answer.",
+            number(last, "waited_ms")
+        ),
+        ("placed", _) if number(last, "copies") > 0 => format!(
+            "The flow did not open at once: {} endpoints were tried, {endpoint} last.",
+            own.iter()
+                .filter(|line| text(line, "event") == "placed")
+                .count()
+        ),
+        ("placed", _) => {
+            format!("The flow went to {endpoint} through {host}, and nothing else is known.")
+        }
+        ("cookie_unknown", _) => format!("{host} does not know the endpoint of the flow."),
+        (event, _) => format!("The last that is known of the flow is {event}, on {host}."),
+    }
+}
+
+fn tell_endpoint(own: &[Line], name: &str) -> String {
+    let count = |event: &str| {
+        own.iter()
+            .filter(|line| text(line, "event") == event)
+            .count()
+    };
+    let hosts: BTreeSet<&str> = own
+        .iter()
+        .filter(|line| text(line, "event") == "endpoint_down")
+        .map(|line| text(line, "host"))
+        .collect();
+    format!(
+        "{name} got {} new flows; {} hosts took it to be down and {} of its flows were reset.",
+        count("placed"),
+        hosts.len(),
+        count("reset")
+    )
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -508,3 +508,64 @@
     let error = store.watch(1, Duration::from_secs(2)).await.unwrap_err();
     assert_eq!(error.classify(), Category::Platform);
 }
+
+/// Names of the platform's messages, settings and keys.
+const NAMES: [&str; 28] = [
+    "DatagramAddr",
+    "ReadyAddr",
+    "InternalPorts",
+    "NodeName",
+    "GraceS",
+    "WarmupLeftMs",
+    "SeqNo",
+    "Concurrency",
+    "TargetLatencyMs",
+    "TimeoutMs",
+    "IdleTimeoutMs",
+    "MaxConns",
+    "Backends",
+    "HealthPath",
+    "MaxAttempts",
+    "StoreRevision",
+    "HasMore",
+    "WaitMs",
+    "AllowStale",
+    "kv-watch",
+    "kv-range",
+    "kv-key",
+    "op/config",
+    "servers/",
+    "/-/readiness",
+    "BOUNCED",
+    "HeartbeatMs",
+    "JACINTHHINGE_CONFIG\"",
+];
+
+fn sources(dir: &std::path::Path, found: &mut Vec<std::path::PathBuf>) {
+    for entry in std::fs::read_dir(dir).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else {
+            found.push(path);
+        }
+    }
+}
+
+#[test]
+fn names_of_the_platform_stay_in_its_folder() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut files = Vec::new();
+    sources(&root, &mut files);
+    for file in files {
+        let text = std::fs::read_to_string(&file).expect("a source file");
+        let inside = file.starts_with(root.join("platform"));
+        for name in NAMES {
+            assert!(
+                inside || !text.contains(name),
+                "{name} in {}",
+                file.display()
+            );
+        }
+    }
+}
--- /dev/null
+++ b/tests/story.rs
@@ -0,0 +1,61 @@
+//! From a failed flow to its cause, by the log lines alone.
+
+use jacinthhinge::front::story::{Wanted, parse, tell};
+
+const LOGS: &str = r#"
+  10.1 sv-a-1 {"time":"T10.100","host":"sv-a-1","event":"placed","caller":"192.0.2.7:1","front":"198.18.0.1:443","endpoint":"i-1","copies":0}
+  10.3 sv-a-1 {"time":"T10.300","host":"sv-a-1","event":"placed","caller":"192.0.2.7:1","front":"198.18.0.1:443","endpoint":"i-2","copies":1}
+  10.7 sv-a-2 {"time":"T10.700","host":"sv-a-2","event":"placed","caller":"192.0.2.7:1","front":"198.18.0.1:443","endpoint":"i-3","copies":2}
+  10.8 sv-a-1 {"time":"T10.800","host":"sv-a-1","event":"endpoint_down","endpoint":"i-2","zone":"sv-a","heard_ms":620}
+  10.8 sv-a-1 {"time":"T10.801","host":"sv-a-1","event":"reset","cause":"endpoint_down","caller":"192.0.2.8:1","front":"198.18.0.1:443","endpoint":"i-2","repeats":1,"waited_ms":412}
+  10.2 sv-a-1 {"time":"T10.200","host":"sv-a-1","event":"placed","caller":"192.0.2.8:1","front":"198.18.0.1:443","endpoint":"i-2","copies":0}
+  10.9 sv-a-1 {"time":"T10.900","host":"sv-a-1","event":"reset","cause":"no_endpoint","caller":"192.0.2.9:1","front":"198.18.0.2:443","copies":0}
+  not a log line, and { not one either
+"#;
+
+fn flow(caller: &str) -> (Vec<String>, String) {
+    let story = tell(parse(LOGS), &Wanted::Flow(caller.to_owned()));
+    (story.lines, story.summary)
+}
+
+#[test]
+fn flow_that_never_opened() {
+    let (lines, summary) = flow("192.0.2.7:1");
+    assert_eq!(lines.len(), 4, "with the belief about i-2");
+    assert_eq!(
+        summary,
+        "The flow did not open at once: 3 endpoints were tried, i-3 last."
+    );
+}
+
+#[test]
+fn flow_that_opened_and_stalled() {
+    let (lines, summary) = flow("192.0.2.8:1");
+    assert!(lines[0].contains("placed") && lines[1].contains("heard_ms"));
+    assert_eq!(
+        summary,
+        "The flow opened and stalled: sv-a-1 reset it after 412 ms, since i-2 did not answer."
+    );
+}
+
+#[test]
+fn flow_that_was_refused() {
+    assert_eq!(
+        flow("192.0.2.9:1").1,
+        "The flow was refused by sv-a-1: no endpoint behind 198.18.0.2:443 could take it."
+    );
+}
+
+#[test]
+fn flow_that_nobody_saw() {
+    assert_eq!(flow("192.0.2.10:1").1, "No host has logged this flow.");
+}
+
+#[test]
+fn endpoint_with_its_flows() {
+    let story = tell(parse(LOGS), &Wanted::Endpoint("i-2".to_owned()));
+    assert_eq!(
+        story.summary,
+        "i-2 got 2 new flows; 1 hosts took it to be down and 1 of its flows were reset."
+    );
+}
