--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -25,6 +25,9 @@
     pub start: Duration,
     /// Longest pause between two watches.
     pub pause: Duration,
+    /// What each other host adds to that, since all hosts read each change and tell
+    /// each other of it.
+    pub share: Duration,
     /// Pause after the first failure.
     pub backoff: Duration,
     /// Longest pause after a failure.
@@ -43,6 +46,7 @@
             jitter: Duration::from_secs(10),
             start: Duration::from_secs(1),
             pause: Duration::from_secs(1),
+            share: Duration::ZERO,
             backoff: Duration::from_secs(1),
             limit: Duration::from_secs(8),
             hold: Duration::ZERO,
@@ -51,6 +55,10 @@
     }
 }
 
+/// Most that the other hosts add to the pause between two watches, so that a change
+/// is in force well within the bounds of seconds that users set.
+const SHARE_LIMIT: Duration = Duration::from_millis(600);
+
 /// Shortest pause between two reads of the host list.
 const HOSTS_PAUSE: Duration = Duration::from_secs(4);
 
@@ -95,7 +103,7 @@
         }
         Ok(update) => {
             regain(tables, now);
-            let pause = tables.settings.pace.pause;
+            let pause = watch_pause(tables);
             tables.watch.values.due = now + tables.jitter(pause);
             let update = hold(tables, now, update);
             take(tables, &update);
@@ -139,11 +147,21 @@
     tables.watch.hosts.due = now + tables.jitter(HOSTS_JITTER);
 }
 
+fn watch_pause(tables: &Tables) -> Duration {
+    let pace = tables.settings.pace;
+    pace.pause + pace.share.saturating_mul(others(tables)).min(SHARE_LIMIT)
+}
+
 fn hosts_pause(tables: &Tables) -> Duration {
-    let hosts = u32::try_from(tables.live().count() + 1).unwrap_or(u32::MAX);
+    let hosts = others(tables).saturating_add(1);
     HOSTS_PAUSE.max(HOSTS_SHARE.saturating_mul(hosts))
 }
 
+/// Other hosts that are believed alive.
+fn others(tables: &Tables) -> u32 {
+    u32::try_from(tables.live().count()).unwrap_or(u32::MAX)
+}
+
 fn is_due(read: &Read, now: Duration) -> bool {
     !read.pending && now >= read.due
 }
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -35,8 +35,6 @@
     prefix: String,
     r#type: WireKind,
     #[serde_as(as = "DurationMilliSeconds<u64>")]
-    timeout_ms: Duration,
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
     target_latency_ms: Duration,
     priority: u32,
     service: Option<Name>,
@@ -119,7 +117,6 @@
             WireKind::Safe => Kind::Idempotent,
             WireKind::Once => Kind::Once,
         },
-        deadline: wire.timeout_ms,
         aim: wire.target_latency_ms,
         rank: wire.priority,
     };
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -37,11 +37,10 @@
         }
         self.entries.retain(|key, _| values.contains_key(key));
         let mut services: HashMap<Name, Service> = HashMap::new();
-        for (name, conns) in &self.desired.conns {
+        for name in self.desired.conns.keys() {
             let mut service = Service::new(name);
             service.idle = self.desired.idle;
             services.insert(Arc::clone(name), service);
-            let _ = conns;
         }
         let entries = values
             .iter()
--- a/src/segment.rs
+++ b/src/segment.rs
@@ -118,8 +118,6 @@
     pub targets: SmallVec<[(Id, u32); 2]>,
     /// What its requests allow.
     pub kind: Kind,
-    /// Longest time that a caller waits for an answer.
-    pub deadline: Duration,
     /// Time within which an answer is worth most.
     pub aim: Duration,
     /// Rank when there is too much work; the highest is refused first.
--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::{forget, judge, load, millis, silence, unload};
+use super::{forget, judge, load, may_repeat, millis, silence, unload};
 use crate::segment::{Mark, Segment, is_after};
 use crate::tables::{EndpointRow, Stall, Tables, Track, TrackState, observe};
 
@@ -59,7 +59,7 @@
         track.loaded = false;
     }
     let row = tables.endpoints.get(track.endpoint);
-    if row.is_some_and(|row| is_hopeless(row, track, now)) {
+    if row.is_some_and(|row| is_hopeless(row, track, now)) && may_repeat(tables, track) {
         Finding::Dead
     } else {
         Finding::Alive
--- a/src/systems/relay/judge.rs
+++ b/src/systems/relay/judge.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{forget, millis, reset_track};
+use super::{forget, may_repeat, millis, reset_track};
 use crate::id::{Id, Name};
 use crate::tables::{Down, EndpointRow, Outbox, Tables};
 
@@ -196,6 +196,7 @@
         .iter()
         .filter(|track| fallen.contains(&track.endpoint))
         .filter(|track| track.asked.is_some() && track.repeats > 0)
+        .filter(|track| may_repeat(tables, track))
         .map(|track| track.ends)
         .collect();
     for ends in waiting {
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use crate::id::{Id, Name};
-use crate::segment::{Relay, Segment};
+use crate::segment::{Kind, Relay, Segment};
 use crate::tables::{Holder, Outbox, Tables, Track, TrackState, observe};
 
 /// Takes in the segments of this tick.
@@ -104,6 +104,13 @@
     });
 }
 
+/// True when the requests of a flow may be repeated. One that may not is better left
+/// waiting: its answer may still come, and its caller would not ask again.
+fn may_repeat(tables: &Tables, track: &Track) -> bool {
+    let route = tables.snapshot.routes.get(&track.ends.front);
+    route.is_some_and(|route| route.kind == Kind::Idempotent)
+}
+
 /// Counts a flow on an endpoint.
 fn admit(tables: &mut Tables, id: Id) {
     if let Some(row) = tables.endpoints.get_mut(id) {
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -117,6 +117,7 @@
 ) -> Option<(Holder, u32)> {
     let service = choose_service(tables, route)?;
     if tried.is_empty()
+        && is_least_urgent(tables, route, service)
         && let Some(id) = trial(tables, service, now)
     {
         return claim(tables, id);
@@ -162,6 +163,14 @@
     None
 }
 
+/// True when no other route to a service is less urgent; only such flows try an
+/// endpoint that does not answer, since they wait 200 ms if it still does not.
+fn is_least_urgent(tables: &Tables, route: &Route, service: Id) -> bool {
+    let leads = |other: &&Route| other.targets.iter().any(|(id, _)| *id == service);
+    let others = tables.snapshot.routes.values().filter(leads);
+    others.map(|other| other.rank).max() <= Some(route.rank)
+}
+
 /// An endpoint that does not answer and is due to be tried again. Those of a zone
 /// that is cut off take turns, and other zones are tried less often.
 fn trial(tables: &mut Tables, service: Id, now: Duration) -> Option<Id> {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 
 use jacinthhinge::prelude::*;
-use jacinthhinge::segment::{Mark, Relay};
+use jacinthhinge::segment::{Kind, Mark, Relay};
 use jacinthhinge::tables::cookie_of;
 
 use relaying::{
@@ -338,3 +338,44 @@
     assert_eq!(world.flows_of(number), 0);
     assert!(world.lane.tracks.is_empty());
 }
+
+#[test]
+fn request_that_may_not_be_repeated_is_left_waiting() {
+    let mut world = World::new(&local(2));
+    let mut once = (*snapshot(&local(2))).clone();
+    let mut route = once.routes[&front()].clone();
+    route.kind = Kind::Once;
+    once.routes = Arc::new(HashMap::from([(front(), route)]));
+    world.publish(&Arc::new(once));
+    let flows = spread(&mut world, 2, 4);
+    let heard = flows.iter().find(|flow| flow.1 == 2).expect("one").0;
+    for round in 0..3 {
+        for (port, _) in flows.iter().filter(|flow| flow.1 == 1) {
+            assert!(reaches(&world.ask(*port, 1), 1));
+        }
+        assert_eq!(world.wait(ms(210)), []);
+        world.take(data(heard, 2, 1, 0, 600 + round));
+    }
+    assert_eq!(world.lane.counters.downs, 1);
+}
+
+#[test]
+fn urgent_flows_do_not_try_a_silent_endpoint() {
+    let mut world = World::new(&local(2));
+    let mut ranked = (*snapshot(&local(2))).clone();
+    let calm = ranked.routes[&front()].clone();
+    let mut urgent = calm.clone();
+    urgent.rank = 1;
+    let other = addr("198.18.0.1:8443");
+    ranked.routes = Arc::new(HashMap::from([(front(), urgent), (other, calm)]));
+    world.publish(&Arc::new(ranked));
+    let silent = world.open(1);
+    world.wait(ms(300));
+    for port in 2..10 {
+        assert_ne!(world.open(port), silent);
+    }
+    let mut trial = opening(20, 0);
+    trial.ends.front = other;
+    let relays = world.take(trial);
+    assert!(matches!(relays[..], [Relay::Forward { number, .. }] if number == silent));
+}
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -54,7 +54,6 @@
         name: "streams".into(),
         targets: smallvec![(Id::of("adserve"), 1)],
         kind: Kind::Idempotent,
-        deadline: ms(2_500),
         aim: ms(250),
         rank: 2,
     };
