Read the platform through one client, the users' store, on both interfaces

Cause: the project's own interface had an API, a client and a stand-in of its own beside those of the users' store. Change: Store takes a prefix; the operators' values stand under config/, the host list is an item; examples/platform speaks the store's calls; src/front/platform.rs is gone. Its tests of answers and nonsense stand in tests/platform.rs and tests/peer.rs, with more cases.

--- a/examples/platform/main.rs
+++ b/examples/platform/main.rs
@@ -1,6 +1,6 @@
-//! Stand-in for the platform: the configuration service and the host list.
+//! Stand-in for the platform's store, with the configuration and the host list.
 //!
-//! It serves the read-only API of `docs/PROTOCOL.md` from an operators' file.
+//! It serves the read calls that `docs/PROTOCOL.md` names from an operators' file.
 //! The `/bench` routes are for scripts: they publish a new file, move a host
 //! through its states and take the service down, or make it slow or stale.
 
@@ -13,9 +13,12 @@
 use axum::{Json, Router};
 use bpaf::Bpaf;
 use jacinthhinge::config::Config;
+use jacinthhinge::front::hosts;
 use jacinthhinge::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use serde_with::base64::Base64;
+use serde_with::serde_as;
 use tokio::sync::Notify;
 
 #[path = "../common/ops.rs"]
@@ -23,6 +26,9 @@
 
 use ops::{Shared, lock};
 
+/// Prefix of the keys of the operators' values.
+const VALUES: &str = "config/";
+
 /// Delay of each answer in slow mode.
 const SLOW_DELAY: Duration = Duration::from_secs(2);
 
@@ -154,9 +160,9 @@
         changed: Arc::new(Notify::new()),
     };
     let routes = Router::new()
-        .route("/v1/values", get(get_values))
-        .route("/v1/watch", get(get_watch))
-        .route("/v1/hosts", get(get_hosts))
+        .route("/-/kv-range", get(get_range))
+        .route("/-/kv-watch", get(get_watch))
+        .route("/-/kv-key", get(get_key))
         .route("/bench/mode", post(set_mode))
         .route("/bench/publish", post(set_file))
         .route("/bench/value", post(set_value))
@@ -199,17 +205,38 @@
     }
 }
 
-/// The values above revision `after`, as the API gives them.
-fn newer(store: &Store, after: u64) -> (Value, bool) {
-    let values: Vec<Value> = store
-        .values
-        .iter()
-        .filter(|(_, entry)| entry.revision > after)
-        .map(|(key, entry)| json!({"key": key, "revision": entry.revision, "value": entry.value}))
-        .collect();
-    let found = !values.is_empty();
-    let reply = json!({"revision": store.revision, "values": values});
-    (reply, found)
+/// An item of the store, or its removal.
+#[serde_as]
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Item {
+    key: String,
+    #[serde_as(as = "Option<Base64>")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    value: Option<Vec<u8>>,
+    revision: u64,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    deleted: bool,
+}
+
+impl Item {
+    fn of(key: &str, entry: &Entry) -> Self {
+        let deleted = entry.value.is_null();
+        Self {
+            key: format!("{VALUES}{key}"),
+            value: (!deleted).then(|| entry.value.to_string().into_bytes()),
+            revision: entry.revision,
+            deleted,
+        }
+    }
+}
+
+/// The items under a prefix that are newer than revision `after`, removals included.
+fn newer(store: &Store, prefix: &str, after: u64) -> Vec<Item> {
+    let items = store.values.iter().map(|(key, entry)| Item::of(key, entry));
+    items
+        .filter(|item| item.revision > after && item.key.starts_with(prefix))
+        .collect()
 }
 
 impl World {
@@ -263,40 +290,74 @@
 
 #[derive(Deserialize)]
 struct Range {
+    #[serde(rename = "Prefix", default)]
+    prefix: String,
+    /// The key that the page before ended with; there is one page only.
     #[serde(default)]
-    after: u64,
-    #[serde(default)]
-    wait: u64,
+    after: String,
 }
 
-async fn get_values(State(platform): State<Platform>, Query(range): Query<Range>) -> Reply {
+async fn get_range(State(platform): State<Platform>, Query(range): Query<Range>) -> Reply {
     platform.admit().await;
     let world = lock(&platform.world);
-    Ok(Json(newer(world.visible()?, range.after).0))
+    let store = world.visible()?;
+    let mut items = newer(store, &range.prefix, 0);
+    items.retain(|item| !item.deleted && item.key > range.after);
+    Ok(Json(
+        json!({"items": items, "HasMore": false, "StoreRevision": store.revision}),
+    ))
 }
 
-async fn get_watch(State(platform): State<Platform>, Query(range): Query<Range>) -> Reply {
+#[derive(Deserialize)]
+struct Watch {
+    #[serde(rename = "Prefix", default)]
+    prefix: String,
+    /// The revision that the reader knows.
+    #[serde(default)]
+    after: u64,
+    #[serde(rename = "WaitMs", default)]
+    wait: u64,
+}
+
+async fn get_watch(State(platform): State<Platform>, Query(watch): Query<Watch>) -> Reply {
     platform.admit().await;
-    let wait = Duration::from_millis(range.wait).min(WATCH_LIMIT);
+    let wait = Duration::from_millis(watch.wait).min(WATCH_LIMIT);
     let deadline = tokio::time::Instant::now() + wait;
     loop {
         let changed = platform.changed.notified();
-        let (reply, found) = newer(lock(&platform.world).visible()?, range.after);
-        if found || tokio::time::timeout_at(deadline, changed).await.is_err() {
-            return Ok(Json(reply));
+        let (events, revision) = {
+            let world = lock(&platform.world);
+            let store = world.visible()?;
+            (newer(store, &watch.prefix, watch.after), store.revision)
+        };
+        if !events.is_empty() || tokio::time::timeout_at(deadline, changed).await.is_err() {
+            return Ok(Json(json!({"events": events, "StoreRevision": revision})));
         }
     }
 }
 
-async fn get_hosts(State(platform): State<Platform>) -> Reply {
+#[derive(Deserialize)]
+struct Wanted {
+    #[serde(rename = "Key")]
+    key: String,
+}
+
+async fn get_key(State(platform): State<Platform>, Query(wanted): Query<Wanted>) -> Reply {
     platform.admit().await;
     let world = lock(&platform.world);
     let store = world.visible()?;
+    if wanted.key != hosts::KEY {
+        return Err((StatusCode::NOT_FOUND, format!("no item {}", wanted.key)));
+    }
     let listed = |host: &&HostEntry| host.state != HostState::Gone;
     let hosts: Vec<&HostEntry> = store.hosts.iter().filter(listed).collect();
-    Ok(Json(
-        json!({"revision": store.host_revision, "hosts": hosts}),
-    ))
+    let item = Item {
+        key: wanted.key,
+        value: Some(json!(hosts).to_string().into_bytes()),
+        revision: store.host_revision,
+        deleted: false,
+    };
+    Ok(Json(json!(item)))
 }
 
 #[derive(Deserialize)]
@@ -350,7 +411,7 @@
     } else {
         Err((
             StatusCode::NOT_FOUND,
-            format!("no host {}; see /v1/hosts", change.name),
+            format!("no host {}; see the item `hosts`", change.name),
         ))
     }
 }
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -30,7 +30,7 @@
 }
 # newest: the platform's revision.
 newest() {
-  fetch "http://$platform/v1/values?after=999999999" | sed 's/.*"revision":\([0-9]*\).*/\1/'
+  fetch "http://$platform/-/kv-range?Prefix=none/" | sed 's/.*"StoreRevision":\([0-9]*\).*/\1/'
 }
 # revision N: what balancer N has in force, or nothing.
 revision() {
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -19,13 +19,14 @@
 use tokio_util::codec::{Decoder, Encoder, Framed, LengthDelimitedCodec};
 use tokio_util::udp::UdpFramed;
 
-use super::platform::Platform;
+use super::hosts;
 use crate::clock::Clock;
 use crate::control::suspect::TICK;
 use crate::control::{
     Action, Beat, Control, Event, Fetch, Fetched, Hosts, Outbox, Settings, Update,
 };
 use crate::error::{Error, Result};
+use crate::platform::store::Store;
 use crate::snapshot::Snapshot;
 use crate::wire::{self, PeerKey};
 
@@ -74,23 +75,29 @@
         }
     }
 
-    /// The project's own stand-in for a platform.
+    /// Values of a store, and the host list of the project's own interface in it.
     #[must_use]
-    pub fn of(platform: &Platform) -> Self {
-        let (values, hosts) = (platform.clone(), platform.clone());
+    pub fn of(store: &Store) -> Self {
+        let (values, lists) = (store.clone(), store.clone());
         Self {
             watch: Arc::new(move |after, wait| {
-                let platform = values.clone();
-                async move { platform.watch(after, wait).await }.boxed()
+                let store = values.clone();
+                async move { store.watch(after, wait).await }.boxed()
             }),
             hosts: Arc::new(move || {
-                let platform = hosts.clone();
-                async move { platform.hosts().await }.boxed()
+                let store = lists.clone();
+                async move { read_hosts(&store).await }.boxed()
             }),
         }
     }
 }
 
+async fn read_hosts(store: &Store) -> Result<Hosts> {
+    let item = store.item(hosts::KEY).await?;
+    let item = item.ok_or_else(|| Error::platform("there is no host list"))?;
+    hosts::parse(item.revision, item.json.as_deref().unwrap_or_default())
+}
+
 impl std::fmt::Debug for Source {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Source(..)")
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,11 +6,11 @@
 pub mod command;
 pub mod control;
 pub mod expose;
+pub mod hosts;
 pub mod lane;
 pub mod logs;
 pub mod metrics;
 pub mod ops;
-pub mod platform;
 pub mod relay;
 pub mod serve;
 pub mod settings;
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -50,6 +50,9 @@
 /// Time between two looks at the settings file, which may change without a signal.
 const RELOAD_PERIOD: Duration = Duration::from_secs(2);
 
+/// Prefix of all keys: one watch tells of entries and of the desired state.
+const ALL: &str = "";
+
 /// Secret of messages between hosts; the platform gives none, and only its hosts
 /// reach each other's internal ports.
 const SECRET: &str = "jacinthhinge hosts of one region";
@@ -65,7 +68,7 @@
     let path = file.or(named).ok_or_else(no_file)?;
     let given = settings::read(&path)?;
     logs::start(log, &given.name)?;
-    let own = own_settings(&given, ops_port)?;
+    let own = own_settings(&given, ops_port);
     let wiring = wiring(&given, path);
     serve::run_wired(&own, wiring)
 }
@@ -76,26 +79,21 @@
     Error::setting(settings::PATH, "missing", remedy)
 }
 
-fn own_settings(given: &Given, ops_port: u16) -> Result<Settings> {
-    let store = format!("http://{}", given.store);
-    let uri = store.parse().map_err(|_| {
-        let fault = format!("{store} is no address");
-        Error::setting(settings::PATH, fault, "write IP:PORT")
-    })?;
-    Ok(Settings {
+fn own_settings(given: &Given, ops_port: u16) -> Settings {
+    Settings {
         name: given.name.clone(),
         zone: given.zone.clone(),
         region: given.region.clone(),
         peer_addr: given.peer,
         lanes: std::iter::once(given.lane).collect(),
         ops: SocketAddr::new(given.peer.ip(), ops_port),
-        platform: uri,
+        platform: given.store,
         peers: given.seeds.clone(),
         keys: Keys::new(SECRET, SECRET),
         peer_key: PeerKey::new(SECRET),
         statsd: None,
         log: DEFAULT_LOG.to_owned(),
-    })
+    }
 }
 
 fn wiring(given: &Given, path: PathBuf) -> Wiring {
@@ -103,7 +101,7 @@
     let probed = given.ready;
     Wiring {
         codec: Arc::new(codec(given.lane.port())),
-        source: source(given),
+        source: Source::of(&Store::new(given.store, ALL)),
         control: control_settings(given),
         seeds,
         probes: Box::new(move |is_ready| ready::run(probed, is_ready).boxed()),
@@ -123,17 +121,6 @@
     }
 }
 
-fn source(given: &Given) -> Source {
-    let store = Store::new(given.store);
-    Source {
-        watch: Arc::new(move |after, wait| {
-            let store = store.clone();
-            async move { store.watch(after, wait).await }.boxed()
-        }),
-        ..Source::none()
-    }
-}
-
 fn control_settings(given: &Given) -> decisions::Settings {
     let card = Card {
         name: given.name.clone(),
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -23,7 +23,6 @@
 use super::logs;
 use super::metrics::Metrics;
 use super::ops::{self, Ops, Ready};
-use super::platform::Platform;
 use super::settings::Settings;
 use crate::clock::Clock;
 use crate::config::Config;
@@ -31,9 +30,13 @@
 use crate::control::{self as decisions, Build, Built, Pace, Values};
 use crate::error::{Error, Result};
 use crate::id::{Id, Incarnation, Name};
+use crate::platform::store::Store;
 use crate::snapshot::Snapshot;
 use crate::ticket::Home;
 
+/// Prefix of the keys under which operators publish their values.
+const VALUES: &str = "config/";
+
 /// Time between two reports of metrics.
 const REPORT_EVERY: Duration = Duration::from_secs(5);
 
@@ -182,10 +185,10 @@
     #[must_use]
     pub fn packets(settings: &Settings) -> Self {
         let (_, seeds) = watch::channel(settings.peers.clone());
-        let platform = Platform::new(&settings.platform.to_string());
+        let store = Store::new(settings.platform, VALUES);
         Self {
             codec: Arc::new(Codec::packets()),
-            source: Source::of(&platform),
+            source: Source::of(&store),
             control: control_settings(settings),
             seeds,
             probes: Box::new(|_| pending().boxed()),
--- a/src/front/settings.rs
+++ b/src/front/settings.rs
@@ -79,8 +79,8 @@
     pub lanes: SmallVec<[SocketAddr; 4]>,
     /// Address for dumps and probes.
     pub ops: SocketAddr,
-    /// Address of the platform, without a path.
-    pub platform: Uri,
+    /// Address of the platform.
+    pub platform: SocketAddr,
     /// Control addresses of other hosts to start from.
     pub peers: Vec<SocketAddr>,
     /// Ticket keys until the platform gives others.
@@ -272,19 +272,14 @@
     Ok(peers?.into_iter().filter(|peer| *peer != own).collect())
 }
 
-fn platform(text: &str) -> Result<Uri> {
+fn platform(text: &str) -> Result<SocketAddr> {
     let remedy = "write it as http://IP:PORT, without a path";
     let fault = format!("`{text}` is not a platform address");
     let refused = || Error::setting("--platform", fault.clone(), remedy);
     let uri: Uri = text.parse().map_err(|_| refused())?;
     let plain = uri.scheme_str() == Some("http") && uri.path() == "/" && uri.query().is_none();
-    let placed = uri
-        .authority()
-        .is_some_and(|place| place.as_str().parse::<SocketAddr>().is_ok());
-    if !plain || !placed {
-        return Err(refused());
-    }
-    Ok(uri)
+    let place = uri.authority().filter(|_| plain).ok_or_else(refused)?;
+    place.as_str().parse().map_err(|_| refused())
 }
 
 fn keys(key: &str, other: Option<&str>) -> Result<Keys> {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -73,13 +73,14 @@
 #[derive(Clone, Debug)]
 pub struct Store {
     base: SocketAddr,
+    prefix: Name,
     client: Client<HttpConnector, Empty<Bytes>>,
 }
 
 impl Store {
-    /// Client of the store at `base`.
+    /// Client of the store at `base`, for values whose keys begin with `prefix`.
     #[must_use]
-    pub fn new(base: SocketAddr) -> Self {
+    pub fn new(base: SocketAddr, prefix: &str) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_LIMIT));
         connector.set_keepalive(Some(KEEPALIVE));
@@ -88,6 +89,7 @@
         connector.set_nodelay(true);
         Self {
             base,
+            prefix: prefix.into(),
             client: Client::builder(TokioExecutor::new()).build(connector),
         }
     }
@@ -103,10 +105,11 @@
             return self.read_all().await;
         }
         let millis = wait.as_millis();
-        let path = format!("/-/kv-watch?Prefix=&after={after}&WaitMs={millis}");
+        let prefix = &self.prefix;
+        let path = format!("/-/kv-watch?Prefix={prefix}&after={after}&WaitMs={millis}");
         let (status, body) = self.get(&path, wait + ANSWER_LIMIT).await?;
         match status {
-            StatusCode::OK => parse_events(&body),
+            StatusCode::OK => self.parse_events(&body),
             StatusCode::GONE => self.read_all().await,
             _ => Err(refused(status)),
         }
@@ -120,7 +123,8 @@
         let mut after = None::<Name>;
         for _ in 0..PAGE_LIMIT {
             let from = after.as_deref().unwrap_or_default();
-            let path = format!("/-/kv-range?Prefix=&after={from}");
+            let prefix = &self.prefix;
+            let path = format!("/-/kv-range?Prefix={prefix}&after={from}");
             let (status, body) = self.get(&path, ANSWER_LIMIT).await?;
             if status != StatusCode::OK {
                 return Err(refused(status));
@@ -132,7 +136,8 @@
                 update.revision = page.store_revision;
             }
             after = page.items.last().map(|item| item.key.clone());
-            update.values.extend(page.items.into_iter().map(change));
+            let items = page.items.into_iter();
+            update.values.extend(items.map(|item| self.change(item)));
             if !page.has_more || after.is_none() {
                 return Ok(update);
             }
@@ -140,6 +145,40 @@
         Err(Error::platform("a range without an end"))
     }
 
+    /// Reads the item at a key; `None` when there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer in time, or answers nonsense.
+    pub async fn item(&self, key: &str) -> Result<Option<Value>> {
+        let path = format!("/-/kv-key?Key={key}");
+        let (status, body) = self.get(&path, ANSWER_LIMIT).await?;
+        match status {
+            StatusCode::OK => serde_json::from_slice(&body).map(|item| Some(value(item))),
+            StatusCode::NOT_FOUND => return Ok(None),
+            _ => return Err(refused(status)),
+        }
+        .map_err(nonsense)
+    }
+
+    fn parse_events(&self, bytes: &[u8]) -> Result<Update> {
+        let wire: WireEvents = serde_json::from_slice(bytes).map_err(nonsense)?;
+        let events = wire.events.into_iter();
+        Ok(Update {
+            revision: wire.store_revision,
+            values: events.map(|item| self.change(item)).collect(),
+            whole: false,
+        })
+    }
+
+    fn change(&self, item: WireItem) -> Change {
+        let key = item.key.strip_prefix(&*self.prefix).map(Name::from);
+        Change {
+            key: key.unwrap_or_else(|| item.key.clone()),
+            value: value(item),
+        }
+    }
+
     async fn get(&self, path: &str, limit: Duration) -> Result<(StatusCode, Bytes)> {
         let uri: Uri = format!("http://{}{path}", self.base)
             .parse()
@@ -152,29 +191,12 @@
     }
 }
 
-/// Parses the answer to a watch.
-///
-/// # Errors
-///
-/// Fails when it is no such answer.
-pub fn parse_events(bytes: &[u8]) -> Result<Update> {
-    let wire: WireEvents = serde_json::from_slice(bytes).map_err(nonsense)?;
-    Ok(Update {
-        revision: wire.store_revision,
-        values: wire.events.into_iter().map(change).collect(),
-        whole: false,
-    })
-}
-
 /// A value that is no text cannot be an entry; it is taken over as it is shown.
-fn change(item: WireItem) -> Change {
+fn value(item: WireItem) -> Value {
     let text = |bytes: Vec<u8>| Name::from(String::from_utf8_lossy(&bytes));
-    Change {
-        key: item.key,
-        value: Value {
-            revision: item.revision,
-            json: item.value.filter(|_| !item.deleted).map(text),
-        },
+    Value {
+        revision: item.revision,
+        json: item.value.filter(|_| !item.deleted).map(text),
     }
 }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -9,7 +9,8 @@
 use jacinthhinge::control::message::{Fetch, Stamp, Vote};
 use jacinthhinge::control::{Beat, Build, Built, Pace, Settings};
 use jacinthhinge::front::control::{self, ControlSettings, Links, Source};
-use jacinthhinge::front::platform::{Platform, parse_hosts, parse_values};
+use jacinthhinge::front::hosts;
+use jacinthhinge::platform::store::Store;
 use jacinthhinge::prelude::*;
 use jacinthhinge::wire::{self, PeerKey};
 use proptest::prelude::*;
@@ -159,32 +160,21 @@
 async fn silent_platform_is_an_error_in_time() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
     let addr = listener.local_addr().expect("address");
-    let platform = Platform::new(&format!("http://{addr}"));
-    let answer = tokio::time::timeout(LIMIT, platform.hosts()).await;
+    let store = Store::new(addr, "config/");
+    let answer = tokio::time::timeout(LIMIT, store.item(hosts::KEY)).await;
     let err = answer.expect("in time").expect_err("no answer");
     assert_eq!(err.classify(), Category::Platform);
 }
 
 #[test]
-fn platform_answers_are_parsed_or_refused() {
-    let values = br#"{"revision":3,"values":[{"key":"fleet","revision":2,"value":{"a":1}},
-        {"key":"keys","revision":3,"value":null}]}"#;
-    let update = parse_values(values).expect("values");
-    assert_eq!(update.values[0].value.json.as_deref(), Some(r#"{"a":1}"#));
-    assert_eq!(update.values[1].value.json, None);
-    let hosts = br#"{"revision":9,"hosts":[{"name":"h","zone":"sv-a","state":"leaving",
-        "peer":"127.0.0.1:7"}]}"#;
-    assert!(parse_hosts(hosts).expect("hosts").hosts[0].1.leaving);
-    for nonsense in [
-        &b""[..],
-        b"{}",
-        b"[]",
-        br#"{"revision":-1,"values":[]}"#,
-        b"\xff",
-    ] {
-        let err = parse_values(nonsense).expect_err("nonsense");
+fn host_list_is_parsed_or_refused() {
+    let list = r#"[{"name":"h","zone":"sv-a","state":"leaving","peer":"127.0.0.1:7"}]"#;
+    let hosts = hosts::parse(9, list).expect("hosts");
+    assert_eq!(hosts.revision, 9);
+    assert!(hosts.hosts[0].1.leaving);
+    for nonsense in ["", "{}", r#"[{"name":"h"}]"#, r#"{"hosts":[]}"#, "\u{fffd}"] {
+        let err = hosts::parse(9, nonsense).expect_err("nonsense");
         assert_eq!(err.classify(), Category::Platform);
-        assert!(parse_hosts(nonsense).is_err());
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -394,6 +394,7 @@
 struct StandIn {
     answers: Arc<Mutex<Vec<(StatusCode, Json)>>>,
     asked: Arc<Mutex<Vec<String>>>,
+    addr: Arc<Mutex<Option<SocketAddr>>>,
 }
 
 impl StandIn {
@@ -403,13 +404,19 @@
         let routes = Router::new()
             .route("/-/kv-range", get(answer))
             .route("/-/kv-watch", get(answer))
+            .route("/-/kv-key", get(answer))
             .with_state(stand_in.clone());
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a port");
         let addr = listener.local_addr().expect("an address");
+        *stand_in.addr.lock().expect("a lock") = Some(addr);
         tokio::spawn(async move { axum::serve(listener, routes).await });
-        (stand_in, Store::new(addr))
+        (stand_in, Store::new(addr, ""))
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.addr.lock().expect("a lock").expect("started")
     }
 
     fn asked(&self) -> Vec<String> {
@@ -490,13 +497,16 @@
         (StatusCode::SERVICE_UNAVAILABLE, json!({})),
         (StatusCode::TOO_MANY_REQUESTS, json!({})),
         (StatusCode::OK, json!({"events": 7})),
+        (StatusCode::OK, json!({})),
+        (StatusCode::OK, json!([])),
+        (StatusCode::OK, json!({"events": [], "StoreRevision": -1})),
         (
             StatusCode::OK,
             json!({"events": [{"Key": "a", "Value": "?", "Revision": 1}], "StoreRevision": 2}),
         ),
     ];
     let (_, store) = StandIn::start(answers).await;
-    for _ in 0..4 {
+    for _ in 0..7 {
         let error = store.watch(1, Duration::ZERO).await.unwrap_err();
         assert_eq!(error.classify(), Category::Platform);
     }
@@ -569,3 +579,36 @@
         }
     }
 }
+
+#[tokio::test]
+async fn keys_are_told_without_the_prefix() {
+    let gone = json!({"Key": "config/keys", "Revision": 3, "Deleted": true});
+    let events =
+        json!({"events": [item("config/fleet", 2, r#"{"a":1}"#), gone], "StoreRevision": 3});
+    let (stand_in, _) = StandIn::start(vec![(StatusCode::OK, events)]).await;
+    let store = Store::new(stand_in.addr(), "config/");
+    let update = store.watch(1, Duration::ZERO).await.expect("values");
+    assert_eq!(
+        update.values[0],
+        change("fleet", 2, Some(r#"{"a":1}"#.to_owned()))
+    );
+    assert_eq!(update.values[1], change("keys", 3, None));
+}
+
+#[tokio::test]
+async fn item_is_read_or_missing() {
+    let answers = vec![
+        (StatusCode::OK, item("hosts", 7, "[]")),
+        (StatusCode::NOT_FOUND, json!({})),
+        (StatusCode::SERVICE_UNAVAILABLE, json!({})),
+    ];
+    let (_, store) = StandIn::start(answers).await;
+    let found = store
+        .item("hosts")
+        .await
+        .expect("an answer")
+        .expect("an item");
+    assert_eq!(found.json.as_deref(), Some("[]"));
+    assert!(store.item("hosts").await.expect("an answer").is_none());
+    assert!(store.item("hosts").await.is_err());
+}
