Judge no endpoint while this host's own link or processor is in trouble

Each change of the desired state is 300 KB there; hosts read it from the store and again from each other, over links of 10 Mbit/s, and callers' packets waited behind it for more than half a second. Endpoints with two or three flows of such a host looked silent. Change: a host that can read asks others for values only after a second; nothing is judged for 2 s after a large change was read, while repeats outnumber answers, or while a third of the own zone's endpoints stall.

--- a/src/control/spread.rs
+++ b/src/control/spread.rs
@@ -18,6 +18,12 @@
 /// Time after which a fetch without an answer is given up.
 const FETCH_LIMIT: Duration = Duration::from_secs(4);
 
+/// Revision above all, for a fetch that asks for no values.
+const NO_VALUES: u64 = u64::MAX;
+
+/// Time for which a host without any values waits for its own first read.
+const FIRST_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Longest pause after a fetch.
 const FETCH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -30,6 +36,7 @@
 /// Starts a fetch if this host is behind another.
 pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     let differs = compare_views(tables, now);
+    compare_revisions(tables, now);
     let state = &mut tables.fetch;
     if state.pending.is_some_and(|since| now > since + FETCH_LIMIT) {
         state.pending = None;
@@ -37,7 +44,7 @@
     if state.pending.is_some() || now < state.due {
         return;
     }
-    if let Some((id, ask)) = choose(tables, differs) {
+    if let Some((id, ask)) = choose(tables, differs, wants_values(tables, now)) {
         start(tables, now, id, ask, outbox);
     }
 }
@@ -98,14 +105,37 @@
     now > since + DIFFER_LIMIT
 }
 
+/// Notes since when another host has a newer revision.
+fn compare_revisions(tables: &mut Tables, now: Duration) {
+    let revision = tables.values.revision;
+    let behind = tables.live().any(|member| member.revision > revision);
+    tables.fetch.behind = behind.then(|| tables.fetch.behind.unwrap_or(now));
+}
+
+/// True when a newer revision is asked of other hosts: the platform does not answer, or
+/// this host's own read is late.
+fn wants_values(tables: &Tables, now: Duration) -> bool {
+    let lost = tables.watch.values.failures > 0;
+    let patience = match tables.values.revision {
+        0 => tables.settings.pace.patience.min(FIRST_PATIENCE),
+        _ => tables.settings.pace.patience,
+    };
+    let late = |since| now >= since + patience;
+    tables.fetch.behind.is_some_and(|since| lost || late(since))
+}
+
 fn current_view(member: &Member) -> Option<u64> {
     member.vote.views.first().copied()
 }
 
-fn choose(tables: &mut Tables, differs: bool) -> Option<(Id, Fetch)> {
+fn choose(tables: &mut Tables, differs: bool, values: bool) -> Option<(Id, Fetch)> {
     let joined = tables.fetch.joined;
     let wanted = |member: &Member| Fetch {
-        after: tables.values.revision,
+        after: if values {
+            tables.values.revision
+        } else {
+            NO_VALUES
+        },
         rosters: wants_rosters(tables, member),
         members: !joined || (differs && current_view(member) != tables.view.digest()),
     };
@@ -114,7 +144,8 @@
         .filter(|member| member.status == Status::Alive && member.sent.is_some())
         .map(|member| (member, wanted(member)))
         .filter(|(member, ask)| {
-            ask.rosters || ask.members || member.revision > tables.values.revision
+            let newer = values && member.revision > tables.values.revision;
+            ask.rosters || ask.members || newer
         })
         .map(|(member, ask)| (member.id, ask))
         .collect();
@@ -145,7 +176,9 @@
 }
 
 fn take(tables: &mut Tables, now: Duration, fetched: Fetched) {
-    take_values(tables, &fetched.update);
+    if tables.fetch.asked.after != NO_VALUES {
+        take_values(tables, &fetched.update);
+    }
     if let Some(pending) = fetched.pending {
         roster::offer(&mut tables.rosters, pending);
     }
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -232,6 +232,8 @@
     pub(super) pending: Option<Duration>,
     pub(super) due: Duration,
     pub(super) differs: Option<Duration>,
+    /// Time since when another host has a newer revision.
+    pub(super) behind: Option<Duration>,
     pub(super) joined: bool,
     pub(super) failed: Option<SocketAddr>,
     pub(super) to: Option<SocketAddr>,
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -28,6 +28,9 @@
     /// What each other host adds to that, since all hosts read each change and tell
     /// each other of it.
     pub share: Duration,
+    /// Time for which a host that can read waits for its own read before it asks
+    /// another for a newer revision.
+    pub patience: Duration,
     /// Pause after the first failure.
     pub backoff: Duration,
     /// Longest pause after a failure.
@@ -47,6 +50,7 @@
             start: Duration::from_secs(1),
             pause: Duration::from_secs(1),
             share: Duration::ZERO,
+            patience: Duration::ZERO,
             backoff: Duration::from_secs(1),
             limit: Duration::from_secs(8),
             hold: Duration::ZERO,
@@ -55,6 +59,10 @@
     }
 }
 
+/// Bytes from which a change counts as large: on a link of 10 Mbit/s it takes longer
+/// than a tenth of a second.
+const LARGE: usize = 100_000;
+
 /// Most that the other hosts add to the pause between two watches, so that a change
 /// is in force well within the bounds of seconds that users set.
 const SHARE_LIMIT: Duration = Duration::from_millis(600);
@@ -105,6 +113,9 @@
             regain(tables, now);
             let pause = watch_pause(tables);
             tables.watch.values.due = now + tables.jitter(pause);
+            if size(&update) >= LARGE {
+                tables.snapshot.loaded = Some(now);
+            }
             let update = hold(tables, now, update);
             take(tables, &update);
         }
@@ -187,6 +198,15 @@
     pause / 2 + tables.jitter(pause / 2)
 }
 
+/// Bytes of an update's values.
+fn size(update: &Update) -> usize {
+    let texts = update
+        .values
+        .iter()
+        .filter_map(|change| change.value.json.as_ref());
+    texts.map(|json| json.len()).sum()
+}
+
 /// Notes that the platform answers again.
 fn regain(tables: &mut Tables, now: Duration) {
     let failures = std::mem::take(&mut tables.watch.values.failures);
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -38,6 +38,7 @@
     start: Duration::ZERO,
     pause: Duration::from_millis(50),
     share: Duration::from_millis(20),
+    patience: Duration::from_secs(1),
     backoff: Duration::from_millis(200),
     limit: Duration::from_millis(1_500),
     hold: Duration::from_millis(2_200),
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -41,6 +41,9 @@
     pub earlier: Arc<[Arc<[Host]>]>,
     /// True while this host is leaving.
     pub leaving: bool,
+    /// Time at which this host last read a large change, which keeps its link and its
+    /// processor busy.
+    pub loaded: Option<Duration>,
 }
 
 /// A host that is believed alive.
@@ -233,6 +236,7 @@
             partial: Lease::default(),
             earlier: Arc::from([]),
             leaving: false,
+            loaded: None,
         }
     }
 
--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -98,6 +98,7 @@
 
 /// Notes that the endpoint of a flow answers.
 fn hear(tables: &mut Tables, track: &Track, now: Duration) {
+    tables.recent.note_answer(now);
     let Some(row) = tables.endpoints.get_mut(track.endpoint) else {
         return;
     };
@@ -149,6 +150,7 @@
     track.repeats += 1;
     track.repeated = now;
     tables.counters.data_repeats += 1;
+    tables.recent.note_repeat(now);
     let stall = Stall {
         ends: track.ends,
         repeats: track.repeats,
--- a/src/systems/relay/judge.rs
+++ b/src/systems/relay/judge.rs
@@ -3,8 +3,8 @@
 //! One flow that stalls tells little: its packets may be lost or its request long
 //! at work. Several flows that stall together at an endpoint from which nothing else
 //! is heard show that it is down, or that the way to it is cut. The endpoints of a
-//! zone that fall silent together show a cut zone, and sooner. Silence of everything
-//! is this host's own and shows nothing.
+//! zone that fall silent together show a cut zone, and sooner. Silence of everything,
+//! or of most, is this host's own and shows nothing.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -36,12 +36,22 @@
 /// of one release leave together too, but only some of a zone's.
 const ZONE_SHARE: f64 = 0.75;
 
+/// Time after a large change was read for which nothing is judged.
+const LOADED_SPAN: Duration = Duration::from_secs(2);
+
+/// Fewest endpoints of the own zone that stall when this host is in trouble itself.
+const OWN_ENDPOINTS: usize = 3;
+
+/// Share of the own zone's endpoints with flows that stall with them.
+const OWN_SHARE: f64 = 0.35;
+
 /// Time within which another endpoint must have been heard, so that the silence
 /// is not this host's own.
 const OWN_SILENCE: Duration = Duration::from_millis(300);
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    if tables.endpoints.iter().all(|row| row.stalls.is_empty()) {
+    let stalled = tables.endpoints.iter().any(|row| !row.stalls.is_empty());
+    if !stalled || is_own_trouble(tables, now) {
         return;
     }
     let mut fallen = fallen_zones(tables, now);
@@ -64,6 +74,24 @@
     }
 }
 
+/// True when this host's own link or processor is the likely cause of silence.
+fn is_own_trouble(tables: &mut Tables, now: Duration) -> bool {
+    let busy = |loaded| now < loaded + LOADED_SPAN;
+    tables.snapshot.loaded.is_some_and(busy)
+        || tables.recent.is_choked(now)
+        || is_own_zone_silent(tables)
+}
+
+/// True when many endpoints of the own zone stall, on the shortest way there is.
+fn is_own_zone_silent(tables: &Tables) -> bool {
+    let rows = tables.endpoints.iter();
+    let used = rows.filter(|row| row.spec.local && row.flows > 0 && row.leaving.is_none());
+    let (all, silent) = used.fold((0, 0), |(all, silent), row| {
+        (all + 1, silent + usize::from(stalled(row, 1) > 0))
+    });
+    silent >= OWN_ENDPOINTS && share(silent, all) >= OWN_SHARE
+}
+
 /// What the endpoints of a zone show.
 #[derive(Default)]
 struct Evidence {
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod flows;
 mod inbox;
+mod recent;
 mod requests;
 mod spent;
 mod timings;
@@ -28,6 +29,7 @@
 pub use self::endpoints::{Down, EndpointRow, Endpoints, Stall};
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::inbox::{Arrival, Stage};
+pub use self::recent::Recent;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::spent::SPENT;
 pub use self::timings::{Timings, observe};
@@ -55,6 +57,8 @@
     pub cookies: Cookies,
     /// Flows whose segments pass through this lane.
     pub tracks: Tracks,
+    /// Answers and repeats of those flows of late.
+    pub recent: Recent,
     /// Flows this lane is home to.
     pub flows: Flows,
     /// Requests this lane is home to.
@@ -94,6 +98,7 @@
             segments: Vec::new(),
             cookies: Cookies::default(),
             tracks: Tracks::default(),
+            recent: Recent::default(),
             flows: Flows::default(),
             requests: Requests::new(&me),
             budgets: Budgets::default(),
--- /dev/null
+++ b/src/tables/recent.rs
@@ -0,0 +1,45 @@
+//! How this lane has fared of late, over all endpoints.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+/// Time over which events fade: a little more than a caller's second repeat takes.
+const SPAN: Duration = Duration::from_millis(600);
+
+/// Answers and repeats of late, fading.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Recent {
+    answers: f64,
+    repeats: f64,
+    faded: Duration,
+}
+
+impl Recent {
+    /// Notes that an endpoint has answered a flow.
+    pub fn note_answer(&mut self, now: Duration) {
+        self.fade(now);
+        self.answers += 1.0;
+    }
+
+    /// Notes that a caller has repeated data.
+    pub fn note_repeat(&mut self, now: Duration) {
+        self.fade(now);
+        self.repeats += 1.0;
+    }
+
+    /// True when this lane hears more repeats than answers: its own link or processor
+    /// is the likely cause, and silence tells nothing of endpoints.
+    pub fn is_choked(&mut self, now: Duration) -> bool {
+        self.fade(now);
+        self.repeats > self.answers
+    }
+
+    fn fade(&mut self, now: Duration) {
+        let age = now.saturating_sub(self.faded).as_secs_f64();
+        let kept = (-age / SPAN.as_secs_f64()).exp();
+        self.answers *= kept;
+        self.repeats *= kept;
+        self.faded = now;
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,7 +8,7 @@
 use axum::routing::get;
 use axum::{Json as Reply, Router};
 use jacinthhinge::control::lease::Timing;
-use jacinthhinge::control::message::Card;
+use jacinthhinge::control::message::{Beat, Card, Stamp, Vote};
 use jacinthhinge::control::{Action, Change, Control, Event, Pace, Settings, Update, Value};
 use jacinthhinge::platform::{self, header, settings, store::Store};
 use jacinthhinge::prelude::*;
@@ -130,6 +130,10 @@
 }
 
 fn host() -> Control {
+    host_with(Duration::ZERO)
+}
+
+fn host_with(patience: Duration) -> Control {
     let settings = Settings {
         card: Card {
             name: "edge-sv-a-1".into(),
@@ -145,6 +149,7 @@
         build: platform::build("sv-a".into()),
         pace: Pace {
             hold: Duration::from_secs(2),
+            patience,
             hosts: false,
             ..Pace::default()
         },
@@ -612,3 +617,58 @@
     assert!(store.item("hosts").await.expect("an answer").is_none());
     assert!(store.item("hosts").await.is_err());
 }
+
+#[test]
+fn host_that_can_read_waits_before_it_asks_others_for_values() {
+    let mut host = host_with(Duration::from_secs(1));
+    set(
+        &mut host,
+        5,
+        &[("op/config", Some(desired(7, &["adserve"]).to_string()))],
+    );
+    let fetches = |host: &mut Control, from: u64, to: u64| {
+        let mut asked = Vec::new();
+        for at in (from..to).step_by(100) {
+            let now = Duration::from_millis(at);
+            hand_in(host, now, Event::Beat(Box::new(beat(at, 9))));
+            for action in host.handle(now, Event::Tick) {
+                if let Action::Fetch { ask, .. } = action {
+                    asked.push((at, ask.after));
+                    host.handle(now, Event::Fetched(Err(Error::platform("none"))));
+                }
+            }
+        }
+        asked
+    };
+    let early = fetches(&mut host, 2_000, 2_900);
+    assert!(
+        early.iter().all(|(_, after)| *after == u64::MAX),
+        "{early:?}"
+    );
+    let late = fetches(&mut host, 2_900, 6_000);
+    assert!(late.iter().any(|(_, after)| *after == 5), "{late:?}");
+}
+
+/// Heartbeat of another host that has `revision` in force.
+fn beat(at: u64, revision: u64) -> Beat {
+    let name = "edge-sv-b-1";
+    Beat {
+        from: Id::of(name),
+        incarnation: 1,
+        version: 0,
+        leaving: false,
+        card: Some(Card {
+            name: name.into(),
+            zone: "is-sudvestur".into(),
+            peer: "10.2.0.40:7720".parse().expect("an address"),
+            lanes: std::iter::once("10.2.0.40:8172".parse().expect("an address")).collect(),
+        }),
+        revision,
+        roster: 0,
+        sent: Stamp(1 + at),
+        echo: None,
+        ping: false,
+        vote: Vote::default(),
+        news: smallvec::smallvec![],
+    }
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -379,3 +379,65 @@
     let relays = world.take(trial);
     assert!(matches!(relays[..], [Relay::Forward { number, .. }] if number == silent));
 }
+
+#[test]
+fn host_that_hears_more_repeats_than_answers_blames_no_endpoint() {
+    let mut world = World::new(&local(4));
+    let flows = spread(&mut world, 4, 4);
+    for _ in 0..4 {
+        for (port, number) in &flows {
+            assert!(reaches(&world.ask(*port, *number), *number));
+        }
+        assert_eq!(world.wait(ms(210)), []);
+        // One answer comes through now and then.
+        let (port, number) = flows[0];
+        let acked = 600 + u32::try_from(world.now.as_millis()).expect("short");
+        world.take(data(port, number, 101, 0, acked));
+    }
+    assert_eq!(world.lane.counters.downs, 0);
+}
+
+/// Four endpoints of which one is silent, with another heard all the while.
+fn with_one_silent(change: impl Fn(&mut World)) -> World {
+    let mut world = World::new(&local(4));
+    let flows = spread(&mut world, 4, 4);
+    let heard = flows.iter().find(|flow| flow.1 == 2).expect("one").0;
+    change(&mut world);
+    for round in 0..3 {
+        for (port, _) in flows.iter().filter(|flow| flow.1 == 1) {
+            world.ask(*port, 1);
+        }
+        world.wait(ms(210));
+        for at in 0..12 {
+            world.take(data(heard, 2, 1, 0, 600 + round * 20 + at));
+        }
+    }
+    world
+}
+
+#[test]
+fn host_that_has_just_read_a_large_change_judges_nothing() {
+    assert_eq!(with_one_silent(|_| {}).lane.counters.downs, 1);
+    let busy = with_one_silent(|world| {
+        let mut loaded = (*snapshot(&local(4))).clone();
+        loaded.loaded = Some(world.now);
+        world.publish(&Arc::new(loaded));
+    });
+    assert_eq!(busy.lane.counters.downs, 0);
+}
+
+#[test]
+fn silence_of_much_of_the_own_zone_is_this_hosts_own() {
+    let mut world = World::new(&local(8));
+    let flows = spread(&mut world, 8, 3);
+    for round in 0..3 {
+        for (port, number) in flows.iter().filter(|flow| flow.1 <= 3) {
+            world.ask(*port, *number);
+        }
+        assert_eq!(world.wait(ms(210)), []);
+        for (port, number) in flows.iter().filter(|flow| flow.1 > 3) {
+            world.take(data(*port, *number, 1, 0, 600 + round));
+        }
+    }
+    assert_eq!(world.lane.counters.downs, 0);
+}
