Split the judge of zones, and name endpoints that have gone

Cause: one function of fifty lines surveyed, decided and marked; endpoint_gone lines gave an id that stands in no other line. Change: survey, is_silent and mark_zone; cookies keep the name.

--- a/src/systems/relay/judge.rs
+++ b/src/systems/relay/judge.rs
@@ -95,13 +95,43 @@
 /// What the endpoints of a zone show.
 #[derive(Default)]
 struct Evidence {
+    /// Flows that have stalled.
     flows: usize,
+    /// Endpoints at which they have.
     endpoints: usize,
+    /// Endpoints with flows of this lane.
     used: usize,
+    /// Time at which one of the endpoints was last heard.
     heard: Duration,
 }
 
+impl Evidence {
+    /// True when most of the endpoints stall and nothing is heard of the others.
+    fn is_silent(&self, now: Duration) -> bool {
+        self.flows >= MUTE_FLOWS
+            && self.endpoints >= ZONE_ENDPOINTS
+            && share(self.endpoints, self.used) >= ZONE_SHARE
+            && now >= self.heard + ZONE_MUTE_AFTER
+    }
+}
+
+/// Marks the zones that are cut off; returns their endpoints.
 fn fallen_zones(tables: &mut Tables, now: Duration) -> Vec<Id> {
+    let zones = survey(tables);
+    let hears_others = |name: &Name| {
+        let mut others = zones.iter().filter(|(other, _)| *other != name);
+        others.any(|(_, zone)| is_recent(zone.heard, now))
+    };
+    let mut fallen = Vec::new();
+    for (name, evidence) in &zones {
+        if evidence.is_silent(now) && hears_others(name) {
+            fallen.extend(mark_zone(tables, name, evidence, now));
+        }
+    }
+    fallen
+}
+
+fn survey(tables: &Tables) -> BTreeMap<Name, Evidence> {
     let mut zones: BTreeMap<Name, Evidence> = BTreeMap::new();
     for row in tables.endpoints.iter() {
         let zone = zones.entry(row.spec.zone.clone()).or_default();
@@ -114,48 +144,32 @@
         zone.endpoints += usize::from(flows > 0);
         zone.used += usize::from(row.flows > 0);
     }
-    let is_silent = |zone: &Evidence| {
-        let enough = zone.flows >= MUTE_FLOWS && zone.endpoints >= ZONE_ENDPOINTS;
-        enough
-            && share(zone.endpoints, zone.used) >= ZONE_SHARE
-            && now >= zone.heard + ZONE_MUTE_AFTER
-    };
-    let hears = |name: &Name| {
-        let others = zones.iter().filter(|(other, _)| *other != name);
-        others
-            .map(|(_, zone)| zone.heard)
-            .any(|heard| is_recent(heard, now))
-    };
-    let silent: Vec<Name> = zones
-        .iter()
-        .filter(|(name, zone)| is_silent(zone) && hears(name))
-        .map(|(name, _)| name.clone())
-        .collect();
+    zones
+}
+
+fn mark_zone(tables: &mut Tables, zone: &Name, evidence: &Evidence, now: Duration) -> Vec<Id> {
+    let rows = tables.endpoints.iter_mut();
+    let up = rows.filter(|row| row.spec.zone == *zone && row.down.is_none());
     let mut fallen = Vec::new();
-    for zone in silent {
-        let evidence = &zones[&zone];
-        let rows = tables.endpoints.iter_mut();
-        let up = rows.filter(|row| row.spec.zone == zone && row.down.is_none());
-        let before = fallen.len();
-        for row in up {
-            row.down = Some(Down {
-                since: now,
-                zone: true,
-            });
-            fallen.push(row.spec.id);
-        }
-        if fallen.len() > before {
-            log::warn!(
-                zone:%, stalled_flows = evidence.flows, stalled_endpoints = evidence.endpoints,
-                used_endpoints = evidence.used,
-                heard_ms = millis(now.saturating_sub(evidence.heard));
-                "zone_down"
-            );
-        }
+    for row in up {
+        row.down = Some(Down {
+            since: now,
+            zone: true,
+        });
+        fallen.push(row.spec.id);
+    }
+    if !fallen.is_empty() {
+        log::warn!(
+            zone:%, stalled_flows = evidence.flows, stalled_endpoints = evidence.endpoints,
+            used_endpoints = evidence.used,
+            heard_ms = millis(now.saturating_sub(evidence.heard));
+            "zone_down"
+        );
     }
     fallen
 }
 
+/// Marks the endpoints that are down by themselves; returns them.
 fn fallen_endpoints(tables: &mut Tables, now: Duration) -> Vec<Id> {
     let heard = latest_two(tables);
     let mut fallen = Vec::new();
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -45,8 +45,8 @@
 
 /// Takes over the endpoints of a new snapshot.
 pub(super) fn sync(tables: &mut Tables, now: Duration) {
-    for id in tables.cookies.sync(&tables.snapshot, now) {
-        log::info!(endpoint:? = id; "endpoint_gone");
+    for name in tables.cookies.sync(&tables.snapshot, now) {
+        log::info!(endpoint:% = name; "endpoint_gone");
     }
 }
 
--- a/src/tables/cookies.rs
+++ b/src/tables/cookies.rs
@@ -6,13 +6,13 @@
 //! are ended and not passed to whoever got its address.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
 use smallvec::SmallVec;
-use std::net::SocketAddr;
 
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::snapshot::{Endpoint, Snapshot};
 
 /// Time for which an endpoint that is no longer listed is remembered; the longest
@@ -24,6 +24,8 @@
 pub struct Holder {
     /// Endpoint.
     pub id: Id,
+    /// Its name.
+    pub name: Name,
     /// Its service.
     pub service: Id,
     /// Its address.
@@ -71,7 +73,7 @@
     }
 
     /// Takes over the endpoints of a snapshot; returns those that have gone.
-    pub fn sync(&mut self, snapshot: &Snapshot, now: Duration) -> Vec<Id> {
+    pub fn sync(&mut self, snapshot: &Snapshot, now: Duration) -> Vec<Name> {
         let mut gone = Vec::new();
         let listed: HashMap<Id, (Id, &Endpoint)> = snapshot
             .services
@@ -81,7 +83,7 @@
         for row in self.rows.values_mut().flatten() {
             if row.gone.is_none() && !listed.contains_key(&row.id) {
                 row.gone = Some(now);
-                gone.push(row.id);
+                gone.push(Name::clone(&row.name));
             }
         }
         for (service, endpoint) in listed.values() {
@@ -95,6 +97,7 @@
         let rows = self.rows.entry(cookie_of(endpoint.id)).or_default();
         let holder = Holder {
             id: endpoint.id,
+            name: endpoint.name.clone(),
             service,
             addr: endpoint.addr,
             number: endpoint.number,
