--- a/src/front/logs.rs
+++ b/src/front/logs.rs
@@ -87,7 +87,7 @@
         let time = now.format_rfc3339();
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = budgets.admit(&event, record.level(), Instant::now());
-        for (event, count) in std::mem::take(&mut budgets.told) {
+        for (event, count) in budgets.take_told() {
             let told = json!({
                 "time": time, "level": "WARN", "host": self.host, "event": "left_out",
                 "kind": event, "count": count,
@@ -132,9 +132,9 @@
     }
 }
 
-/// Lines of each kind of event in the current span.
-#[derive(Default)]
-struct Budgets {
+/// Lines of each kind of event in the current second.
+#[derive(Debug, Default)]
+pub struct Budgets {
     since: Option<Instant>,
     spent: HashMap<String, u32>,
     left: HashMap<String, u64>,
@@ -143,7 +143,7 @@
 
 impl Budgets {
     /// Takes a line off the budget of its kind; false when that is spent.
-    fn admit(&mut self, event: &str, level: Level, now: Instant) -> bool {
+    pub fn admit(&mut self, event: &str, level: Level, now: Instant) -> bool {
         let is_over = |since| now.duration_since(since) >= SPAN;
         if self.since.is_none_or(is_over) {
             self.since = Some(now);
@@ -164,6 +164,11 @@
         kept
     }
 
+    /// What was left out in the second before, by kind of event; told once.
+    pub fn take_told(&mut self) -> HashMap<String, u64> {
+        std::mem::take(&mut self.told)
+    }
+
     fn leave_out(&mut self, event: &str) {
         *self.left.entry(event.to_owned()).or_default() += 1;
     }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -415,6 +415,15 @@
     });
 }
 
+#[test]
+fn metrics_are_served_as_text() {
+    with_ops(tables(true), |addr| {
+        let answer = get(addr, "/metrics");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.ends_with("jacinthhinge_flows 1\n"), "{answer}");
+    });
+}
+
 #[test]
 fn a_slow_dump_is_cut_off() {
     let ops = Ops {
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -3,7 +3,9 @@
 use std::net::UdpSocket;
 use std::time::Duration;
 
+use jacinthhinge::front::expose::Exposition;
 use jacinthhinge::front::metrics::Metrics;
+use jacinthhinge::tables::{Counters, Timings, observe};
 use serde_json::json;
 
 #[test]
@@ -34,3 +36,38 @@
     let size = server.recv(&mut buffer).expect("a datagram");
     String::from_utf8_lossy(&buffer[..size]).into_owned()
 }
+
+#[test]
+fn metrics_are_shown_as_text() {
+    let timings = Timings::default();
+    observe(&timings.answer, Duration::from_millis(40));
+    let counters = json!({ "placed": 5, "control.deaths": 1 });
+    let exposition = Exposition {
+        counters: counters.as_object().expect("an object").clone(),
+        gauges: vec![("endpoints_down", 2.0)],
+        timings: vec![("10.0.0.1:7000".to_owned(), timings)],
+    };
+    let text = exposition.render().expect("a text");
+    for line in [
+        "jacinthhinge_placed_total 5",
+        "jacinthhinge_control_deaths_total 1",
+        "jacinthhinge_endpoints_down 2.0",
+        r#"jacinthhinge_answer_seconds_bucket{lane="10.0.0.1:7000",le="0.025"} 0"#,
+        r#"jacinthhinge_answer_seconds_bucket{lane="10.0.0.1:7000",le="0.05"} 1"#,
+        r#"jacinthhinge_open_seconds_count{lane="10.0.0.1:7000"} 0"#,
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} in\n{text}");
+    }
+}
+
+#[test]
+fn every_counter_is_documented() {
+    let page = include_str!("../docs/OPERATIONS.md");
+    let lane = json!(Counters::default());
+    let control = json!(jacinthhinge::control::Counters::default());
+    for counters in [lane, control] {
+        for name in counters.as_object().expect("an object").keys() {
+            assert!(page.contains(&format!("`{name}`")), "{name}");
+        }
+    }
+}
