--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -18,7 +18,6 @@
 use super::logs;
 use super::serve::{self, Wiring};
 use super::settings::{DEFAULT_LOG, Settings};
-use crate::control::lease::Timing;
 use crate::control::message::Card;
 use crate::control::{self as decisions, Pace};
 use crate::error::{Error, Result};
@@ -70,7 +69,7 @@
     let given = settings::read(&path)?;
     logs::start(log, &given.name)?;
     let own = own_settings(&given, ops_port);
-    let wiring = wiring(&given, path);
+    let wiring = wiring(&given, &own, path);
     serve::run_wired(&own, wiring)
 }
 
@@ -97,13 +96,13 @@
     }
 }
 
-fn wiring(given: &Given, path: PathBuf) -> Wiring {
+fn wiring(given: &Given, own: &Settings, path: PathBuf) -> Wiring {
     let (told, seeds) = watch::channel(given.seeds.clone());
     let probed = given.ready;
     Wiring {
         codec: Arc::new(codec(given.lane.port())),
         source: Source::of(&Store::new(given.store, ALL)),
-        control: control_settings(given),
+        control: control_settings(given, own),
         seeds,
         probes: Box::new(move |is_ready| ready::run(probed, is_ready).boxed()),
         reload: reload(path, given.clone(), told).boxed(),
@@ -122,23 +121,18 @@
     }
 }
 
-fn control_settings(given: &Given) -> decisions::Settings {
-    let card = Card {
-        name: given.name.clone(),
-        zone: given.region.clone(),
-        peer: given.peer,
-        lanes: std::iter::once(given.lane).collect(),
-    };
+/// Settings of the control thread: all hosts of a region are one group.
+fn control_settings(given: &Given, own: &Settings) -> decisions::Settings {
+    let base = serve::control_settings(own);
     decisions::Settings {
-        card,
-        incarnation: 0,
-        seeds: given.seeds.clone(),
-        keys: Keys::new(SECRET, SECRET),
-        timing: Timing::default(),
+        card: Card {
+            zone: given.region.clone(),
+            ..base.card
+        },
         drain: given.grace.saturating_sub(STOP_MARGIN),
         build: platform::build(given.zone.clone()),
         pace: PACE,
-        random: 0,
+        ..base
     }
 }
 
--- a/src/systems/sync.rs
+++ b/src/systems/sync.rs
@@ -10,12 +10,10 @@
 pub(super) fn run(tables: &mut Tables, snapshot: Arc<Snapshot>, now: Duration, out: &mut Outbox) {
     let same = Arc::ptr_eq(&tables.snapshot.services, &snapshot.services);
     tables.snapshot = snapshot;
-    if !same {
-        relay::sync(tables, now);
-    }
     if same {
         return;
     }
+    relay::sync(tables, now);
     tables.endpoints.sync(&tables.snapshot, now);
     let fresh: Vec<_> = tables
         .endpoints
--- a/src/tables/tracks.rs
+++ b/src/tables/tracks.rs
@@ -127,11 +127,6 @@
         self.rows.get(ends)
     }
 
-    /// Flow of these ends, to change.
-    pub fn get_mut(&mut self, ends: &Ends) -> Option<&mut Track> {
-        self.rows.get_mut(ends)
-    }
-
     /// Adds or replaces a flow; returns the one before.
     pub fn insert(&mut self, track: Track) -> Option<Track> {
         if !self.rows.contains_key(&track.ends) {
