Let few hosts of a group read the store and tell the others

Ruled out: longer pauses alone, which delay changes for all; reads that may be stale, which are seconds old while drains and desired states have bounds of three. Change: control/readers.rs ranks hosts by id: the first of each availability zone reads, and at least three of a group. A host that reads in vain says so in its heartbeats and passes its turn on; one that takes over waits with removals as after an outage. Others fetch at once, from their own zone where they can. The pause that grew with the group is gone.

--- a/src/control/beat.rs
+++ b/src/control/beat.rs
@@ -131,6 +131,7 @@
         member.sent = Some(beat.sent);
         member.vote = beat.vote.clone();
         member.revision = beat.revision;
+        member.failures = beat.failures;
         member.roster = beat.roster;
         member.acked = beat.echo.and_then(|echo| echo.time(life));
     }
@@ -180,6 +181,7 @@
         incarnation: tables.me.incarnation,
         version: tables.me.version,
         leaving: tables.me.leaving.is_some(),
+        failures: tables.watch.values.failures,
         card: (!known).then(|| tables.me.card.clone()),
         revision: tables.values.revision,
         roster: tables.rosters.pending.revision,
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -99,6 +99,7 @@
         vote: Vote::default(),
         acked: None,
         revision: 0,
+        failures: 0,
         roster: 0,
         rumor,
     };
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -20,6 +20,8 @@
     pub version: u32,
     /// Sender's state.
     pub leaving: bool,
+    /// Reads of the platform that failed since the last answer to the sender.
+    pub failures: u32,
     /// Who the sender is, until the receiver is known to know.
     pub card: Option<Card>,
     /// Configuration revision that the sender has in force.
@@ -73,8 +75,10 @@
 pub struct Card {
     /// Name.
     pub name: Name,
-    /// Availability zone.
+    /// Group of hosts that it belongs to: those of its availability zone, or more.
     pub zone: Name,
+    /// Availability zone that it stands in.
+    pub place: Name,
     /// Address for control messages.
     pub peer: SocketAddr,
     /// Addresses of the traffic lanes.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod members;
 pub mod message;
 mod publish;
+mod readers;
 mod roster;
 mod spread;
 pub mod suspect;
--- a/src/control/spread.rs
+++ b/src/control/spread.rs
@@ -11,7 +11,7 @@
 use super::message::{Fetch, Fetched, News, Status, Update};
 use super::tables::{Member, Tables};
 use super::values::Built;
-use super::{Action, Outbox, members, roster};
+use super::{Action, Outbox, members, readers, roster};
 use crate::error::Result;
 use crate::id::Id;
 
@@ -112,13 +112,14 @@
     tables.fetch.behind = behind.then(|| tables.fetch.behind.unwrap_or(now));
 }
 
-/// True when a newer revision is asked of other hosts: the platform does not answer, or
-/// this host's own read is late.
+/// True when a newer revision is asked of other hosts: this host does not read the
+/// platform, that does not answer, or the answer is late.
 fn wants_values(tables: &Tables, now: Duration) -> bool {
     let lost = tables.watch.values.failures > 0;
     let patience = match tables.values.revision {
         0 => tables.settings.pace.patience.min(FIRST_PATIENCE),
-        _ => tables.settings.pace.patience,
+        _ if readers::is_reader(tables) => tables.settings.pace.patience,
+        _ => Duration::ZERO,
     };
     let late = |since| now >= since + patience;
     tables.fetch.behind.is_some_and(|since| lost || late(since))
@@ -153,6 +154,11 @@
         let failed = tables.fetch.failed;
         ahead.retain(|(id, _)| Some(tables.members[id].card.peer) != failed);
     }
+    let place = &tables.me.card.place;
+    let is_near = |id: &Id| tables.members[id].card.place == *place;
+    if ahead.iter().any(|(id, _)| is_near(id)) {
+        ahead.retain(|(id, _)| is_near(id));
+    }
     ahead.choose(&mut tables.rng).copied()
 }
 
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -114,6 +114,8 @@
     pub acked: Option<Duration>,
     /// Revision it has in force.
     pub revision: u64,
+    /// Reads of the platform that failed since the last answer to it.
+    pub failures: u32,
     /// Revision of the host list it holds.
     pub roster: u64,
     /// Heartbeats that still carry news of it.
@@ -211,6 +213,8 @@
     pub(super) values: Read,
     pub(super) hosts: Read,
     pub(super) started: bool,
+    /// True while this host is one of those that read.
+    pub(super) reads: bool,
     /// Time until which removals wait, after the platform was away.
     pub(super) doubt: Duration,
     /// Removals that wait.
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -10,7 +10,7 @@
 use super::spread;
 use super::tables::{Read, Tables};
 use super::values::{Change, Value, Values};
-use super::{Action, Outbox, roster};
+use super::{Action, Outbox, readers, roster};
 use crate::error::Result;
 use crate::id::Name;
 
@@ -25,11 +25,11 @@
     pub start: Duration,
     /// Longest pause between two watches.
     pub pause: Duration,
-    /// What each other host adds to that, since all hosts read each change and tell
-    /// each other of it.
-    pub share: Duration,
-    /// Time for which a host that can read waits for its own read before it asks
-    /// another for a newer revision.
+    /// Hosts of a group that read it, those of each availability zone first; the
+    /// others get values from these.
+    pub readers: usize,
+    /// Time for which a reader waits for its own read before it asks another host for
+    /// a newer revision.
     pub patience: Duration,
     /// Pause after the first failure.
     pub backoff: Duration,
@@ -49,7 +49,7 @@
             jitter: Duration::from_secs(10),
             start: Duration::from_secs(1),
             pause: Duration::from_secs(1),
-            share: Duration::ZERO,
+            readers: usize::MAX,
             patience: Duration::ZERO,
             backoff: Duration::from_secs(1),
             limit: Duration::from_secs(8),
@@ -63,10 +63,6 @@
 /// than a tenth of a second.
 const LARGE: usize = 100_000;
 
-/// Most that the other hosts add to the pause between two watches, so that a change
-/// is in force well within the bounds of seconds that users set.
-const SHARE_LIMIT: Duration = Duration::from_millis(600);
-
 /// Shortest pause between two reads of the host list.
 const HOSTS_PAUSE: Duration = Duration::from_secs(4);
 
@@ -85,7 +81,12 @@
         spread_start(tables, now);
     }
     release(tables, now);
-    if is_due(&tables.watch.values, now) {
+    let reads = readers::is_reader(tables);
+    if reads && !tables.watch.reads {
+        take_over(tables, now);
+    }
+    tables.watch.reads = reads;
+    if reads && is_due(&tables.watch.values, now) {
         tables.watch.values.pending = true;
         tables.counters.reads += 1;
         let pace = tables.settings.pace;
@@ -111,7 +112,7 @@
         }
         Ok(update) => {
             regain(tables, now);
-            let pause = watch_pause(tables);
+            let pause = tables.settings.pace.pause;
             tables.watch.values.due = now + tables.jitter(pause);
             if size(&update) >= LARGE {
                 tables.snapshot.loaded = Some(now);
@@ -151,6 +152,14 @@
     }
 }
 
+/// Begins to read in place of other hosts. Where the platform does not answer one of
+/// them, values may have lapsed meanwhile that come back.
+fn take_over(tables: &mut Tables, now: Duration) {
+    if tables.live().any(|member| member.failures > 0) {
+        tables.watch.doubt = now + tables.settings.pace.hold;
+    }
+}
+
 fn spread_start(tables: &mut Tables, now: Duration) {
     tables.watch.started = true;
     let start = tables.settings.pace.start;
@@ -158,19 +167,9 @@
     tables.watch.hosts.due = now + tables.jitter(HOSTS_JITTER);
 }
 
-fn watch_pause(tables: &Tables) -> Duration {
-    let pace = tables.settings.pace;
-    pace.pause + pace.share.saturating_mul(others(tables)).min(SHARE_LIMIT)
-}
-
 fn hosts_pause(tables: &Tables) -> Duration {
-    let hosts = others(tables).saturating_add(1);
-    HOSTS_PAUSE.max(HOSTS_SHARE.saturating_mul(hosts))
-}
-
-/// Other hosts that are believed alive.
-fn others(tables: &Tables) -> u32 {
-    u32::try_from(tables.live().count()).unwrap_or(u32::MAX)
+    let others = u32::try_from(tables.live().count()).unwrap_or(u32::MAX);
+    HOSTS_PAUSE.max(HOSTS_SHARE.saturating_mul(others.saturating_add(1)))
 }
 
 fn is_due(read: &Read, now: Duration) -> bool {
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -35,8 +35,8 @@
     wait: Duration::from_millis(2_500),
     jitter: Duration::from_millis(500),
     start: Duration::ZERO,
-    pause: Duration::from_millis(50),
-    share: Duration::from_millis(20),
+    pause: Duration::from_millis(500),
+    readers: 3,
     patience: Duration::from_secs(1),
     backoff: Duration::from_millis(200),
     limit: Duration::from_millis(1_500),
@@ -127,6 +127,7 @@
     decisions::Settings {
         card: Card {
             zone: given.region.clone(),
+            place: given.zone.clone(),
             ..base.card
         },
         drain: given.grace.saturating_sub(STOP_MARGIN),
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -209,6 +209,7 @@
     let card = Card {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
+        place: settings.zone.clone(),
         peer: settings.peer_addr,
         lanes: settings.lanes.clone(),
     };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,7 @@
 //!         card: Card {
 //!             name: name.into(),
 //!             zone: "sv-a".into(),
+//!             place: "sv-a".into(),
 //!             peer,
 //!             lanes: Default::default(),
 //!         },
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -90,6 +90,8 @@
     base: u64,
     #[prost(message, repeated, tag = "14")]
     news: Vec<WireNews>,
+    #[prost(uint32, tag = "15")]
+    failures: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -102,6 +104,9 @@
     peer: Bytes,
     #[prost(bytes = "bytes", repeated, tag = "4")]
     lanes: Vec<Bytes>,
+    /// Left out where it is the same as `zone`.
+    #[prost(string, optional, tag = "5")]
+    place: Option<String>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -190,6 +195,7 @@
         counts: beat.vote.counts,
         base: beat.vote.base,
         news: beat.news.iter().map(encode_news).collect(),
+        failures: beat.failures,
     };
     key.seal(wire.encode_to_vec())
 }
@@ -210,6 +216,7 @@
         incarnation: wire.incarnation,
         version: wire.version,
         leaving: wire.leaving,
+        failures: wire.failures,
         card: decode_card_of(wire.from, wire.card)?,
         revision: wire.revision,
         roster: wire.roster,
@@ -305,6 +312,7 @@
         zone: card.zone.to_string(),
         peer: addr::encode(card.peer),
         lanes: card.lanes.iter().copied().map(addr::encode).collect(),
+        place: (card.place != card.zone).then(|| card.place.to_string()),
     }
 }
 
@@ -317,9 +325,11 @@
     if wire.lanes.is_empty() || wire.lanes.len() > LANE_LIMIT {
         return Err(Error::malformed("lanes of a host"));
     }
+    let zone = Name::from(wire.zone);
     Ok(Some(Card {
         name: wire.name.into(),
-        zone: wire.zone.into(),
+        place: wire.place.map_or_else(|| Name::clone(&zone), Name::from),
+        zone,
         peer: addr::decode(&wire.peer)?,
         lanes: wire
             .lanes
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -184,6 +184,7 @@
         incarnation: 5,
         version: 2,
         leaving: true,
+        failures: 2,
         card: Some(zone::card(3)),
         revision: 11,
         roster: 4,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -138,6 +138,7 @@
         card: Card {
             name: "edge-sv-a-1".into(),
             zone: "is-sudvestur".into(),
+            place: "sv-a".into(),
             peer: "10.1.0.10:7720".parse().expect("an address"),
             lanes: std::iter::once("10.1.0.10:8172".parse().expect("an address")).collect(),
         },
@@ -657,9 +658,11 @@
         incarnation: 1,
         version: 0,
         leaving: false,
+        failures: 0,
         card: Some(Card {
             name: name.into(),
             zone: "is-sudvestur".into(),
+            place: "sv-b".into(),
             peer: "10.2.0.40:7720".parse().expect("an address"),
             lanes: std::iter::once("10.2.0.40:8172".parse().expect("an address")).collect(),
         }),
--- a/tests/values.rs
+++ b/tests/values.rs
@@ -2,7 +2,7 @@
 
 mod zone;
 
-use jacinthhinge::control::{Event, Update};
+use jacinthhinge::control::{Event, Pace, Update};
 use jacinthhinge::prelude::*;
 use zone::{Node, Zone};
 
@@ -153,3 +153,95 @@
     assert!(in_force(&zone, 1));
     assert_eq!(zone.nodes[&0].control.tables().counters.read_failures, 1);
 }
+
+/// Hosts of three places in one group, of which few read the platform.
+fn with_readers(count: usize) -> Zone {
+    let mut zone = Zone::new();
+    zone.pace = Pace {
+        wait: SECOND,
+        jitter: SECOND,
+        pause: Duration::from_millis(500),
+        patience: SECOND,
+        readers: 3,
+        ..Pace::default()
+    };
+    zone.places = 3;
+    zone.seeds = (0..count).map(zone::peer).collect();
+    (0..count).for_each(|index| zone.start(index));
+    zone.platform.up = true;
+    zone.set("fleet", Some("1"));
+    zone.run_for(10 * SECOND);
+    assert!(in_force(&zone, 1));
+    zone
+}
+
+/// Reads of the platform while a value changes ten times, each in force in time.
+fn reads_of_ten_changes(zone: &mut Zone) -> usize {
+    zone.platform.reads.clear();
+    let before = zone.platform.update.revision;
+    for change in 1..=10 {
+        zone.set("fleet", Some(&format!("{change}0")));
+        let revision = before + change;
+        let took = zone.run_till(3 * SECOND, |zone| in_force(zone, revision));
+        assert!(took.is_some(), "change {change}");
+        zone.run_for(SECOND);
+    }
+    zone.platform.reads.len()
+}
+
+#[test]
+fn few_hosts_of_a_large_group_read_the_platform() {
+    let mut zone = with_readers(30);
+    let reads = reads_of_ten_changes(&mut zone);
+    assert!(
+        reads <= 100,
+        "{reads} reads, three for each change and wait"
+    );
+}
+
+#[test]
+fn others_read_when_the_readers_die() {
+    let mut zone = with_readers(12);
+    let mut ids: Vec<usize> = (0..12).collect();
+    ids.sort_by_key(|index| zone::id(*index));
+    for index in ids.into_iter().take(6) {
+        zone.kill(index);
+    }
+    zone.set("fleet", Some("2"));
+    let took = zone.run_till(3 * SECOND, |zone| in_force(zone, 2));
+    assert!(took.is_some());
+}
+
+#[test]
+fn others_read_when_the_platform_turns_the_readers_away() {
+    let mut zone = with_readers(12);
+    let mut ids: Vec<usize> = (0..12).collect();
+    ids.sort_by_key(|index| zone::id(*index));
+    for index in ids.into_iter().take(6) {
+        zone.nodes.get_mut(&index).expect("host").platform = false;
+    }
+    zone.run_for(5 * SECOND);
+    zone.set("fleet", Some("2"));
+    let took = zone.run_till(3 * SECOND, |zone| in_force(zone, 2));
+    assert!(took.is_some());
+}
+
+#[test]
+fn reader_that_takes_over_waits_with_removals() {
+    let mut zone = with_readers(12);
+    zone.set("service/adserve", Some("2"));
+    zone.run_for(5 * SECOND);
+    zone.pace.hold = 3 * SECOND;
+    let last = (12..100).max_by_key(|index| zone::id(*index));
+    let last = last.expect("an index");
+    zone.start(last);
+    zone.run_for(5 * SECOND);
+    let holds = |zone: &Zone| value(&zone.nodes[&last], "service/adserve").is_some();
+    assert!(holds(&zone));
+    for (index, node) in &mut zone.nodes {
+        node.platform = *index == last;
+    }
+    zone.set("service/adserve", None);
+    let took = zone.run_till(10 * SECOND, |zone| !holds(zone));
+    assert!(took.is_some_and(|took| took >= 3 * SECOND), "{took:?}");
+}
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -10,7 +10,8 @@
 use jacinthhinge::control::lease::Timing;
 use jacinthhinge::control::message::{Beat, Card, Hosts, Listed};
 use jacinthhinge::control::{
-    Action, Build, Built, Change, Control, Event, Fetch, Fetched, Settings, Update, Value, Values,
+    Action, Build, Built, Change, Control, Event, Fetch, Fetched, Pace, Settings, Update, Value,
+    Values,
 };
 use jacinthhinge::prelude::*;
 use jacinthhinge::wire::{PeerKey, encode_beat, encode_fetched};
@@ -114,6 +115,9 @@
     pub build: Build,
     pub timing: Timing,
     pub seeds: Vec<SocketAddr>,
+    pub pace: Pace,
+    /// Availability zones that the hosts stand in by turns.
+    pub places: usize,
     lives: u64,
 }
 
@@ -137,6 +141,8 @@
             build: Build::new(build),
             timing: Timing::default(),
             seeds: Vec::new(),
+            pace: Pace::default(),
+            places: 1,
             lives: 0,
         }
     }
@@ -154,14 +160,17 @@
         self.lives += 1;
         let incarnation = 1_000_000_000 * self.lives;
         let settings = Settings {
-            card: card(index),
+            card: Card {
+                place: format!("place-{}", index % self.places).into(),
+                ..card(index)
+            },
             incarnation,
             seeds: self.seeds.clone(),
             keys: Keys::new("current", "other"),
             timing: self.timing,
             drain: Duration::from_secs(5),
             build: self.build.clone(),
-            pace: jacinthhinge::control::Pace::default(),
+            pace: self.pace,
             random: self.lives,
         };
         let node = Node {
@@ -381,6 +390,7 @@
     Card {
         name: name(index).into(),
         zone: "sv-a".into(),
+        place: "sv-a".into(),
         peer: addr,
         lanes: lanes.collect(),
     }
