Compress values between hosts, and count opening copies as signs of own trouble

Ruled out: the endpoint, which answered 5 ms after it was judged. Change: the answer to a fetch is compressed (lz4_flex); copies of opening segments count as repeats when a host judges whether the trouble is its own. Tests first for both.

--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -28,14 +28,11 @@
 use crate::error::{Error, Result};
 use crate::platform::store::Store;
 use crate::snapshot::Snapshot;
-use crate::wire::{self, PeerKey};
+use crate::wire::{self, FETCHED_BYTES, PeerKey};
 
 /// Time that a fetch may take at either end.
 const FETCH_LIMIT: Duration = Duration::from_secs(3);
 
-/// Most bytes of the answer to a fetch.
-const FETCH_BYTES: usize = 32 << 20;
-
 /// Most bytes of a fetch itself.
 const ASK_BYTES: usize = 256;
 
@@ -310,13 +307,13 @@
     ask.send((fetch, reply)).await.map_err(|_| ended())?;
     let fetched = answer.await.map_err(|_| ended())?;
     let bytes = wire::encode_fetched(&fetched, key);
-    frames.codec_mut().set_max_frame_length(FETCH_BYTES);
+    frames.codec_mut().set_max_frame_length(FETCHED_BYTES);
     frames.send(bytes).await.map_err(refused)
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     LengthDelimitedCodec::builder()
-        .max_frame_length(FETCH_BYTES)
+        .max_frame_length(FETCHED_BYTES)
         .new_framed(stream)
 }
 
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -33,6 +33,9 @@
         reset(segment, "no_route", out);
         return;
     };
+    if segment.ack > 0 {
+        tables.recent.note_repeat(now);
+    }
     let known = tables.tracks.get(&segment.ends);
     let copy = known
         .filter(|track| track.start == Some(segment.seq))
--- a/src/tables/recent.rs
+++ b/src/tables/recent.rs
@@ -22,7 +22,7 @@
         self.answers += 1.0;
     }
 
-    /// Notes that a caller has repeated data.
+    /// Notes that a caller has repeated data, or an opening segment.
     pub fn note_repeat(&mut self, now: Duration) {
         self.fade(now);
         self.repeats += 1.0;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -18,6 +18,10 @@
 /// Most bytes of an encoded heartbeat.
 pub const BEAT_BYTES: usize = 1_400;
 
+/// Most bytes of the answer to a fetch: some times all values of a region at the size
+/// that `docs/CAPACITY.md` plans for.
+pub const FETCHED_BYTES: usize = 32 << 20;
+
 /// Most traffic lanes of one host.
 const LANE_LIMIT: usize = 16;
 
@@ -262,7 +266,9 @@
     })
 }
 
-/// Encodes and seals the answer to a fetch.
+/// Encodes, compresses and seals the answer to a fetch. Values are texts of many similar
+/// entries, and small hosts have links of 10 Mbit/s.
+///
 #[must_use]
 pub fn encode_fetched(fetched: &Fetched, key: &PeerKey) -> Bytes {
     let wire = WireFetched {
@@ -272,17 +278,17 @@
         base: fetched.base.as_ref().map(encode_roster),
         members: fetched.members.iter().map(encode_news).collect(),
     };
-    key.seal(wire.encode_to_vec())
+    key.seal(lz4_flex::compress_prepend_size(&wire.encode_to_vec()))
 }
 
 /// Opens and decodes the answer to a fetch.
 ///
 /// # Errors
 ///
-/// Fails when it is not sealed with this key, or malformed.
+/// Fails when it is over [`FETCHED_BYTES`], not sealed with this key, or malformed.
 pub fn decode_fetched(bytes: &[u8], key: &PeerKey) -> Result<Fetched> {
-    let content = key.open(bytes)?;
-    let wire = WireFetched::decode(content).map_err(|_| Error::malformed("fetched values"))?;
+    let content = decompress(key.open(bytes)?)?;
+    let wire = WireFetched::decode(&*content).map_err(|_| Error::malformed("fetched values"))?;
     Ok(Fetched {
         update: Update {
             revision: wire.revision,
@@ -299,6 +305,15 @@
     })
 }
 
+fn decompress(bytes: &[u8]) -> Result<Vec<u8>> {
+    let malformed = |_| Error::malformed("fetched values");
+    let (size, content) = lz4_flex::block::uncompressed_size(bytes).map_err(malformed)?;
+    if size > FETCHED_BYTES {
+        return Err(Error::oversized(size, FETCHED_BYTES));
+    }
+    lz4_flex::decompress(content, size).map_err(malformed)
+}
+
 fn decode_views(views: Vec<u64>) -> Result<SmallVec<[u64; 2]>> {
     if views.len() > VIEW_LIMIT {
         return Err(Error::malformed("vote"));
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -7,7 +7,7 @@
 
 use jacinthhinge::control::lease::Timing;
 use jacinthhinge::control::message::{Fetch, Stamp, Vote};
-use jacinthhinge::control::{Beat, Build, Built, Pace, Settings};
+use jacinthhinge::control::{Beat, Build, Built, Change, Fetched, Pace, Settings, Update, Value};
 use jacinthhinge::front::control::{self, ControlSettings, Links, Source};
 use jacinthhinge::front::hosts;
 use jacinthhinge::platform::store::Store;
@@ -225,3 +225,26 @@
         prop_assert!(wire::decode_beat(&bytes, &key).is_err());
     }
 }
+
+#[test]
+fn fetched_values_are_sent_small() {
+    let key = PeerKey::new("secret");
+    let route = r#"{"Host":"198.18.0.1","Prefix":"/443/","Service":"adserve","TimeoutMs":2500},"#;
+    let fetched = Fetched {
+        update: Update {
+            revision: 7,
+            values: vec![Change {
+                key: "op/config".into(),
+                value: Value {
+                    revision: 7,
+                    json: Some(route.repeat(300).into()),
+                },
+            }],
+            whole: false,
+        },
+        ..Fetched::default()
+    };
+    let bytes = wire::encode_fetched(&fetched, &key);
+    assert!(bytes.len() < 3_000, "{} bytes", bytes.len());
+    assert_eq!(wire::decode_fetched(&bytes, &key).expect("values"), fetched);
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -402,8 +402,8 @@
     let mut world = World::new(&local(4));
     let flows = spread(&mut world, 4, 4);
     let heard = flows.iter().find(|flow| flow.1 == 2).expect("one").0;
-    change(&mut world);
     for round in 0..3 {
+        change(&mut world);
         for (port, _) in flows.iter().filter(|flow| flow.1 == 1) {
             world.ask(*port, 1);
         }
@@ -441,3 +441,13 @@
     }
     assert_eq!(world.lane.counters.downs, 0);
 }
+
+#[test]
+fn copies_of_opening_segments_tell_of_a_host_in_trouble() {
+    let busy = with_one_silent(|world| {
+        for port in 100..140 {
+            world.take(opening(port, 1));
+        }
+    });
+    assert_eq!(busy.lane.counters.downs, 0);
+}
