Let requests wait on the host while their service is crowded

Cause: after all hosts lost power, callers come back with four times the usual requests in the first 0.2 s. A host that has just started counted each request as load for 50 ms only, since it knew no usual answer time. Ruled out: refusing openings, which callers repeat at once on a new flow until their tries are spent; uneven placement (busiest over mean 1.07). Change: hold.rs keeps a lane's share of a service's requests in progress to three rounds of its slots, or what the aim allows; what is over waits and the newest goes first. Hosts named to start from count half until they are met. A request to an endpoint whose answer time is unknown counts for 300 ms. Five tests, which failed to build or to hold before.

--- a/examples/swing/baselines.rs
+++ b/examples/swing/baselines.rs
@@ -89,6 +89,7 @@
             )
         }),
         pick_track: Policies::shipped().pick_track,
+        track_room: Policies::shipped().track_room,
         pick_slot: Box::new(move |tables, service, _, now| {
             let fits =
                 |row: &EndpointRow| row.load.incarnation != 0 && row.running < row.spec.slots;
--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -1,5 +1,6 @@
 //! Publishes a snapshot when something the traffic lanes need has changed.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
     }
     tables.output.dirty = false;
     tables.snapshot.leaving = leaving;
+    tables.snapshot.sharers = sharers(tables);
     tables.snapshot.changed = tables.view.changed;
     tables.snapshot.partial = Lease {
         until: tables.view.lease,
@@ -28,6 +30,15 @@
     outbox.push(Action::Publish(Arc::new(tables.snapshot.clone())));
 }
 
+/// Hosts that share the load. A host that has just started knows few others, and takes
+/// those that it was told to start from to come up as well.
+fn sharers(tables: &Tables) -> u32 {
+    let staying = tables.live().filter(|member| !member.leaving);
+    let is_met = |seed: &SocketAddr| tables.members.values().any(|m| m.card.peer == *seed);
+    let unmet = tables.settings.seeds.iter().filter(|seed| !is_met(seed));
+    u32::try_from(staying.count() + unmet.count().div_ceil(2) + 1).unwrap_or(u32::MAX)
+}
+
 /// The lease for all flows, which no earlier view may limit.
 fn whole_lease(tables: &Tables) -> Lease {
     if tables.snapshot.earlier.is_empty() {
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -29,6 +29,9 @@
     pub routes: Arc<HashMap<SocketAddr, Route>>,
     /// Hosts of the zone that are believed alive, this one included.
     pub hosts: Arc<[Host]>,
+    /// Hosts that share the load: those alive, and those named to start from that were
+    /// not met.
+    pub sharers: u32,
     /// Time at which `hosts` last changed.
     pub changed: Duration,
     /// Sealing keys.
@@ -230,6 +233,7 @@
             addresses: Arc::default(),
             routes: Arc::default(),
             hosts: Arc::from([]),
+            sharers: 1,
             changed: Duration::ZERO,
             keys,
             lease: Lease::default(),
--- a/src/systems/place.rs
+++ b/src/systems/place.rs
@@ -13,6 +13,7 @@
 use super::probe;
 use crate::id::Id;
 use crate::packet::{Body, Class};
+use crate::segment::Route;
 use crate::tables::{EndpointRow, Outbox, Tables};
 
 /// Share that a new or restarted endpoint starts with.
@@ -143,6 +144,26 @@
     })
 }
 
+/// Requests of this lane that a service may have in progress: the share of one host of
+/// what its endpoints do within a part of the aim, or of some rounds of their slots.
+pub(super) fn track_room(tables: &Tables, parts: &Parts, service: Id, now: Duration) -> f64 {
+    let rows = tables.endpoints.of(service);
+    let usable = rows.filter(|row| row.is_open(now) && row.down.is_none());
+    let slots: u32 = usable.map(|row| row.spec.slots).sum();
+    let leads = |route: &&Route| route.targets.iter().any(|(id, _)| *id == service);
+    let routes = tables.snapshot.routes.values().filter(leads);
+    let aim = routes.map(|route| route.aim).min().unwrap_or_default();
+    let answer = usual_answer(tables, service);
+    let in_time = if answer > 0.0 {
+        parts.relay_spill * aim.as_secs_f64() / answer
+    } else {
+        0.0
+    };
+    let hosts = tables.snapshot.sharers;
+    // One request can always go, or a large group would send none.
+    (f64::from(slots) * in_time.max(parts.relay_rounds) / f64::from(hosts)).max(1.0)
+}
+
 /// Mean of the usual times in which a service's endpoints answer, in seconds; zero
 /// when none is known.
 fn usual_answer(tables: &Tables, service: Id) -> f64 {
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -19,6 +19,10 @@
 pub type PickTrack =
     Box<dyn Fn(&mut Tables, Id, Duration, &[Id], Duration) -> Option<Id> + Send + Sync>;
 
+/// Tells how many requests of this lane a service may have in progress on flows that
+/// are passed on unread.
+pub type TrackRoom = Box<dyn Fn(&Tables, Id, Duration) -> f64 + Send + Sync>;
+
 /// Chooses the endpoint of a request.
 pub type PickSlot = Box<dyn Fn(&mut Tables, Id, Class, Duration) -> Option<Id> + Send + Sync>;
 
@@ -38,6 +42,8 @@
     pub pick_conn: PickConn,
     /// Endpoint of a flow that is passed on unread.
     pub pick_track: PickTrack,
+    /// Room for requests of flows that are passed on unread.
+    pub track_room: TrackRoom,
     /// Endpoint of a request.
     pub pick_slot: PickSlot,
     /// Request that goes next.
@@ -73,6 +79,9 @@
     /// Share of the aim that a request may take at an endpoint before flows that are
     /// passed on unread spill over to other zones.
     pub relay_spill: f64,
+    /// Requests in progress for each slot above which requests of flows that are passed
+    /// on unread wait, where the aim does not allow for more.
+    pub relay_rounds: f64,
     /// Endpoints looked at for a flow that is passed on unread.
     pub relay_sample: usize,
     /// Largest wait in the queue, as a share of the slack until the deadline.
@@ -91,6 +100,7 @@
         yielding: Duration::from_millis(300),
         spill: 0.8,
         relay_spill: 0.6,
+        relay_rounds: 3.0,
         relay_sample: 256,
         slack: 0.5,
     };
@@ -113,6 +123,9 @@
             pick_track: Box::new(move |tables, service, aim, tried, now| {
                 place::pick_track(tables, &parts, service, aim, tried, now)
             }),
+            track_room: Box::new(move |tables, service, now| {
+                place::track_room(tables, &parts, service, now)
+            }),
             pick_slot: Box::new(move |tables, service, class, now| {
                 place::pick_slot(tables, &parts, service, class, now)
             }),
--- /dev/null
+++ b/src/systems/relay/hold.rs
@@ -0,0 +1,130 @@
+//! Requests wait here while their service has all the work that it can do in time.
+//!
+//! After an outage callers come back together, with more requests than endpoints
+//! queue. Endpoints refuse what they cannot queue, and callers ask again at once, so
+//! that refusals make the crowd larger. Each host therefore keeps its share of a
+//! service's work in progress to some rounds of its slots. What is over waits here, and
+//! the newest goes first: its caller has the most time left.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{millis, take};
+use crate::id::Id;
+use crate::segment::{Mark, Segment, is_after};
+use crate::tables::{Outbox, Tables, Waiting};
+
+/// Longest time for which a request is held: callers give up an opening after 1.4 s,
+/// and repeat data at least once in that time.
+const HOLD_LIMIT: Duration = Duration::from_millis(1_400);
+
+/// Takes a segment that has to wait; false for one that goes on.
+pub(super) fn run(tables: &mut Tables, segment: &Segment, now: Duration, out: &mut Outbox) -> bool {
+    if let Some(waiting) = tables.held.get(&segment.ends) {
+        let service = waiting.service;
+        if segment.mark == Mark::Data && segment.len == 0 {
+            return false;
+        }
+        if is_copy(&waiting.segment, segment) {
+            hold(tables, segment, service, now);
+            return true;
+        }
+        // The caller has gone on: what it sent before goes first.
+        if let Some((_, earlier)) = tables.held.remove(&segment.ends)
+            && segment.mark != Mark::Reset
+            && !segment.is_opening()
+        {
+            take(tables, &earlier.segment, now, out);
+        }
+        return false;
+    }
+    let Some(service) = service_of(tables, segment) else {
+        return false;
+    };
+    if !is_full(tables, service) {
+        return false;
+    }
+    tables.counters.held += 1;
+    log::info!(
+        caller:% = segment.ends.caller, front:% = segment.ends.front,
+        running = tables.endpoints.running(service), room = tables.held.room(service),
+        waiting = tables.held.len();
+        "held"
+    );
+    hold(tables, segment, service, now);
+    true
+}
+
+/// Passes on what there is room for, the newest first.
+pub(super) fn release(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    while let Some(next) = next(tables) {
+        let Some((since, waiting)) = tables.held.remove(&next.segment.ends) else {
+            return;
+        };
+        log::info!(
+            caller:% = waiting.segment.ends.caller, front:% = waiting.segment.ends.front,
+            waited_ms = millis(now.saturating_sub(since));
+            "released"
+        );
+        take(tables, &waiting.segment, now, out);
+    }
+}
+
+/// Finds the room of each service, and forgets what its callers have given up.
+pub(super) fn run_timers(tables: &mut Tables, now: Duration) {
+    let policies = Arc::clone(&tables.policies);
+    let services: Vec<Id> = tables.snapshot.services.keys().copied().collect();
+    let rooms: Vec<_> = services
+        .into_iter()
+        .map(|service| (service, (policies.track_room)(tables, service, now)))
+        .collect();
+    tables.held.set_rooms(rooms.into_iter());
+    let gone = tables.held.expire(now.saturating_sub(HOLD_LIMIT));
+    for waiting in gone {
+        tables.counters.overdue += 1;
+        log::info!(
+            caller:% = waiting.segment.ends.caller, front:% = waiting.segment.ends.front,
+            cause = "given_up_by_caller";
+            "dropped"
+        );
+    }
+}
+
+fn hold(tables: &mut Tables, segment: &Segment, service: Id, now: Duration) {
+    let segment = segment.clone();
+    tables.held.put(Waiting { segment, service }, now);
+}
+
+fn next(tables: &Tables) -> Option<Waiting> {
+    let mut newest = tables.held.newest();
+    newest
+        .find(|waiting| !is_full(tables, waiting.service))
+        .cloned()
+}
+
+fn is_full(tables: &Tables, service: Id) -> bool {
+    let room = tables.held.room(service);
+    room.is_some_and(|room| f64::from(tables.endpoints.running(service)) >= room)
+}
+
+fn is_copy(known: &Segment, segment: &Segment) -> bool {
+    known.mark == segment.mark && known.seq == segment.seq && known.len == segment.len
+}
+
+/// Service that a segment asks for new work; `None` where it goes on with old work.
+fn service_of(tables: &Tables, segment: &Segment) -> Option<Id> {
+    let track = tables.tracks.get(&segment.ends);
+    if segment.is_opening() {
+        let is_known = track.is_some_and(|track| track.start == Some(segment.seq));
+        let targets = &tables.snapshot.routes.get(&segment.ends.front)?.targets;
+        let service = targets.iter().map(|(id, _)| *id).next()?;
+        return (!is_known).then_some(service);
+    }
+    let is_new = track.is_none_or(|track| {
+        track.asked.is_none() && !track.loaded && is_after(segment.end(), track.sent)
+    });
+    let holder = tables.cookies.find(segment.cookie)?;
+    let row = tables.endpoints.get(holder.id)?;
+    let asks = segment.mark == Mark::Data && segment.len > 0 && is_new;
+    (asks && row.down.is_none()).then_some(row.service)
+}
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -5,6 +5,7 @@
 //! repeat and acknowledge tells which endpoints answer.
 
 mod evidence;
+mod hold;
 mod judge;
 mod open;
 mod pass;
@@ -26,18 +27,26 @@
             // caller repeats the segment.
             continue;
         }
-        if segment.is_opening() {
-            open::run(tables, &segment, now, out);
-        } else {
-            pass::run(tables, &segment, now, out);
+        if !hold::run(tables, &segment, now, out) {
+            take(tables, &segment, now, out);
         }
     }
+    hold::release(tables, now, out);
+}
+
+fn take(tables: &mut Tables, segment: &Segment, now: Duration, out: &mut Outbox) {
+    if segment.is_opening() {
+        open::run(tables, segment, now, out);
+    } else {
+        pass::run(tables, segment, now, out);
+    }
 }
 
 /// Runs what only time drives.
 pub(super) fn run_timers(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     judge::run(tables, now, out);
     silence::run(tables, now);
+    hold::run_timers(tables, now);
     for track in tables.tracks.expire(now) {
         forget(tables, &track);
     }
--- a/src/systems/relay/silence.rs
+++ b/src/systems/relay/silence.rs
@@ -24,6 +24,9 @@
 /// Time at which a request sent now to an endpoint stops being load, unless its
 /// answer is seen before.
 pub(super) fn unloading(row: &EndpointRow, now: Duration) -> Duration {
+    if row.answer == 0.0 {
+        return now + DONE_AFTER;
+    }
     let span = Duration::from_secs_f64(row.answer * LOAD_SPAN);
     now + span.clamp(LOAD_LEAST, DONE_AFTER)
 }
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -71,6 +71,10 @@
     pub unknown_cookies: u64,
     /// Flows whose cookie changed while they were open.
     pub cookie_moves: u64,
+    /// Requests that had to wait for room.
+    pub held: u64,
+    /// Requests whose callers gave up while they waited.
+    pub overdue: u64,
     /// Flows reset because their endpoint has gone.
     pub gone_resets: u64,
     /// Flows reset because their endpoint is down.
--- /dev/null
+++ b/src/tables/held.rs
@@ -0,0 +1,97 @@
+//! Requests that wait on this host until their service has room.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use serde::{Serialize, Serializer};
+
+use crate::id::Id;
+use crate::segment::{Ends, Segment};
+
+/// A request, or the opening of a flow, that waits.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Latest copy of its first segment.
+    pub segment: Segment,
+    /// Service that it is for.
+    pub service: Id,
+}
+
+/// Waiting requests in the order of their arrival, and the room of each service.
+#[derive(Debug, Default)]
+pub struct Held {
+    rows: BTreeMap<(Duration, Ends), Waiting>,
+    since: HashMap<Ends, Duration>,
+    rooms: HashMap<Id, f64>,
+}
+
+impl Held {
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// True when nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// What waits on a flow.
+    #[must_use]
+    pub fn get(&self, ends: &Ends) -> Option<&Waiting> {
+        let since = self.since.get(ends)?;
+        self.rows.get(&(*since, *ends))
+    }
+
+    /// Adds what waits on a flow; a copy keeps the time of the first.
+    pub fn put(&mut self, waiting: Waiting, now: Duration) {
+        let ends = waiting.segment.ends;
+        let since = *self.since.entry(ends).or_insert(now);
+        self.rows.insert((since, ends), waiting);
+    }
+
+    /// Takes out what waits on a flow, with the time since when it waits.
+    pub fn remove(&mut self, ends: &Ends) -> Option<(Duration, Waiting)> {
+        let since = self.since.remove(ends)?;
+        let waiting = self.rows.remove(&(since, *ends))?;
+        Some((since, waiting))
+    }
+
+    /// What waits, the newest first.
+    pub fn newest(&self) -> impl Iterator<Item = &Waiting> + '_ {
+        self.rows.values().rev()
+    }
+
+    /// Takes out what has waited since before a time.
+    pub fn expire(&mut self, before: Duration) -> Vec<Waiting> {
+        let mut gone = Vec::new();
+        while let Some(((since, ends), _)) = self.rows.first_key_value() {
+            if *since >= before {
+                break;
+            }
+            let ends = *ends;
+            gone.extend(self.remove(&ends).map(|(_, waiting)| waiting));
+        }
+        gone
+    }
+
+    /// Requests of this lane that a service may have in progress, where that is known.
+    #[must_use]
+    pub fn room(&self, service: Id) -> Option<f64> {
+        self.rooms.get(&service).copied()
+    }
+
+    /// Replaces the rooms of all services.
+    pub fn set_rooms(&mut self, rooms: impl Iterator<Item = (Id, f64)>) {
+        self.rooms.clear();
+        self.rooms.extend(rooms);
+    }
+}
+
+impl Serialize for Held {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.rows.keys())
+    }
+}
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -9,6 +9,7 @@
 mod counters;
 mod endpoints;
 mod flows;
+mod held;
 mod inbox;
 mod recent;
 mod requests;
@@ -28,6 +29,7 @@
 pub use self::counters::Counters;
 pub use self::endpoints::{Down, EndpointRow, Endpoints, Stall};
 pub use self::flows::{Flow, FlowState, Flows};
+pub use self::held::{Held, Waiting};
 pub use self::inbox::{Arrival, Stage};
 pub use self::recent::Recent;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
@@ -57,6 +59,8 @@
     pub cookies: Cookies,
     /// Flows whose segments pass through this lane.
     pub tracks: Tracks,
+    /// Requests of those flows that wait until there is room.
+    pub held: Held,
     /// Answers and repeats of those flows of late.
     pub recent: Recent,
     /// Flows this lane is home to.
@@ -98,6 +102,7 @@
             segments: Vec::new(),
             cookies: Cookies::default(),
             tracks: Tracks::default(),
+            held: Held::default(),
             recent: Recent::default(),
             flows: Flows::default(),
             requests: Requests::new(&me),
@@ -163,6 +168,7 @@
                 "flows": self.flows,
                 "requests": self.requests,
                 "tracks": self.tracks,
+                "held": self.held,
                 "snapshot": self.dump_snapshot(),
             })),
             Some("counters") => Some(json!(self.counters)),
@@ -170,6 +176,7 @@
             Some("flows") => Some(json!(self.flows)),
             Some("requests") => Some(json!(self.requests)),
             Some("tracks") => Some(json!(self.tracks)),
+            Some("held") => Some(json!(self.held)),
             Some("snapshot") => Some(self.dump_snapshot()),
             Some(_) => None,
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -9,8 +9,8 @@
 use jacinthhinge::tables::cookie_of;
 
 use relaying::{
-    World, addr, data, endpoint, front, is_reset, local, ms, opening, reaches, segment, snapshot,
-    spread, zones,
+    TICK, World, addr, data, endpoint, front, is_reset, local, ms, opening, reaches, segment,
+    snapshot, spread, zones,
 };
 
 #[test]
@@ -451,3 +451,93 @@
     });
     assert_eq!(busy.lane.counters.downs, 0);
 }
+
+/// Two endpoints of 3 slots, all of whose work for three rounds is in progress.
+fn crowded() -> World {
+    let mut world = World::new(&local(2));
+    world.wait(TICK);
+    for port in 1..=18 {
+        let relays = world.take(opening(port, 0));
+        assert!(matches!(relays[..], [Relay::Forward { .. }]), "{port}");
+    }
+    world
+}
+
+#[test]
+fn new_flow_waits_while_its_service_is_crowded_and_the_newest_goes_first() {
+    let mut world = crowded();
+    assert_eq!(world.take(opening(30, 0)), []);
+    world.now += ms(10);
+    assert_eq!(world.take(opening(31, 0)), []);
+    // A copy keeps its place.
+    world.now += ms(200);
+    assert_eq!(world.take(opening(30, 1)), []);
+    assert_eq!(world.lane.counters.held, 2);
+    let row = world.lane.tracks.get(&opening(1, 0).ends).expect("a flow");
+    let row = world.lane.endpoints.get(row.endpoint).expect("a row");
+    let number = row.spec.number;
+    let mut end = data(1, number, 1, 0, 600);
+    end.mark = Mark::Fin;
+    let relays = world.take(end);
+    assert!(relays.len() >= 2, "{relays:?}");
+    assert!(world.lane.held.get(&opening(31, 0).ends).is_none());
+    assert!(world.lane.held.get(&opening(30, 0).ends).is_some());
+}
+
+#[test]
+fn request_on_an_open_flow_waits_and_is_not_repeated_to_its_endpoint() {
+    let mut world = World::new(&local(2));
+    let number = world.establish(99);
+    world.wait(ms(400));
+    for port in 1..=18 {
+        world.take(opening(port, 0));
+    }
+    assert_eq!(world.ask(99, number), []);
+    world.now += ms(200);
+    assert_eq!(world.ask(99, number), []);
+    assert_eq!(world.lane.held.len(), 1);
+    // Acknowledgements of an open flow do not wait.
+    assert!(
+        reaches(&world.take(data(99, number, 1, 0, 500)), number) || !world.lane.held.is_empty()
+    );
+}
+
+#[test]
+fn request_of_several_segments_is_passed_on_in_order() {
+    let mut world = World::new(&local(2));
+    let number = world.establish(99);
+    world.wait(ms(400));
+    for port in 1..=18 {
+        world.take(opening(port, 0));
+    }
+    assert_eq!(world.take(data(99, number, 1, 100, 500)), []);
+    let relays = world.take(data(99, number, 101, 100, 500));
+    assert_eq!(relays.len(), 2, "{relays:?}");
+}
+
+#[test]
+fn request_that_waits_is_forgotten_when_its_caller_gives_up() {
+    let mut world = crowded();
+    assert_eq!(world.take(opening(30, 0)), []);
+    for port in 1..=18 {
+        // Their work goes on, so that no room comes free.
+        let ends = opening(port, 0).ends;
+        let mut track = world.lane.tracks.get(&ends).expect("a flow").clone();
+        track.since = world.now + Duration::from_secs(5);
+        world.lane.tracks.insert(track);
+    }
+    world.wait(ms(1_500));
+    assert!(world.lane.held.is_empty());
+    assert_eq!(world.lane.counters.overdue, 1);
+}
+
+#[test]
+fn hosts_share_the_room_of_a_service() {
+    let mut world = World::new(&local(2));
+    let mut shared = (*snapshot(&local(2))).clone();
+    shared.sharers = 3;
+    world.publish(&Arc::new(shared));
+    world.wait(TICK);
+    let placed = (1..=20).filter(|port| !world.take(opening(*port, 0)).is_empty());
+    assert_eq!(placed.count(), 6);
+}
