Undo the circles of control modules, and sort each tick's packets once

Cause: lease and watch defined settings that tables hold while they use the tables; message and values named each other's types; each of six systems scanned the whole inbox and cloned what it took; Tables::is_home had no caller but tests. Whether a batch was short is noted before the systems take it. Ruled out: one queue with marks, which is what was there.

--- a/examples/path_cost.rs
+++ b/examples/path_cost.rs
@@ -326,7 +326,8 @@
 }
 
 fn is_home(tables: &Tables, flow: u64) -> bool {
-    tables.is_home(&up(flow).key())
+    let home = tables.snapshot.home(&up(flow).key());
+    home.is_none_or(|home| home == tables.me)
 }
 
 fn up(flow: u64) -> Packet {
--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -25,7 +25,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Serialize;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::message::{Roster, Vote};
@@ -42,28 +41,6 @@
 /// Most views that a vote names.
 pub const VIEW_LIMIT: usize = 4;
 
-/// Times of the lease, the same on all hosts.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Timing {
-    /// Time for which a vote counts, from the heartbeat it acknowledges.
-    pub lease: Duration,
-    /// Time for which a vote names a view that its sender has left.
-    pub hold: Duration,
-    /// False to let one vote stand for a majority; for experiments.
-    pub majority: bool,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        let lease = Duration::from_secs(4);
-        Self {
-            lease,
-            hold: lease + ONCE_DEADLINE + PACKET_LIFE,
-            majority: true,
-        }
-    }
-}
-
 /// Computes the view and the lease.
 pub(super) fn run(tables: &mut Tables, now: Duration) {
     enter_view(tables, now);
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -3,10 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 use smallvec::SmallVec;
 
-use super::values::Change;
 use crate::id::{Id, Incarnation, Name};
 
 /// Heartbeat of a host. It acknowledges the receiver's last one and carries news.
@@ -138,6 +137,25 @@
     pub members: Vec<News>,
 }
 
+/// One configuration value.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Value {
+    /// Revision that wrote it.
+    pub revision: u64,
+    /// Its JSON text; none if it was removed. Dumps show its size only.
+    #[serde(serialize_with = "serialize_size")]
+    pub json: Option<Name>,
+}
+
+/// A changed value.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// Key.
+    pub key: Name,
+    /// New value.
+    pub value: Value,
+}
+
 /// Values above some revision.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Update {
@@ -179,3 +197,8 @@
     /// Digest of the addresses; never zero, but for a roster that is not made yet.
     pub digest: u64,
 }
+
+#[allow(clippy::ref_option, reason = "serde passes fields by reference")]
+fn serialize_size<S: Serializer>(json: &Option<Name>, serializer: S) -> Result<S::Ok, S::Error> {
+    json.as_ref().map(|json| json.len()).serialize(serializer)
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod publish;
 mod readers;
 mod roster;
+mod settings;
 mod spread;
 pub mod suspect;
 mod tables;
@@ -25,10 +26,10 @@
 use crate::error::Result;
 use crate::snapshot::Snapshot;
 
-pub use self::message::{Beat, Fetch, Fetched, Hosts, Update};
-pub use self::tables::{Counters, Identity, Settings, Tables};
-pub use self::values::{Build, Built, Change, Value, Values};
-pub use self::watch::Pace;
+pub use self::message::{Beat, Change, Fetch, Fetched, Hosts, Update, Value};
+pub use self::settings::{Pace, Settings, Timing};
+pub use self::tables::{Counters, Identity, Tables};
+pub use self::values::{Build, Built, Values};
 
 /// What happens to the control thread.
 #[derive(Debug)]
--- /dev/null
+++ b/src/control/settings.rs
@@ -0,0 +1,102 @@
+//! What the control thread is told at its start.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::lease::{ONCE_DEADLINE, PACKET_LIFE};
+use super::message::Card;
+use super::values::Build;
+use crate::id::Incarnation;
+use crate::ticket::Keys;
+
+/// What a host is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who this host is.
+    pub card: Card,
+    /// Its life: the wall-clock microsecond of its start.
+    pub incarnation: Incarnation,
+    /// Control addresses of hosts to contact while the platform is unknown.
+    pub seeds: Vec<SocketAddr>,
+    /// Sealing keys until the configuration names some.
+    pub keys: Keys,
+    /// Times of the lease.
+    pub timing: Timing,
+    /// Longest time that a leaving host waits for work in flight.
+    pub drain: Duration,
+    /// Checks and builds values.
+    pub build: Build,
+    /// How the platform is read.
+    pub pace: Pace,
+    /// Seed of the random choices.
+    pub random: u64,
+}
+
+/// Times of the lease, the same on all hosts.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Timing {
+    /// Time for which a vote counts, from the heartbeat it acknowledges.
+    pub lease: Duration,
+    /// Time for which a vote names a view that its sender has left.
+    pub hold: Duration,
+    /// False to let one vote stand for a majority; for experiments.
+    pub majority: bool,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        let lease = Duration::from_secs(4);
+        Self {
+            lease,
+            hold: lease + ONCE_DEADLINE + PACKET_LIFE,
+            majority: true,
+        }
+    }
+}
+
+/// How the platform is read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Shortest time that a watch waits for something new.
+    pub wait: Duration,
+    /// Most that is added to `wait` at random.
+    pub jitter: Duration,
+    /// Longest pause before the first watch.
+    pub start: Duration,
+    /// Longest pause between two watches.
+    pub pause: Duration,
+    /// Hosts of a group that read it, those of each availability zone first; the
+    /// others get values from these.
+    pub readers: usize,
+    /// Time for which a reader waits for its own read before it asks another host for
+    /// a newer revision.
+    pub patience: Duration,
+    /// Pause after the first failure.
+    pub backoff: Duration,
+    /// Longest pause after a failure.
+    pub limit: Duration,
+    /// Time after the platform's return for which removals wait.
+    pub hold: Duration,
+    /// True when there is a host list.
+    pub hosts: bool,
+}
+
+impl Default for Pace {
+    /// Few calls, for a platform that keeps what lapsed while it was away.
+    fn default() -> Self {
+        Self {
+            wait: Duration::from_secs(20),
+            jitter: Duration::from_secs(10),
+            start: Duration::from_secs(1),
+            pause: Duration::from_secs(1),
+            readers: usize::MAX,
+            patience: Duration::ZERO,
+            backoff: Duration::from_secs(1),
+            limit: Duration::from_secs(8),
+            hold: Duration::ZERO,
+            hosts: true,
+        }
+    }
+}
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -9,36 +9,11 @@
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 
-use super::lease::Timing;
-use super::message::{Card, Fetch, News, Roster, Stamp, Status, Vote};
-use super::values::{Build, Change, ValueTable};
-use super::watch::Pace;
+use super::message::{Card, Change, Fetch, News, Roster, Stamp, Status, Vote};
+use super::settings::Settings;
+use super::values::ValueTable;
 use crate::id::{Id, Incarnation};
 use crate::snapshot::{Host, Snapshot};
-use crate::ticket::Keys;
-
-/// What a host is told at its start.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Who this host is.
-    pub card: Card,
-    /// Its life: the wall-clock microsecond of its start.
-    pub incarnation: Incarnation,
-    /// Control addresses of hosts to contact while the platform is unknown.
-    pub seeds: Vec<SocketAddr>,
-    /// Sealing keys until the configuration names some.
-    pub keys: Keys,
-    /// Times of the lease.
-    pub timing: Timing,
-    /// Longest time that a leaving host waits for work in flight.
-    pub drain: Duration,
-    /// Checks and builds values.
-    pub build: Build,
-    /// How the platform is read.
-    pub pace: Pace,
-    /// Seed of the random choices.
-    pub random: u64,
-}
 
 /// Entities of the control thread.
 #[derive(Debug, Serialize)]
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::{Serialize, Serializer};
+use serde::Serialize;
 
-use super::message::Update;
+use super::message::{Change, Update, Value};
 use crate::error::Result;
 use crate::id::Name;
 use crate::segment::Route;
@@ -17,25 +17,6 @@
 /// Values by key.
 pub type Values = BTreeMap<Name, Value>;
 
-/// One configuration value.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct Value {
-    /// Revision that wrote it.
-    pub revision: u64,
-    /// Its JSON text; none if it was removed. Dumps show its size only.
-    #[serde(serialize_with = "serialize_size")]
-    pub json: Option<Name>,
-}
-
-/// A changed value.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Change {
-    /// Key.
-    pub key: Name,
-    /// New value.
-    pub value: Value,
-}
-
 /// What a set of values amounts to for this host.
 #[derive(Clone, Debug, Default)]
 pub struct Built {
@@ -168,8 +149,3 @@
         values.insert(Arc::clone(key), value.clone());
     }
 }
-
-#[allow(clippy::ref_option, reason = "serde passes fields by reference")]
-fn serialize_size<S: Serializer>(json: &Option<Name>, serializer: S) -> Result<S::Ok, S::Error> {
-    json.as_ref().map(|json| json.len()).serialize(serializer)
-}
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -6,59 +6,14 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use super::message::{Hosts, Roster, Update};
+use super::message::{Change, Hosts, Roster, Update, Value};
 use super::spread;
 use super::tables::{Read, Tables};
-use super::values::{Change, Value, Values};
+use super::values::Values;
 use super::{Action, Outbox, readers, roster};
 use crate::error::Result;
 use crate::id::Name;
 
-/// How the platform is read.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
-    /// Shortest time that a watch waits for something new.
-    pub wait: Duration,
-    /// Most that is added to `wait` at random.
-    pub jitter: Duration,
-    /// Longest pause before the first watch.
-    pub start: Duration,
-    /// Longest pause between two watches.
-    pub pause: Duration,
-    /// Hosts of a group that read it, those of each availability zone first; the
-    /// others get values from these.
-    pub readers: usize,
-    /// Time for which a reader waits for its own read before it asks another host for
-    /// a newer revision.
-    pub patience: Duration,
-    /// Pause after the first failure.
-    pub backoff: Duration,
-    /// Longest pause after a failure.
-    pub limit: Duration,
-    /// Time after the platform's return for which removals wait.
-    pub hold: Duration,
-    /// True when there is a host list.
-    pub hosts: bool,
-}
-
-impl Default for Pace {
-    /// Few calls, for a platform that keeps what lapsed while it was away.
-    fn default() -> Self {
-        Self {
-            wait: Duration::from_secs(20),
-            jitter: Duration::from_secs(10),
-            start: Duration::from_secs(1),
-            pause: Duration::from_secs(1),
-            readers: usize::MAX,
-            patience: Duration::ZERO,
-            backoff: Duration::from_secs(1),
-            limit: Duration::from_secs(8),
-            hold: Duration::ZERO,
-            hosts: true,
-        }
-    }
-}
-
 /// Bytes from which a change counts as large: on a link of 10 Mbit/s it takes longer
 /// than a tenth of a second.
 const LARGE: usize = 100_000;
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -218,7 +218,7 @@
         incarnation: 0,
         seeds: settings.peers.clone(),
         keys: settings.keys.clone(),
-        timing: decisions::lease::Timing::default(),
+        timing: decisions::Timing::default(),
         drain: DRAIN,
         build: build(settings),
         pace: Pace::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,7 +70,7 @@
 //! use jacinthhinge::control::{
 //!     Action, Build, Built, Change, Control, Event, Pace, Settings, Update, Value, Values,
 //! };
-//! use jacinthhinge::control::lease::Timing;
+//! use jacinthhinge::control::Timing;
 //! use jacinthhinge::control::message::Card;
 //! use jacinthhinge::prelude::*;
 //!
--- a/src/systems/ask.rs
+++ b/src/systems/ask.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{admit, take, verdict};
+use super::{admit, verdict};
 use crate::control::lease::ONCE_DEADLINE;
 use crate::packet::{Body, Class, Packet, Part, Reason};
 use crate::tables::{Arrival, Outbox, Request, RequestId, RequestState, SPENT, Stage, Tables};
@@ -15,7 +15,7 @@
 const DEADLINE: Duration = Duration::from_secs(2);
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    for arrival in take(tables, Stage::Ask) {
+    for arrival in tables.staged.take(Stage::Ask) {
         match arrival.packet.body {
             Body::Ask { .. } => ask(tables, &arrival, now, out),
             Body::Cancel { request, .. } => cancel(tables, &arrival.packet, request, out),
--- a/src/systems/flow.rs
+++ b/src/systems/flow.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use super::{open, pass, probe, recover, take};
+use super::{open, pass, probe, recover};
 use crate::packet::{Body, Packet, Reason};
 use crate::tables::{Arrival, Flow, FlowState, Outbox, Stage, Tables};
 use crate::ticket::{Side, Target};
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    for arrival in take(tables, Stage::Flow) {
+    for arrival in tables.staged.take(Stage::Flow) {
         step(tables, &arrival, now, out);
     }
 }
--- a/src/systems/greet.rs
+++ b/src/systems/greet.rs
@@ -2,13 +2,12 @@
 //!
 //! Any host can do so without any state: the ticket names the rendezvous home.
 
-use super::take;
 use crate::packet::Body;
 use crate::tables::{Outbox, Stage, Tables};
 use crate::ticket::Side;
 
 pub(super) fn run(tables: &mut Tables, out: &mut Outbox) {
-    for arrival in take(tables, Stage::Greet) {
+    for arrival in tables.staged.take(Stage::Greet) {
         let packet = &arrival.packet;
         let home = tables.snapshot.home(&packet.key()).unwrap_or(tables.me);
         let ticket = tables.ticket(Side::Caller, packet, home, None);
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -35,7 +35,7 @@
 use crate::id::FlowKey;
 use crate::packet::{Body, Packet};
 use crate::snapshot::Snapshot;
-use crate::tables::{Arrival, Outbox, Stage, Tables};
+use crate::tables::{Outbox, Tables};
 
 /// Longest time between ticks, for a lane without traffic.
 pub const TICK: Duration = Duration::from_millis(50);
@@ -57,6 +57,7 @@
 /// more waits to be read. `now` is read after the inbox was filled.
 pub fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     let before = wake::run(tables, now);
+    let dry = tables.waiting() < BATCH;
     route::run(tables, now, out);
     greet::run(tables, out);
     pass::run(tables, now, out);
@@ -66,9 +67,10 @@
     settle::run(tables, now, out);
     dispatch::run(tables, now, out);
     relay::run(tables, now, out);
-    wake::settle(tables, before);
-    tables.inbox.clear();
-    tables.segments.clear();
+    if dry {
+        // A short batch was read from a socket that held no more, after the last tick.
+        tables.dry = before;
+    }
 }
 
 /// Runs the systems that only time drives, at least every [`TICK`].
@@ -96,18 +98,6 @@
     })
 }
 
-/// Takes the arrivals of a stage out of the inbox.
-fn take(tables: &mut Tables, stage: Stage) -> Vec<Arrival> {
-    let mut taken = Vec::new();
-    for arrival in &mut tables.inbox {
-        if arrival.stage == stage {
-            arrival.stage = Stage::Spent;
-            taken.push(arrival.clone());
-        }
-    }
-    taken
-}
-
 /// Passes a packet on to another lane; time that a request waited here is taken
 /// off what it has left.
 fn forward(tables: &mut Tables, to: std::net::SocketAddr, packet: &Packet, out: &mut Outbox) {
--- a/src/systems/open.rs
+++ b/src/systems/open.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{flow, pass, recover, take};
+use super::{flow, pass, recover};
 use crate::id::FlowKey;
 use crate::packet::{Body, Load, Packet, Reason};
 use crate::tables::{Arrival, Flow, FlowState, Outbox, Stage, Tables};
@@ -19,7 +19,7 @@
 const TRIES: usize = 4;
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    for arrival in take(tables, Stage::Open) {
+    for arrival in tables.staged.take(Stage::Open) {
         open(tables, &arrival, now, out);
     }
 }
--- a/src/systems/pass.rs
+++ b/src/systems/pass.rs
@@ -4,13 +4,12 @@
 
 use bytes::Bytes;
 
-use super::take;
 use crate::packet::{Body, Packet, Reason};
 use crate::tables::{Arrival, Outbox, Stage, Tables};
 use crate::ticket::{Side, Target, Ticket};
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    for arrival in take(tables, Stage::Pass) {
+    for arrival in tables.staged.take(Stage::Pass) {
         let Some(ticket) = arrival.ticket else {
             continue;
         };
--- a/src/systems/route.rs
+++ b/src/systems/route.rs
@@ -19,10 +19,12 @@
         // would turn away every flow of others.
         inbox.clear();
     }
-    for arrival in &mut inbox {
+    for mut arrival in inbox.drain(..) {
         tables.counters.packets += 1;
-        arrival.stage = route(tables, arrival, now, out);
+        arrival.stage = route(tables, &mut arrival, now, out);
+        tables.staged.push(arrival);
     }
+    // The next batch uses its memory again.
     tables.inbox = inbox;
 }
 
--- a/src/systems/settle.rs
+++ b/src/systems/settle.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use super::{dispatch, open, place, recover, retry, take, verdict};
+use super::{dispatch, open, place, recover, retry, verdict};
 use crate::packet::{Body, Load, Packet, Part, Reason};
 use crate::tables::{Arrival, Flow, FlowState, Outbox, RequestState, Stage, Tables};
 use crate::ticket::Target;
 
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    for arrival in take(tables, Stage::Settle) {
+    for arrival in tables.staged.take(Stage::Settle) {
         step(tables, &arrival, now, out);
     }
 }
--- a/src/systems/wake.rs
+++ b/src/systems/wake.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{BATCH, TICK};
+use super::TICK;
 use crate::tables::Tables;
 
 /// Shortest gap between ticks that counts as a pause.
@@ -31,11 +31,3 @@
         tables.woken = now;
     }
 }
-
-/// A short batch was read from a socket that held no more, at some time after the
-/// tick `before`.
-pub(super) fn settle(tables: &mut Tables, before: Duration) {
-    if tables.waiting() < BATCH {
-        tables.dry = before;
-    }
-}
--- a/src/tables/inbox.rs
+++ b/src/tables/inbox.rs
@@ -8,9 +8,9 @@
 /// Which system an arrival is for.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Stage {
-    /// Not routed.
+    /// Dealt with.
     #[default]
-    New,
+    Spent,
     /// Greeting of a caller.
     Greet,
     /// Flow to open here.
@@ -23,8 +23,40 @@
     Settle,
     /// Packet that a ticket alone takes on to the endpoint or the caller.
     Pass,
-    /// Dealt with.
-    Spent,
+}
+
+/// Arrivals by the system they are for, in the order in which they came.
+#[derive(Debug, Default)]
+pub struct Staged([Vec<Arrival>; STAGES]);
+
+/// Number of stages that wait for a system.
+const STAGES: usize = 6;
+
+impl Staged {
+    /// Adds an arrival; one that is dealt with is dropped.
+    pub fn push(&mut self, arrival: Arrival) {
+        if let Some(queue) = self.queue(arrival.stage) {
+            queue.push(arrival);
+        }
+    }
+
+    /// Takes out the arrivals of a stage.
+    pub fn take(&mut self, stage: Stage) -> Vec<Arrival> {
+        self.queue(stage).map(std::mem::take).unwrap_or_default()
+    }
+
+    fn queue(&mut self, stage: Stage) -> Option<&mut Vec<Arrival>> {
+        let place = match stage {
+            Stage::Spent => return None,
+            Stage::Greet => 0,
+            Stage::Open => 1,
+            Stage::Flow => 2,
+            Stage::Ask => 3,
+            Stage::Settle => 4,
+            Stage::Pass => 5,
+        };
+        self.0.get_mut(place)
+    }
 }
 
 /// A packet that arrived.
@@ -48,7 +80,7 @@
             from,
             packet,
             ticket: None,
-            stage: Stage::New,
+            stage: Stage::Spent,
         }
     }
 }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -30,14 +30,13 @@
 pub use self::endpoints::{Down, EndpointRow, Endpoints, Stall};
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::held::{Held, Waiting};
-pub use self::inbox::{Arrival, Stage};
+pub use self::inbox::{Arrival, Stage, Staged};
 pub use self::recent::Recent;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::spent::SPENT;
 pub use self::timings::{Timings, observe};
 pub use self::tracks::{Track, TrackState, Tracks};
 
-use crate::id::FlowKey;
 use crate::packet::{Body, Packet};
 use crate::segment::{Relay, Segment};
 use crate::snapshot::Snapshot;
@@ -51,8 +50,10 @@
     pub me: Home,
     /// What the control thread last published.
     pub snapshot: Arc<Snapshot>,
-    /// Packets of this tick.
+    /// Packets of this tick that are not routed.
     pub inbox: Vec<Arrival>,
+    /// Packets of this tick by the system they are for.
+    pub staged: Staged,
     /// Segments of this tick.
     pub segments: Vec<Segment>,
     /// Endpoints by the cookies of their flows.
@@ -99,6 +100,7 @@
             me,
             snapshot,
             inbox: Vec::new(),
+            staged: Staged::default(),
             segments: Vec::new(),
             cookies: Cookies::default(),
             tracks: Tracks::default(),
@@ -119,12 +121,6 @@
         }
     }
 
-    /// True when this lane is the rendezvous home of `key`.
-    #[must_use]
-    pub fn is_home(&self, key: &FlowKey) -> bool {
-        self.snapshot.home(key).is_none_or(|home| home == self.me)
-    }
-
     /// Seals a ticket of `packet`'s flow for `side`.
     #[must_use]
     pub fn ticket(
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 use jacinthhinge::control::Event;
-use jacinthhinge::control::lease::Timing;
+use jacinthhinge::control::Timing;
 use jacinthhinge::prelude::*;
 use proptest::collection::vec;
 use proptest::prelude::*;
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -137,7 +137,8 @@
                 continue;
             }
             let me = row.tables.me;
-            let homed = |key: &&FlowKey| row.tables.is_home(key);
+            let homed =
+                |key: &&FlowKey| row.tables.snapshot.home(key).is_none_or(|home| home == me);
             let own: Vec<FlowKey> = flows.iter().filter(homed).copied().collect();
             let free = |key: &FlowKey| match self.holders.get(key) {
                 Some((holder, until)) => *holder == me || world.now >= *until + HOLD,
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -5,7 +5,7 @@
 use std::net::UdpSocket;
 use std::sync::Mutex;
 
-use jacinthhinge::control::lease::Timing;
+use jacinthhinge::control::Timing;
 use jacinthhinge::control::message::{Fetch, Stamp, Vote};
 use jacinthhinge::control::{Beat, Build, Built, Change, Fetched, Pace, Settings, Update, Value};
 use jacinthhinge::front::control::{self, ControlSettings, Links, Source};
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -7,7 +7,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::{Json as Reply, Router};
-use jacinthhinge::control::lease::Timing;
+use jacinthhinge::control::Timing;
 use jacinthhinge::control::message::{Beat, Card, Stamp, Vote};
 use jacinthhinge::control::{Action, Change, Control, Event, Pace, Settings, Update, Value};
 use jacinthhinge::platform::{self, header, settings, store::Store};
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use jacinthhinge::control::lease::Timing;
+use jacinthhinge::control::Timing;
 use jacinthhinge::control::message::{Beat, Card, Hosts, Listed};
 use jacinthhinge::control::{
     Action, Build, Built, Change, Control, Event, Fetch, Fetched, Pace, Settings, Update, Value,
