Outlive a hangup at the start, and give new flows to the later of two endpoints at one address

Two entries with one address had neither a log line nor a test; new flows went to both, and the earlier endpoint never answers. An address that changes its service was left alone for 10 s, though segments name the endpoint that may take them. Change: the relay takes SIGHUP before it reads its settings; of endpoints with one address only the one that started last gets new flows, logged and counted; the pause of 10 s is for endpoints without a number.

--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use error_stack::Report;
@@ -64,6 +65,7 @@
 /// Fails when the settings cannot be read, a socket cannot be opened or a thread
 /// cannot be started.
 pub fn run(file: Option<PathBuf>, ops_port: u16, log: &str) -> Result<(), Report<Error>> {
+    outlive_hangups()?;
     let named = std::env::var_os(settings::PATH).map(PathBuf::from);
     let path = file.or(named).ok_or_else(no_file)?;
     let given = settings::read(&path)?;
@@ -73,6 +75,15 @@
     serve::run_wired(&own, wiring)
 }
 
+/// Takes SIGHUP from now on, which would end a process that has not set up its reload.
+/// What it tells of is found by the next look at the settings file.
+fn outlive_hangups() -> Result<()> {
+    let noted = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, noted)
+        .map_err(|source| Error::io("listen for signals", source))?;
+    Ok(())
+}
+
 #[cold]
 fn no_file() -> Error {
     let remedy = "set it to the settings file, or pass --settings FILE";
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -54,6 +54,10 @@
 
 /// Takes over the endpoints of a new snapshot.
 pub(super) fn sync(tables: &mut Tables, now: Duration) {
+    for endpoint in tables.endpoints.mark_replaced() {
+        tables.counters.replaced += 1;
+        log::warn!(endpoint:% = endpoint.name, addr:% = endpoint.addr; "endpoint_replaced");
+    }
     for name in tables.cookies.sync(&tables.snapshot, now) {
         log::info!(endpoint:% = name; "endpoint_gone");
     }
--- a/src/systems/sync.rs
+++ b/src/systems/sync.rs
@@ -13,8 +13,8 @@
     if same {
         return;
     }
-    relay::sync(tables, now);
     tables.endpoints.sync(&tables.snapshot, now);
+    relay::sync(tables, now);
     let fresh: Vec<_> = tables
         .endpoints
         .iter()
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -69,6 +69,8 @@
     pub crowded: u64,
     /// Segments whose cookie names no endpoint.
     pub unknown_cookies: u64,
+    /// Endpoints whose address was listed again by one that started later.
+    pub replaced: u64,
     /// Flows whose cookie changed while they were open.
     pub cookie_moves: u64,
     /// Requests that had to wait for room.
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -1,6 +1,7 @@
 //! Endpoints, with what this lane has itself seen of them.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Serialize, Serializer};
@@ -71,6 +72,8 @@
     pub leaving: Option<Duration>,
     /// Time until which it gets no traffic.
     pub barred: Duration,
+    /// True while an endpoint that started later is listed with its address.
+    pub replaced: bool,
     /// Usual time until it answers a request, in seconds.
     pub answer: f64,
     /// Flows whose data it has left without an answer since it was last heard.
@@ -107,7 +110,7 @@
     /// True when it may take new flows and requests.
     #[must_use]
     pub fn is_open(&self, now: Duration) -> bool {
-        self.leaving.is_none() && now >= self.barred
+        self.leaving.is_none() && !self.replaced && now >= self.barred
     }
 
     /// Notes whether it refused the latest request with slots free.
@@ -179,10 +182,9 @@
             self.services.entry(service.id).or_default().pressed = pressed;
             for spec in &service.endpoints {
                 let mut row = old.take(spec, service.id, now);
-                if owners
-                    .get(&spec.addr)
-                    .is_some_and(|owner| *owner != service.id)
-                {
+                let owner = owners.get(&spec.addr);
+                // Segments name the endpoint that may take them, so they need no pause.
+                if spec.number == 0 && owner.is_some_and(|owner| *owner != service.id) {
                     row.barred = now + QUARANTINE;
                 }
                 self.push(row);
@@ -190,6 +192,26 @@
         }
     }
 
+    /// Marks all but the latest of endpoints that are listed with one address; returns
+    /// those that were not marked before. Only the latest can be running there.
+    pub fn mark_replaced(&mut self) -> Vec<Endpoint> {
+        let mut latest: HashMap<SocketAddr, (u64, Id)> = HashMap::new();
+        for row in &self.rows {
+            let start = (row.spec.born, row.spec.id);
+            let known = latest.entry(row.spec.addr).or_insert(start);
+            *known = start.max(*known);
+        }
+        let mut marked = Vec::new();
+        for row in &mut self.rows {
+            let replaced = latest[&row.spec.addr].1 != row.spec.id;
+            if replaced && !row.replaced {
+                marked.push(row.spec.clone());
+            }
+            row.replaced = replaced;
+        }
+        marked
+    }
+
     /// Row of an endpoint.
     #[must_use]
     pub fn get(&self, id: Id) -> Option<&EndpointRow> {
@@ -370,6 +392,7 @@
             since: now,
             leaving: None,
             barred: Duration::ZERO,
+            replaced: false,
             answer: 0.0,
             stalls: Vec::new(),
             down: None,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -541,3 +541,18 @@
     let placed = (1..=20).filter(|port| !world.take(opening(*port, 0)).is_empty());
     assert_eq!(placed.count(), 6);
 }
+
+#[test]
+fn of_two_endpoints_with_one_address_the_later_gets_new_flows() {
+    let mut endpoints = local(3);
+    endpoints[2].addr = endpoints[0].addr;
+    let mut world = World::new(&endpoints);
+    for port in 1..=6 {
+        assert_ne!(world.open(port), 1);
+    }
+    assert_eq!(world.lane.counters.replaced, 1);
+    // Flows that the earlier one holds are passed on to it all the same.
+    assert!(reaches(&world.take(data(90, 1, 1, 10, 500)), 1));
+    world.publish(&snapshot(&endpoints[..2]));
+    assert!((10..40).any(|port| world.open(port) == 1));
+}
