--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -102,7 +102,7 @@
     let Some(row) = tables.endpoints.get_mut(track.endpoint) else {
         return;
     };
-    row.heard = now;
+    row.note_heard(now);
     row.asked = None;
     row.stalls.clear();
     if let Some(down) = row.down.take() {
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -76,6 +76,8 @@
     pub replaced: bool,
     /// Usual time until it answers a request, in seconds.
     pub answer: f64,
+    /// Answers of the last second when it was last heard, fading.
+    pub answers: f64,
     /// Flows whose data it has left without an answer since it was last heard.
     pub stalls: Vec<Stall>,
     /// What shows that it is down.
@@ -127,6 +129,19 @@
         self.answer += LATEST_ANSWER * (time - self.answer);
     }
 
+    /// Notes that it has answered a flow.
+    pub fn note_heard(&mut self, now: Duration) {
+        self.answers = self.answers_at(now) + 1.0;
+        self.heard = now;
+    }
+
+    /// Answers that were heard of it in the second before a time.
+    #[must_use]
+    pub fn answers_at(&self, time: Duration) -> f64 {
+        let age = time.saturating_sub(self.heard).as_secs_f64();
+        self.answers * (-age / RECENT.as_secs_f64()).exp()
+    }
+
     /// Slots that this lane has lately kept busy on it.
     #[must_use]
     pub fn recent_slots(&self, now: Duration) -> f64 {
@@ -394,6 +409,7 @@
             barred: Duration::ZERO,
             replaced: false,
             answer: 0.0,
+            answers: 0.0,
             stalls: Vec::new(),
             down: None,
             doubted: Duration::ZERO,
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -17,6 +17,7 @@
 mod mixed_answers;
 mod pause_after_clock;
 mod pause_past_record;
+mod quiet_zone;
 mod reassigned_probe;
 mod removed_endpoint;
 mod repeated_probe;
