Count only recent repeats against endpoints and zones

A host had passed the flows of another zone while that zone's own host was stopped; they repeated their data and went back. The repeats stood for eight seconds, until the zone had missed six answers here, and flows that had long been answered were reset (waited_ms 7,674 and more). Ruled out: the cut of the third zone, which was over for five seconds. Change: a repeat counts for a second, and only flows that have repeated within it are reset. The regression test old_stalls fails on the code before.

--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -155,6 +155,7 @@
         ends: track.ends,
         repeats: track.repeats,
         since: track.moved,
+        latest: now,
     };
     let Some(row) = tables.endpoints.get_mut(track.endpoint) else {
         return;
--- a/src/systems/relay/judge.rs
+++ b/src/systems/relay/judge.rs
@@ -23,6 +23,11 @@
 /// Time between the sending of data and its first repeat.
 const FIRST_REPEAT: Duration = Duration::from_millis(200);
 
+/// Longest time from one repeat to the next that counts with it, a little more than from
+/// a caller's second repeat to its third. A flow that repeats no longer goes through
+/// another host, or its caller has given up.
+const REPEAT_SPAN: Duration = Duration::from_secs(1);
+
 /// Fewest flows that have to stall with one repeat at the endpoints of a silent zone.
 const ZONE_FLOWS: usize = 3;
 
@@ -84,15 +89,15 @@
     let busy = |loaded| now < loaded + LOADED_SPAN;
     tables.snapshot.loaded.is_some_and(busy)
         || tables.recent.is_choked(now)
-        || is_own_zone_silent(tables)
+        || is_own_zone_silent(tables, now)
 }
 
 /// True when many endpoints of the own zone stall, on the shortest way there is.
-fn is_own_zone_silent(tables: &Tables) -> bool {
+fn is_own_zone_silent(tables: &Tables, now: Duration) -> bool {
     let rows = tables.endpoints.iter();
     let used = rows.filter(|row| row.spec.local && row.flows > 0 && row.leaving.is_none());
     let (all, silent) = used.fold((0, 0), |(all, silent), row| {
-        (all + 1, silent + usize::from(stalled(row, 1) > 0))
+        (all + 1, silent + usize::from(stalled(row, 1, now) > 0))
     });
     silent >= OWN_ENDPOINTS && share(silent, all) >= OWN_SHARE
 }
@@ -130,7 +135,7 @@
 
 /// Marks the zones that are cut off; returns their endpoints.
 fn fallen_zones(tables: &mut Tables, now: Duration) -> Vec<Id> {
-    let zones = survey(tables);
+    let zones = survey(tables, now);
     let hears_others = |name: &Name| {
         let mut others = zones.iter().filter(|(other, _)| *other != name);
         others.any(|(_, zone)| is_recent(zone.heard, now))
@@ -144,7 +149,7 @@
     fallen
 }
 
-fn survey(tables: &Tables) -> BTreeMap<Name, Evidence> {
+fn survey(tables: &Tables, now: Duration) -> BTreeMap<Name, Evidence> {
     let mut zones: BTreeMap<Name, Evidence> = BTreeMap::new();
     for row in tables.endpoints.iter() {
         let zone = zones.entry(row.spec.zone.clone()).or_default();
@@ -152,7 +157,7 @@
         if row.leaving.is_some() {
             continue;
         }
-        let flows = stalled(row, 1);
+        let flows = stalled(row, 1, now);
         zone.flows += flows;
         zone.endpoints += usize::from(flows > 0);
         zone.used += usize::from(row.flows > 0);
@@ -196,7 +201,7 @@
         let is_heard = others
             .map(|(_, heard)| *heard)
             .any(|heard| is_recent(heard, now));
-        if row.down.is_some() || !is_heard || !is_down(row) {
+        if row.down.is_some() || !is_heard || !is_down(row, now) {
             continue;
         }
         row.down = Some(Down {
@@ -237,15 +242,16 @@
 
 /// Flows that have repeated once show nothing: requests long at work in all slots, with
 /// others queued behind them, look the same.
-fn is_down(row: &EndpointRow) -> bool {
-    stalled(row, STALL_REPEATS) >= STALL_FLOWS
+fn is_down(row: &EndpointRow, now: Duration) -> bool {
+    stalled(row, STALL_REPEATS, now) >= STALL_FLOWS
 }
 
-/// Flows that have repeated their data so often since the endpoint was heard.
-fn stalled(row: &EndpointRow, repeats: u32) -> usize {
+/// Flows that have repeated their data so often since the endpoint was heard, and of late.
+fn stalled(row: &EndpointRow, repeats: u32, now: Duration) -> usize {
     let stalls = row.stalls.iter();
     stalls
-        .filter(|stall| stall.repeats >= repeats && stall.since + FIRST_REPEAT >= row.heard)
+        .filter(|stall| stall.repeats >= repeats && now < stall.latest + REPEAT_SPAN)
+        .filter(|stall| stall.since + FIRST_REPEAT >= row.heard)
         .count()
 }
 
@@ -257,6 +263,7 @@
         .iter()
         .filter(|track| fallen.contains(&track.endpoint))
         .filter(|track| track.asked.is_some() && track.repeats > 0)
+        .filter(|track| now < track.repeated + REPEAT_SPAN)
         .filter(|track| may_repeat(tables, track))
         .map(|track| track.ends)
         .collect();
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -106,6 +106,8 @@
     pub repeats: u32,
     /// Time at which the data was first sent.
     pub since: Duration,
+    /// Time of the last repeat.
+    pub latest: Duration,
 }
 
 impl EndpointRow {
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -15,6 +15,7 @@
 mod leaving_home;
 mod lost_probe;
 mod mixed_answers;
+mod old_stalls;
 mod pause_after_clock;
 mod pause_past_record;
 mod quiet_zone;
