Log each failed read and fetch, and where values came from

Change: read_failed, fetch_failed, waited_ms in store_lost, unheard_ms in store_regained, source in values_in_force.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -47,3 +47,8 @@
         write!(f, "Clock({:?})", self.now())
     }
 }
+
+/// Converts a duration to whole milliseconds, for log fields.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -12,6 +12,7 @@
 use super::tables::{Member, Tables};
 use super::values::BuiltConfig;
 use super::{Action, Outbox, members, readers, voters};
+use crate::clock::millis;
 use crate::error::Result;
 use crate::id::Id;
 
@@ -54,16 +55,21 @@
 
 /// Processes the result of a fetch.
 pub(super) fn receive(tables: &mut Tables, now: Duration, result: Result<FetchResponse>) {
-    tables.fetch.pending_since = None;
-    let Ok(fetched) = result else {
-        tables.counters.fetch_failures += 1;
-        tables.fetch.failed_peer = tables.fetch.peer;
-        tables.fetch.next_fetch = now + tables.jitter(MAX_RETRY_PAUSE);
-        return;
-    };
-    tables.fetch.failed_peer = None;
-    tables.fetch.next_fetch = now + tables.jitter(MAX_FETCH_PAUSE);
-    apply_response(tables, now, fetched);
+    let started_at = tables.fetch.pending_since.take().unwrap_or(now);
+    match result {
+        Ok(fetched) => {
+            tables.fetch.failed_peer = None;
+            tables.fetch.next_fetch = now + tables.jitter(MAX_FETCH_PAUSE);
+            apply_response(tables, now, fetched);
+        }
+        Err(err) => {
+            tables.counters.fetch_failures += 1;
+            tables.fetch.failed_peer = tables.fetch.peer;
+            tables.fetch.next_fetch = now + tables.jitter(MAX_RETRY_PAUSE);
+            let waited = now.saturating_sub(started_at);
+            log::warn!(waited_ms = millis(waited), cause:% = err; "fetch_failed");
+        }
+    }
 }
 
 /// Returns the response to another host's fetch.
@@ -83,8 +89,8 @@
     }
 }
 
-/// Activates the configuration built from accepted values.
-pub(super) fn activate(tables: &mut Tables, built: BuiltConfig) {
+/// Activates the configuration built from values that were accepted from `source`.
+pub(super) fn activate(tables: &mut Tables, built: BuiltConfig, source: &str) {
     tables.counters.accepted_values += 1;
     let keys = built.keys.unwrap_or_else(|| tables.settings.keys.clone());
     let mut snapshot = tables.snapshot.clone().with_services(built.services);
@@ -93,7 +99,7 @@
     snapshot.routes = Arc::new(built.routes);
     tables.snapshot = snapshot;
     tables.output.snapshot_changed = true;
-    log::info!(revision = tables.values.revision; "values_in_force");
+    log::info!(source, revision = tables.values.revision; "values_in_force");
 }
 
 /// Returns true if the view of a member has differed from this host's for too long.
@@ -223,7 +229,7 @@
     }
     let builder = tables.settings.config_builder.clone();
     match tables.values.merge_accepted(update, &builder) {
-        Ok(config) => activate(tables, config),
+        Ok(config) => activate(tables, config, "host"),
         Err(err) => {
             tables.counters.refused_values += 1;
             log::warn!(source = "host", cause:% = err; "values_refused");
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -11,6 +11,7 @@
 use super::tables::{ReadState, Tables};
 use super::values::Values;
 use super::{Action, Outbox, readers, voters};
+use crate::clock::millis;
 use crate::error::Result;
 use crate::id::Name;
 
@@ -44,7 +45,7 @@
     }
     tables.platform_reads.is_reader = is_reader;
     if is_reader && is_due(&tables.platform_reads.values, now) {
-        tables.platform_reads.values.in_flight = true;
+        start_read(&mut tables.platform_reads.values, now);
         tables.counters.reads += 1;
         let pacing = tables.settings.read_pacing;
         let max_wait = pacing.min_wait + tables.jitter(pacing.wait_jitter);
@@ -55,7 +56,7 @@
         });
     }
     if tables.settings.read_pacing.has_list && is_due(&tables.platform_reads.hosts, now) {
-        tables.platform_reads.hosts.in_flight = true;
+        start_read(&mut tables.platform_reads.hosts, now);
         tables.counters.reads += 1;
         outbox.push(Action::ReadHosts);
     }
@@ -82,7 +83,8 @@
         }
         Err(err) => {
             let failures = count_failure(&mut tables.platform_reads.values);
-            record_failure(tables, failures, &err);
+            tables.counters.read_failures += 1;
+            log_failure(&tables.platform_reads.values, now, &err);
             tables.platform_reads.values.next_read = now + backoff(tables, failures);
         }
     }
@@ -106,7 +108,8 @@
         }
         Err(err) => {
             let failures = count_failure(&mut tables.platform_reads.hosts);
-            record_failure(tables, failures, &err);
+            tables.counters.read_failures += 1;
+            log_failure(&tables.platform_reads.hosts, now, &err);
             tables.platform_reads.hosts.next_read = now + backoff(tables, failures);
         }
     }
@@ -138,15 +141,23 @@
     !read.in_flight && now >= read.next_read
 }
 
+fn start_read(read: &mut ReadState, now: Duration) {
+    read.in_flight = true;
+    read.started_at = now;
+}
+
 fn count_failure(read: &mut ReadState) -> u32 {
     read.failures = read.failures.saturating_add(1);
     read.failures
 }
 
-fn record_failure(tables: &mut Tables, failures: u32, err: &crate::Error) {
-    tables.counters.read_failures += 1;
+fn log_failure(read: &ReadState, now: Duration, err: &crate::Error) {
+    let failures = read.failures;
+    let waited_ms = millis(now.saturating_sub(read.started_at));
     if failures == 1 {
-        log::warn!(cause:% = err; "store_lost");
+        log::warn!(waited_ms, cause:% = err; "store_lost");
+    } else {
+        log::info!(failures, waited_ms, cause:% = err; "read_failed");
     }
 }
 
@@ -168,12 +179,14 @@
     texts.map(|json| json.len()).sum()
 }
 
-/// Resets the failure count and, after an outage, starts to hold back removals.
+/// Records an answer, resets the failure count and, after an outage, starts to hold back removals.
 fn record_recovery(tables: &mut Tables, now: Duration) {
-    let failures = std::mem::take(&mut tables.platform_reads.values.failures);
+    let read = &mut tables.platform_reads.values;
+    let failures = std::mem::take(&mut read.failures);
+    let unheard = now.saturating_sub(std::mem::replace(&mut read.last_answer, now));
     if failures > 0 {
         tables.platform_reads.hold_until = now + tables.settings.read_pacing.removal_hold;
-        log::info!(failures; "store_regained");
+        log::info!(failures, unheard_ms = millis(unheard); "store_regained");
     }
 }
 
@@ -250,7 +263,7 @@
 fn merge_update(tables: &mut Tables, update: &ValueUpdate) {
     let builder = tables.settings.config_builder.clone();
     match tables.values.merge(update, &builder) {
-        Ok(config) => fetch::activate(tables, config),
+        Ok(config) => fetch::activate(tables, config, "store"),
         Err(err) => {
             tables.counters.refused_values += 1;
             log::warn!(source = "store", revision = update.revision, cause:% = err; "values_refused");
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -238,6 +238,10 @@
     #[serde(rename = "pending")]
     pub(super) in_flight: bool,
     pub(super) failures: u32,
+    /// When the current or last read was sent.
+    pub(super) started_at: Duration,
+    /// When the platform last answered with valid values.
+    pub(super) last_answer: Duration,
 }
 
 /// State of the fetches from other hosts.
--- a/src/systems/relay/failure_detector.rs
+++ b/src/systems/relay/failure_detector.rs
@@ -14,7 +14,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{is_idempotent, millis, reset_down_flow, uncount_flow};
+use super::{is_idempotent, reset_down_flow, uncount_flow};
+use crate::clock::millis;
 use crate::id::{Id, Name};
 use crate::tables::{DownState, EndpointRow, Outbox, Tables};
 
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -8,9 +8,8 @@
 
 use std::time::Duration;
 
-use super::{
-    add_load, failure_detector, is_idempotent, millis, remove_load, timeouts, uncount_flow,
-};
+use super::{add_load, failure_detector, is_idempotent, remove_load, timeouts, uncount_flow};
+use crate::clock::millis;
 use crate::segment::{Segment, SegmentKind, is_seq_after};
 use crate::tables::{EndpointRow, StalledFlow, Tables, TrackedFlow, TrackedState, observe};
 
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use crate::clock::millis;
 use crate::id::{Id, Name};
 use crate::segment::{RelayAction, RequestKind, Segment};
 use crate::tables::{CookieEndpoint, Outbox, Tables, TrackedFlow, TrackedState, observe};
@@ -79,11 +80,6 @@
     row.map_or_else(|| format!("{id:?}").into(), |row| row.spec.name.clone())
 }
 
-/// Converts a duration to whole milliseconds, for log fields.
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Sends a reset to the caller of a segment and logs the cause.
 fn reset_flow(segment: &Segment, cause: &str, out: &mut Outbox) {
     log::info!(
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{millis, process_segment};
+use super::process_segment;
+use crate::clock::millis;
 use crate::id::Id;
 use crate::segment::{Segment, SegmentKind, is_seq_after};
 use crate::tables::{HeldRequest, Outbox, Tables};
