Add a failing test of a change that a silent store delays

Cause: a read that the store never answers blocks its host for 4.0 to 4.5 s. Change: tests/regression/unanswered_read.rs plays one to three such reads against the relay as a process, and makes the change when the last of them arrives. The process of tests/host.rs moves to tests/process, which both use.

--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -2,6 +2,8 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+#[path = "../process/mod.rs"]
+mod process;
 #[path = "../relaying/mod.rs"]
 mod relaying;
 #[path = "../zone/mod.rs"]
@@ -27,6 +29,7 @@
 mod retries_at_leaving_home;
 mod simultaneous_endpoint_exits;
 mod stalls_of_departed_flows;
+mod unanswered_read;
 
 use common::{World, ms};
 use jacinthhinge::prelude::*;
