Bound the time that an unanswered read of the store takes

What callers saw: up to half a second after the hosts count as in touch with a store that was silent, requests were handled by an older version than the one in force. Cause: a watch was given its whole wait of 2.5 to 3 s and 1.5 s more, also right after a failure. One that was sent just before the store's return was never answered, and its host learned nothing for 4.1 to 4.7 s, backoff included; 4 s are allowed. All readers were blind at once, so hosts could not help each other. Change: a read that follows a failure does not wait for changes, so its answer is due at once. The own interface keeps its 1.5 s.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -77,8 +77,10 @@
     Watch {
         /// Newest revision that is already known.
         known_revision: u64,
-        /// Maximum time to wait for a change.
+        /// Maximum time that the platform waits for a change.
         max_wait: Duration,
+        /// Time in which the response must begin, in addition to `max_wait`.
+        response_time: Duration,
     },
     /// Read the platform's host list and report the result as [`Event::Hosts`].
     ReadHosts,
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -47,12 +47,10 @@
     if is_reader && is_due(&tables.platform_reads.values, now) {
         start_read(&mut tables.platform_reads.values, now);
         tables.counters.reads += 1;
-        let pacing = tables.settings.read_pacing;
-        let max_wait = pacing.min_wait + tables.jitter(pacing.wait_jitter);
-        let known_revision = tables.values.highest_revision;
         outbox.push(Action::Watch {
-            known_revision,
-            max_wait,
+            known_revision: tables.values.highest_revision,
+            max_wait: max_wait(tables),
+            response_time: tables.settings.read_pacing.response_time,
         });
     }
     if tables.settings.read_pacing.has_list && is_due(&tables.platform_reads.hosts, now) {
@@ -141,6 +139,18 @@
     !read.in_flight && now >= read.next_read
 }
 
+/// Returns the time that the next watch waits for a change.
+///
+/// After a failure it does not wait: a missing response then shows early that the platform
+/// is still away, and its return is noticed by the first read that follows it.
+fn max_wait(tables: &mut Tables) -> Duration {
+    if tables.platform_reads.values.failures > 0 {
+        return Duration::ZERO;
+    }
+    let pacing = tables.settings.read_pacing;
+    pacing.min_wait + tables.jitter(pacing.wait_jitter)
+}
+
 fn start_read(read: &mut ReadState, now: Duration) {
     read.in_flight = true;
     read.started_at = now;
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -66,6 +66,8 @@
     pub min_wait: Duration,
     /// Maximum random time added to `min_wait`.
     pub wait_jitter: Duration,
+    /// Time in which the platform must begin a response, in addition to the wait.
+    pub response_time: Duration,
     /// Maximum random delay of the first watch.
     pub start_jitter: Duration,
     /// Maximum random pause between two watches.
@@ -92,6 +94,7 @@
         Self {
             min_wait: Duration::from_secs(20),
             wait_jitter: Duration::from_secs(10),
+            response_time: Duration::from_millis(1_500),
             start_jitter: Duration::from_secs(1),
             max_pause: Duration::from_secs(1),
             max_readers: usize::MAX,
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -57,9 +57,11 @@
 /// Read operations on the platform.
 #[derive(Clone)]
 pub struct PlatformSource {
-    /// Waits, up to a limit, for values newer than a revision.
-    pub watch_values:
-        Arc<dyn Fn(u64, Duration) -> BoxFuture<'static, Result<ValueUpdate>> + Send + Sync>,
+    /// Waits for values newer than a revision. Takes the maximum wait, and the time in which
+    /// the response must begin after it.
+    pub watch_values: Arc<
+        dyn Fn(u64, Duration, Duration) -> BoxFuture<'static, Result<ValueUpdate>> + Send + Sync,
+    >,
     /// Reads the host list.
     pub read_hosts: Arc<dyn Fn() -> BoxFuture<'static, Result<HostList>> + Send + Sync>,
 }
@@ -69,7 +71,7 @@
     #[must_use]
     pub fn unavailable() -> Self {
         Self {
-            watch_values: Arc::new(|_, _| ready(Err(missing_platform())).boxed()),
+            watch_values: Arc::new(|_, _, _| ready(Err(missing_platform())).boxed()),
             read_hosts: Arc::new(|| ready(Err(missing_platform())).boxed()),
         }
     }
@@ -79,9 +81,9 @@
     pub fn from_store(store: &Store) -> Self {
         let (value_store, list_store) = (store.clone(), store.clone());
         Self {
-            watch_values: Arc::new(move |known_revision, max_wait| {
+            watch_values: Arc::new(move |known_revision, max_wait, response_time| {
                 let store = value_store.clone();
-                async move { store.watch(known_revision, max_wait).await }.boxed()
+                async move { store.watch(known_revision, max_wait, response_time).await }.boxed()
             }),
             read_hosts: Arc::new(move || {
                 let store = list_store.clone();
@@ -238,7 +240,8 @@
                 Action::Watch {
                     known_revision,
                     max_wait,
-                } => self.watch(known_revision, max_wait),
+                    response_time,
+                } => self.watch(known_revision, max_wait, response_time),
                 Action::ReadHosts => self.read_hosts(),
                 Action::Publish(snapshot) => (self.channels.publish_snapshot)(snapshot),
                 Action::Exit => left = true,
@@ -259,8 +262,9 @@
             .spawn(async move { Event::Fetched(fetch(to, request, &key).await) });
     }
 
-    fn watch(&mut self, known_revision: u64, max_wait: Duration) {
-        let response = (self.settings.source.watch_values)(known_revision, max_wait);
+    fn watch(&mut self, known_revision: u64, max_wait: Duration, response_time: Duration) {
+        let source = &self.settings.source;
+        let response = (source.watch_values)(known_revision, max_wait, response_time);
         self.pending_reads
             .spawn(async move { Event::Values(response.await) });
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use axum::http::{Request, StatusCode, Uri};
+use axum::body::{Body, to_bytes};
+use axum::http::{Request, Response, StatusCode, Uri};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -20,9 +21,12 @@
 use crate::error::{Error, Result};
 use crate::id::Name;
 
-/// Maximum time until a response, in addition to the requested wait.
+/// Maximum time until the response to a read that does not wait for changes begins.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum time from the beginning of a response to its end.
+const BODY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -97,28 +101,34 @@
     /// Waits up to `wait` for values with a revision above `after`.
     ///
     /// Reads all values when `after` is 0, or when the store no longer has the changes
-    /// since that revision.
+    /// since that revision. Each response must begin within `response_time`, which for the
+    /// watch starts after `wait`.
     ///
     /// # Errors
     ///
     /// Returns an error when the request fails or times out, or when the response is
     /// invalid.
-    pub async fn watch(&self, after: u64, wait: Duration) -> Result<ValueUpdate> {
+    pub async fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+        response_time: Duration,
+    ) -> Result<ValueUpdate> {
         if after == 0 {
-            return self.read_all().await;
+            return self.read_all(response_time).await;
         }
         let millis = wait.as_millis();
         let prefix = &self.prefix;
         let path = format!("/-/kv-watch?Prefix={prefix}&after={after}&WaitMs={millis}");
-        let (status, body) = self.get(&path, wait + RESPONSE_TIMEOUT).await?;
+        let (status, body) = self.get(&path, wait + response_time).await?;
         match status {
             StatusCode::OK => self.parse_events(&body),
-            StatusCode::GONE => self.read_all().await,
+            StatusCode::GONE => self.read_all(response_time).await,
             _ => Err(unexpected_status(status)),
         }
     }
 
-    async fn read_all(&self) -> Result<ValueUpdate> {
+    async fn read_all(&self, response_time: Duration) -> Result<ValueUpdate> {
         let mut update = ValueUpdate {
             is_full: true,
             ..ValueUpdate::default()
@@ -128,7 +138,7 @@
             let from = after.as_deref().unwrap_or_default();
             let prefix = &self.prefix;
             let path = format!("/-/kv-range?Prefix={prefix}&after={from}");
-            let (status, body) = self.get(&path, RESPONSE_TIMEOUT).await?;
+            let (status, body) = self.get(&path, response_time).await?;
             if status != StatusCode::OK {
                 return Err(unexpected_status(status));
             }
@@ -185,15 +195,22 @@
         }
     }
 
+    /// Reads `path`; the response must begin within `limit`.
     async fn get(&self, path: &str, limit: Duration) -> Result<(StatusCode, Bytes)> {
         let uri: Uri = format!("http://{}{path}", self.addr).parse().map_err(|_| {
             Error::setting("platform", "not a valid address", "use the form IP:PORT")
         })?;
         let request = tower::service_fn(|uri| send_request(&self.client, uri));
-        Timeout::new(request, limit)
+        let response = Timeout::new(request, limit)
             .oneshot(uri)
             .await
-            .map_err(|err| Error::platform(err.to_string()))
+            .map_err(failed_request)?;
+        let status = response.status();
+        let body = Timeout::new(tower::service_fn(read_body), BODY_TIMEOUT)
+            .oneshot(response.into_body())
+            .await
+            .map_err(failed_request)?;
+        Ok((status, body))
     }
 }
 
@@ -210,12 +227,19 @@
 async fn send_request(
     client: &Client<HttpConnector, Empty<Bytes>>,
     uri: Uri,
-) -> Result<(StatusCode, Bytes), tower::BoxError> {
+) -> Result<Response<Body>, tower::BoxError> {
     let request = Request::get(uri).body(Empty::new())?;
-    let response = client.request(request).await?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-    Ok((status, body.collect().await?.to_bytes()))
+    Ok(client.request(request).await?.map(Body::new))
+}
+
+async fn read_body(body: Body) -> Result<Bytes, tower::BoxError> {
+    Ok(to_bytes(body, MAX_RESPONSE_BYTES).await?)
+}
+
+#[cold]
+#[allow(clippy::needless_pass_by_value, reason = "made for map_err")]
+fn failed_request(err: tower::BoxError) -> Error {
+    Error::platform(err.to_string())
 }
 
 #[cold]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -32,6 +32,9 @@
     0x01, 0x01, 0, 0x12, 0xc6,
 ];
 
+/// Time in which the store must begin a response.
+const RESPONSE_TIME: Duration = Duration::from_secs(1);
+
 fn flow_addrs() -> FlowAddrs {
     FlowAddrs {
         caller: "100.64.0.7:40001".parse().expect("an address"),
@@ -485,7 +488,7 @@
     let responses = vec![(StatusCode::OK, first), (StatusCode::OK, second)];
     let (mock, store) = MockStore::start(responses).await;
     let update = store
-        .watch(0, Duration::from_secs(1))
+        .watch(0, Duration::from_secs(1), RESPONSE_TIME)
         .await
         .expect("values");
     assert!(update.is_full);
@@ -506,7 +509,7 @@
     let events = json!({"events": [store_item("a", 12, "1"), gone], "StoreRevision": 14});
     let (mock, store) = MockStore::start(vec![(StatusCode::OK, events)]).await;
     let update = store
-        .watch(11, Duration::from_secs(2))
+        .watch(11, Duration::from_secs(2), RESPONSE_TIME)
         .await
         .expect("values");
     assert_eq!(update.revision, 14);
@@ -520,7 +523,7 @@
     let responses = vec![(StatusCode::GONE, json!({})), (StatusCode::OK, page)];
     let (_, store) = MockStore::start(responses).await;
     let update = store
-        .watch(11, Duration::from_secs(1))
+        .watch(11, Duration::from_secs(1), RESPONSE_TIME)
         .await
         .expect("values");
     assert!(update.is_full && update.revision == 40);
@@ -542,7 +545,10 @@
     ];
     let (_, store) = MockStore::start(responses).await;
     for _ in 0..7 {
-        let error = store.watch(1, Duration::ZERO).await.unwrap_err();
+        let error = store
+            .watch(1, Duration::ZERO, RESPONSE_TIME)
+            .await
+            .unwrap_err();
         assert_eq!(error.classify(), Category::Platform);
     }
 }
@@ -550,7 +556,10 @@
 #[tokio::test(start_paused = true)]
 async fn missing_response_is_an_error() {
     let (_, store) = MockStore::start(vec![]).await;
-    let error = store.watch(1, Duration::from_secs(2)).await.unwrap_err();
+    let error = store
+        .watch(1, Duration::from_secs(2), RESPONSE_TIME)
+        .await
+        .unwrap_err();
     assert_eq!(error.classify(), Category::Platform);
 }
 
@@ -623,7 +632,10 @@
         json!({"events": [store_item("config/fleet", 2, r#"{"a":1}"#), gone], "StoreRevision": 3});
     let (mock, _) = MockStore::start(vec![(StatusCode::OK, events)]).await;
     let store = Store::new(mock.addr(), "config/");
-    let update = store.watch(1, Duration::ZERO).await.expect("values");
+    let update = store
+        .watch(1, Duration::ZERO, RESPONSE_TIME)
+        .await
+        .expect("values");
     assert_eq!(
         update.values[0],
         value_change("fleet", 2, Some(r#"{"a":1}"#.to_owned()))
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -395,6 +395,7 @@
         Action::Watch {
             known_revision,
             max_wait: time_left,
+            ..
         } => {
             platform.read_times.push(now);
             network.schedule(
