--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -336,7 +336,7 @@
                 );
             }
             Task::Watch(index, run, call) if self.is_up(index, run) => {
-                self.answer_watch(index, run, call);
+                self.answer_watch(index, run, &call);
             }
             _ => {}
         }
@@ -370,7 +370,7 @@
         Ok(response)
     }
 
-    fn answer_watch(&mut self, index: usize, run: Incarnation, call: WatchCall) {
+    fn answer_watch(&mut self, index: usize, run: Incarnation, call: &WatchCall) {
         if self.nodes[&index].is_ignored {
             let answer = Event::Values(Err(Error::platform("no answer")));
             let time_limit = self.now + call.time_left + call.response_time;
@@ -384,7 +384,7 @@
         if is_reachable && update.revision == known_revision && call.time_left > POLL_INTERVAL {
             let call = WatchCall {
                 time_left: call.time_left.saturating_sub(POLL_INTERVAL),
-                ..call
+                ..*call
             };
             let wait = Task::Watch(index, run, call);
             self.network.schedule(self.now + POLL_INTERVAL, wait);
