--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -67,6 +67,8 @@
         Ok(update) if update.revision < tables.values.highest_revision => {
             tables.counters.stale_reads += 1;
             let failures = count_failure(&mut tables.platform_reads.values);
+            let known = tables.values.highest_revision;
+            log::warn!(failures, known, revision = update.revision; "read_stale");
             tables.platform_reads.values.next_read = now + backoff(tables, failures);
         }
         Ok(update) => {
