--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -27,6 +27,7 @@
 mod quiet_zone;
 mod reopen_at_removed_endpoint;
 mod replayed_heartbeat;
+mod restored_store;
 mod retries_at_leaving_home;
 mod simultaneous_endpoint_exits;
 mod stalls_of_departed_flows;
--- /dev/null
+++ b/tests/regression/restored_store.rs
@@ -0,0 +1,60 @@
+//! The store comes back from a copy some seconds old and gives out revisions again; hosts
+//! take its answers for stale ones, or skip what it has written in its new life.
+
+use jacinthhinge::control::ReadPacing;
+use jacinthhinge::prelude::*;
+
+use crate::zone::{self, Zone};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Time after its acknowledgement within which a change is in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+
+/// Returns five hosts, of which three read the platform.
+fn started_zone() -> Zone {
+    let mut zone = Zone::new();
+    zone.read_pacing = ReadPacing::frequent();
+    zone.az_count = 3;
+    zone.seeds = (0..5).map(zone::peer_addr).collect();
+    (0..5).for_each(|index| zone.start(index));
+    zone.platform.up = true;
+    zone.set_value("fleet", Some("1"));
+    zone.run_for(10 * SECOND);
+    zone
+}
+
+fn has_value(zone: &Zone, key: &str, json: &str) -> bool {
+    zone.all_nodes(|node| {
+        let value = node.control.tables().values.values.get(key);
+        value.is_some_and(|value| value.json.as_deref() == Some(json))
+    })
+}
+
+#[test]
+fn restored_store_delays_no_change() {
+    for lost_changes in 1..6 {
+        let mut zone = started_zone();
+        let copy = zone.platform.update.clone();
+        for change in 0..lost_changes {
+            zone.set_value("fleet", Some(&format!("{change}0")));
+            zone.run_for(SECOND);
+        }
+        zone.platform.up = false;
+        zone.run_for(2 * SECOND);
+        zone.restore_platform(copy);
+        zone.platform.up = true;
+        zone.run_for(4 * SECOND);
+        for change in 0..lost_changes + 2 {
+            let json = format!("{change}5");
+            zone.set_value("service/adserve", Some(&json));
+            let is_applied = |zone: &Zone| has_value(zone, "service/adserve", &json);
+            let elapsed = zone.run_until_condition(2 * APPLY_LIMIT, is_applied);
+            assert!(
+                elapsed.is_some_and(|elapsed| elapsed < APPLY_LIMIT),
+                "{lost_changes} lost, change {change}: {elapsed:?}"
+            );
+            zone.run_for(SECOND);
+        }
+    }
+}
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -271,6 +271,11 @@
         });
     }
 
+    /// Replaces the platform's values by an earlier copy of them.
+    pub fn restore_platform(&mut self, copy: ValueUpdate) {
+        self.platform.update = copy;
+    }
+
     /// Runs until the clock shows `time`.
     pub fn run_until(&mut self, time: Duration) {
         while let Some(entry) = self.network.tasks.first_entry() {
