Split the control plane's updates and removals into modules of their own

Cause: the fix for a restored store needs both from the reads and from the fetches, which would call each other. Change: apply.rs puts updates into force, removals.rs holds removals back and releases them. No change of behaviour.

--- /dev/null
+++ b/src/control/apply.rs
@@ -0,0 +1,48 @@
+//! Puts updates of configuration values into force.
+
+use std::sync::Arc;
+
+use super::message::ValueUpdate;
+use super::tables::Tables;
+use super::values::BuiltConfig;
+use crate::error::Result;
+
+/// Merges an update that was read from the platform.
+pub(super) fn from_platform(tables: &mut Tables, update: &ValueUpdate) {
+    let builder = tables.settings.config_builder.clone();
+    let merged = tables.values.merge(update, &builder);
+    finish(tables, update, merged, "store");
+}
+
+/// Merges an update that another host has accepted, unless it is not newer.
+pub(super) fn from_host(tables: &mut Tables, update: &ValueUpdate) {
+    if update.revision <= tables.values.revision {
+        return;
+    }
+    let builder = tables.settings.config_builder.clone();
+    let merged = tables.values.merge_accepted(update, &builder);
+    finish(tables, update, merged, "host");
+}
+
+fn finish(tables: &mut Tables, update: &ValueUpdate, merged: Result<BuiltConfig>, source: &str) {
+    match merged {
+        Ok(config) => activate(tables, config, source),
+        Err(err) => {
+            tables.counters.refused_values += 1;
+            log::warn!(source, revision = update.revision, cause:% = err; "values_refused");
+        }
+    }
+}
+
+/// Activates the configuration built from values that were accepted from `source`.
+fn activate(tables: &mut Tables, built: BuiltConfig, source: &str) {
+    tables.counters.accepted_values += 1;
+    let keys = built.keys.unwrap_or_else(|| tables.settings.keys.clone());
+    let mut snapshot = tables.snapshot.clone().with_services(built.services);
+    snapshot.revision = tables.values.revision;
+    snapshot.keys = keys;
+    snapshot.routes = Arc::new(built.routes);
+    tables.snapshot = snapshot;
+    tables.output.snapshot_changed = true;
+    log::info!(source, revision = tables.values.revision; "values_in_force");
+}
--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -3,15 +3,13 @@
 //! Heartbeats carry the revisions that a host has. A host that is behind fetches only the
 //! difference from one that is ahead, so the traffic is proportional to the change.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 
-use super::message::{FetchRequest, FetchResponse, MemberUpdate, Status, ValueUpdate};
+use super::message::{FetchRequest, FetchResponse, MemberUpdate, Status};
 use super::tables::{Member, Tables};
-use super::values::BuiltConfig;
-use super::{Action, Outbox, members, readers, voters};
+use super::{Action, Outbox, apply, members, readers, voters};
 use crate::clock::millis;
 use crate::error::Result;
 use crate::id::Id;
@@ -100,19 +98,6 @@
     }
 }
 
-/// Activates the configuration built from values that were accepted from `source`.
-pub(super) fn activate(tables: &mut Tables, built: BuiltConfig, source: &str) {
-    tables.counters.accepted_values += 1;
-    let keys = built.keys.unwrap_or_else(|| tables.settings.keys.clone());
-    let mut snapshot = tables.snapshot.clone().with_services(built.services);
-    snapshot.revision = tables.values.revision;
-    snapshot.keys = keys;
-    snapshot.routes = Arc::new(built.routes);
-    tables.snapshot = snapshot;
-    tables.output.snapshot_changed = true;
-    log::info!(source, revision = tables.values.revision; "values_in_force");
-}
-
 /// Returns true if the view of a member has differed from this host's for too long.
 fn compare_views(tables: &mut Tables, now: Duration) -> bool {
     let digest = tables.lease_state.view_digest();
@@ -224,7 +209,7 @@
 
 fn apply_response(tables: &mut Tables, now: Duration, fetched: FetchResponse) {
     if tables.fetch.request.known_revision != NO_VALUES {
-        apply_values(tables, &fetched.values);
+        apply::from_host(tables, &fetched.values);
     }
     if let Some(latest_voters) = fetched.latest_voters {
         voters::adopt_latest(&mut tables.voter_sets, latest_voters);
@@ -238,20 +223,6 @@
     tables.fetch.has_members |= tables.fetch.request.members;
 }
 
-fn apply_values(tables: &mut Tables, update: &ValueUpdate) {
-    if update.revision <= tables.values.revision {
-        return;
-    }
-    let builder = tables.settings.config_builder.clone();
-    match tables.values.merge_accepted(update, &builder) {
-        Ok(config) => activate(tables, config, "host"),
-        Err(err) => {
-            tables.counters.refused_values += 1;
-            log::warn!(source = "host", cause:% = err; "values_refused");
-        }
-    }
-}
-
 fn all_updates(tables: &Tables) -> Vec<MemberUpdate> {
     let me = MemberUpdate {
         id: tables.me.id,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! that handle it and returns typed [`Action`]s. It uses no sockets, encoded messages or
 //! wall clock.
 
+mod apply;
 pub mod failure_detector;
 mod fetch;
 pub mod heartbeat;
@@ -14,6 +15,7 @@
 mod platform_reads;
 mod publish;
 mod readers;
+mod removals;
 mod settings;
 mod tables;
 mod values;
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -3,17 +3,13 @@
 //! Pauses have jitter and failures back off, so that the whole fleet stays within the
 //! platform's read budget, also after an outage.
 
-use std::collections::HashSet;
 use std::time::Duration;
 
-use super::fetch;
-use super::message::{HostList, Value, ValueChange, ValueUpdate, VoterSet};
+use super::message::{HostList, ValueUpdate, VoterSet};
 use super::tables::{ReadState, Tables};
-use super::values::Values;
-use super::{Action, Outbox, readers, voters};
+use super::{Action, Outbox, apply, readers, removals, voters};
 use crate::clock::millis;
 use crate::error::Result;
-use crate::id::Name;
 
 /// Size in bytes from which an update counts as large.
 ///
@@ -38,7 +34,7 @@
     if !tables.platform_reads.started {
         schedule_first_reads(tables, now);
     }
-    apply_held_removals(tables, now);
+    removals::release(tables, now);
     let is_reader = readers::is_reader(tables);
     if is_reader && !tables.platform_reads.is_reader {
         start_reading(tables, now);
@@ -78,7 +74,7 @@
             if json_bytes(&update) >= LARGE_UPDATE_BYTES {
                 tables.snapshot.large_update = Some(now);
             }
-            let update = hold_removals(tables, now, update);
+            let update = removals::hold(tables, now, update);
             apply_update(tables, &update);
         }
         Err(err) => {
@@ -206,83 +202,9 @@
     }
 }
 
-/// Holds back removals after an outage of the platform.
-///
-/// Values that expired during the outage are registered again soon after the recovery if
-/// their owner is still alive.
-fn hold_removals(tables: &mut Tables, now: Duration, mut update: ValueUpdate) -> ValueUpdate {
-    if update.is_full {
-        let removed = missing_removals(&tables.values.values, &update);
-        update.values.extend(removed);
-    }
-    if now < tables.platform_reads.hold_until {
-        let is_removal = |change: &ValueChange| change.value.json.is_none();
-        let (held, kept) = update.values.into_iter().partition(is_removal);
-        update.values = kept;
-        let held: Vec<ValueChange> = held;
-        tables.platform_reads.held_removals.extend(held);
-    }
-    update
-}
-
-/// Returns removals for the active values that a full update does not contain.
-fn missing_removals(values: &Values, update: &ValueUpdate) -> Vec<ValueChange> {
-    let listed: HashSet<&Name> = update.values.iter().map(|change| &change.key).collect();
-    let known = values.iter().filter(|(_, value)| value.json.is_some());
-    known
-        .filter(|(key, _)| !listed.contains(key))
-        .map(|(key, _)| removal(key, update.revision))
-        .collect()
-}
-
-fn removal(key: &Name, revision: u64) -> ValueChange {
-    ValueChange {
-        key: Name::clone(key),
-        value: Value {
-            revision,
-            json: None,
-        },
-    }
-}
-
-/// Applies the removals that were held back long enough and are still current.
-fn apply_held_removals(tables: &mut Tables, now: Duration) {
-    if tables.platform_reads.held_removals.is_empty() || now < tables.platform_reads.hold_until {
-        return;
-    }
-    let held = std::mem::take(&mut tables.platform_reads.held_removals);
-    let revision = tables.values.revision;
-    let is_current = |change: &&ValueChange| {
-        let known = tables.values.values.get(&change.key);
-        known.is_some_and(|value| value.revision <= change.value.revision)
-    };
-    let removals = held.iter().filter(is_current);
-    let removals: Vec<ValueChange> = removals
-        .map(|change| removal(&change.key, revision))
-        .collect();
-    log::info!(count = removals.len(), held = held.len(); "removals_in_force");
-    let update = ValueUpdate {
-        revision,
-        values: removals,
-        is_full: false,
-    };
-    merge_update(tables, &update);
-}
-
 fn apply_update(tables: &mut Tables, update: &ValueUpdate) {
     if update.revision <= tables.values.highest_revision && !update.is_full {
         return;
     }
-    merge_update(tables, update);
-}
-
-fn merge_update(tables: &mut Tables, update: &ValueUpdate) {
-    let builder = tables.settings.config_builder.clone();
-    match tables.values.merge(update, &builder) {
-        Ok(config) => fetch::activate(tables, config, "store"),
-        Err(err) => {
-            tables.counters.refused_values += 1;
-            log::warn!(source = "store", revision = update.revision, cause:% = err; "values_refused");
-        }
-    }
+    apply::from_platform(tables, update);
 }
--- /dev/null
+++ b/src/control/removals.rs
@@ -0,0 +1,73 @@
+//! Removals of values, which are held back after an outage of the platform.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use super::apply;
+use super::message::{Value, ValueChange, ValueUpdate};
+use super::tables::Tables;
+use super::values::Values;
+use crate::id::Name;
+
+/// Holds back removals after an outage of the platform.
+///
+/// Values that expired during the outage are registered again soon after the recovery if
+/// their owner is still alive.
+pub(super) fn hold(tables: &mut Tables, now: Duration, mut update: ValueUpdate) -> ValueUpdate {
+    if update.is_full {
+        let removed = missing_removals(&tables.values.values, &update);
+        update.values.extend(removed);
+    }
+    if now < tables.platform_reads.hold_until {
+        let is_removal = |change: &ValueChange| change.value.json.is_none();
+        let (held, kept) = update.values.into_iter().partition(is_removal);
+        update.values = kept;
+        let held: Vec<ValueChange> = held;
+        tables.platform_reads.held_removals.extend(held);
+    }
+    update
+}
+
+/// Applies the removals that were held back long enough and are still current.
+pub(super) fn release(tables: &mut Tables, now: Duration) {
+    if tables.platform_reads.held_removals.is_empty() || now < tables.platform_reads.hold_until {
+        return;
+    }
+    let held = std::mem::take(&mut tables.platform_reads.held_removals);
+    let revision = tables.values.revision;
+    let is_current = |change: &&ValueChange| {
+        let known = tables.values.values.get(&change.key);
+        known.is_some_and(|value| value.revision <= change.value.revision)
+    };
+    let removals = held.iter().filter(is_current);
+    let removals: Vec<ValueChange> = removals
+        .map(|change| removal(&change.key, revision))
+        .collect();
+    log::info!(count = removals.len(), held = held.len(); "removals_in_force");
+    let update = ValueUpdate {
+        revision,
+        values: removals,
+        is_full: false,
+    };
+    apply::from_platform(tables, &update);
+}
+
+/// Returns removals for the active values that a full update does not contain.
+fn missing_removals(values: &Values, update: &ValueUpdate) -> Vec<ValueChange> {
+    let listed: HashSet<&Name> = update.values.iter().map(|change| &change.key).collect();
+    let known = values.iter().filter(|(_, value)| value.json.is_some());
+    known
+        .filter(|(key, _)| !listed.contains(key))
+        .map(|(key, _)| removal(key, update.revision))
+        .collect()
+}
+
+fn removal(key: &Name, revision: u64) -> ValueChange {
+    ValueChange {
+        key: Name::clone(key),
+        value: Value {
+            revision,
+            json: None,
+        },
+    }
+}
