Compare revisions of the store by era first

What callers saw: after the store came back from a copy some seconds old, changes confirmed from then on were not in force in time, or never. Cause: hosts compared revisions as bare numbers. Answers of the restored store were refused as stale until its numbers had caught up, and what it had written below them was never read. Evidence: read_stale with known 23 and revision 22; version 14 was written as revision 23 again and skipped by all hosts. Change: Revision holds the era of the store and the number in it, and orders by era first. The client takes the era from the header Store-Era and reads everything when it has changed; a host that is an era behind fetches everything. In both cases values that are missing wait for the time that removals wait after an outage. A restore writes store_restored and counts as restores. Dumps keep their field revision and gain era. Tests of types changed only where they name a revision.

--- a/examples/control_cost.rs
+++ b/examples/control_cost.rs
@@ -103,7 +103,7 @@
     zone.run_for(Duration::from_secs(35));
     zone.set_value("fleet", Some("2"));
     zone.run_until_condition(WAIT_LIMIT, |zone| {
-        zone.all_nodes(|node| node.snapshot.revision == 2)
+        zone.all_nodes(|node| node.snapshot.revision == 2.into())
     })
 }
 
--- a/src/control/apply.rs
+++ b/src/control/apply.rs
@@ -6,6 +6,7 @@
 use super::tables::Tables;
 use super::values::BuiltConfig;
 use crate::error::Result;
+use crate::revision::Revision;
 
 /// Merges an update that was read from the platform.
 pub(super) fn from_platform(tables: &mut Tables, update: &ValueUpdate) {
@@ -14,11 +15,8 @@
     finish(tables, update, merged, "store");
 }
 
-/// Merges an update that another host has accepted, unless it is not newer.
+/// Merges a newer update that another host has accepted.
 pub(super) fn from_host(tables: &mut Tables, update: &ValueUpdate) {
-    if update.revision <= tables.values.revision {
-        return;
-    }
     let builder = tables.settings.config_builder.clone();
     let merged = tables.values.merge_accepted(update, &builder);
     finish(tables, update, merged, "host");
@@ -29,7 +27,8 @@
         Ok(config) => activate(tables, config, source),
         Err(err) => {
             tables.counters.refused_values += 1;
-            log::warn!(source, revision = update.revision, cause:% = err; "values_refused");
+            let Revision { era, number } = update.revision;
+            log::warn!(source, era, revision = number, cause:% = err; "values_refused");
         }
     }
 }
@@ -44,5 +43,6 @@
     snapshot.routes = Arc::new(built.routes);
     tables.snapshot = snapshot;
     tables.output.snapshot_changed = true;
-    log::info!(source, revision = tables.values.revision; "values_in_force");
+    let Revision { era, number } = tables.values.revision;
+    log::info!(source, era, revision = number; "values_in_force");
 }
--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -7,12 +7,13 @@
 
 use rand::seq::IndexedRandom;
 
-use super::message::{FetchRequest, FetchResponse, MemberUpdate, Status};
+use super::message::{FetchRequest, FetchResponse, MemberUpdate, Status, ValueUpdate};
 use super::tables::{Member, Tables};
-use super::{Action, Outbox, apply, members, readers, voters};
+use super::{Action, Outbox, apply, members, readers, removals, voters};
 use crate::clock::millis;
 use crate::error::Result;
 use crate::id::Id;
+use crate::revision::Revision;
 
 /// Time after which a fetch without a response is abandoned.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(4);
@@ -22,7 +23,7 @@
 const RESPONSE_TIME: Duration = Duration::from_secs(1);
 
 /// Revision above all others, for a fetch that requests no values.
-const NO_VALUES: u64 = u64::MAX;
+const NO_VALUES: Revision = Revision::MAX;
 
 /// Maximum time that a host without values waits for its own first read.
 const FIRST_FETCH_DELAY: Duration = Duration::from_millis(300);
@@ -125,14 +126,13 @@
 /// the platform, its reads fail, or its read is late.
 fn wants_values(tables: &Tables, now: Duration) -> bool {
     let reads_failing = tables.platform_reads.values.failures > 0;
-    let delay = match tables.values.revision {
-        0 => tables
-            .settings
-            .read_pacing
-            .fetch_delay
-            .min(FIRST_FETCH_DELAY),
-        _ if readers::is_reader(tables) => tables.settings.read_pacing.fetch_delay,
-        _ => Duration::ZERO,
+    let fetch_delay = tables.settings.read_pacing.fetch_delay;
+    let delay = if tables.values.revision.is_none() {
+        fetch_delay.min(FIRST_FETCH_DELAY)
+    } else if readers::is_reader(tables) {
+        fetch_delay
+    } else {
+        Duration::ZERO
     };
     let is_late = |since| now >= since + delay;
     tables
@@ -209,7 +209,7 @@
 
 fn apply_response(tables: &mut Tables, now: Duration, fetched: FetchResponse) {
     if tables.fetch.request.known_revision != NO_VALUES {
-        apply::from_host(tables, &fetched.values);
+        apply_values(tables, now, fetched.values);
     }
     if let Some(latest_voters) = fetched.latest_voters {
         voters::adopt_latest(&mut tables.voter_sets, latest_voters);
@@ -223,6 +223,13 @@
     tables.fetch.has_members |= tables.fetch.request.members;
 }
 
+fn apply_values(tables: &mut Tables, now: Duration, update: ValueUpdate) {
+    if update.revision > tables.values.revision {
+        let update = removals::hold(tables, now, update);
+        apply::from_host(tables, &update);
+    }
+}
+
 fn all_updates(tables: &Tables) -> Vec<MemberUpdate> {
     let me = MemberUpdate {
         id: tables.me.id,
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -4,6 +4,7 @@
 
 use super::message::{MemberUpdate, Status, Vote};
 use super::tables::{Member, Tables};
+use crate::revision::Revision;
 
 /// Time for which a dead member is kept, so that old updates cannot add it again.
 const TOMBSTONE_TIME: Duration = Duration::from_mins(1);
@@ -98,9 +99,9 @@
         last_timestamp: None,
         vote: Vote::default(),
         acked_timestamp: None,
-        revision: 0,
+        revision: Revision::default(),
         read_failures: 0,
-        list_revision: 0,
+        list_revision: Revision::default(),
         gossip_left: gossip_count,
     };
     tables.members.insert(update.id, member);
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::id::{Id, Incarnation, Name};
+use crate::revision::Revision;
 
 /// Heartbeat of a host.
 ///
@@ -26,9 +27,9 @@
     /// Host info of the sender, until the receiver has acknowledged a heartbeat.
     pub info: Option<HostInfo>,
     /// Configuration revision that is active on the sender.
-    pub revision: u64,
+    pub revision: Revision,
     /// Revision of the sender's host list.
-    pub list_revision: u64,
+    pub list_revision: Revision,
     /// When the sender sent this heartbeat.
     pub sent_at: Timestamp,
     /// Newest timestamp that the sender has received from the receiver.
@@ -124,7 +125,7 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct FetchRequest {
     /// Revision that is active on the sender; only newer values are returned.
-    pub known_revision: u64,
+    pub known_revision: Revision,
     /// True to get the voter sets.
     pub voters: bool,
     /// True to get all members.
@@ -148,7 +149,8 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Value {
     /// Revision in which it was last changed.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: Revision,
     /// JSON text, or none if the value was removed; dumps show only its size.
     #[serde(serialize_with = "serialize_size")]
     pub json: Option<Name>,
@@ -167,10 +169,11 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ValueUpdate {
     /// Revision up to which the values are complete.
-    pub revision: u64,
+    pub revision: Revision,
     /// Changed values.
     pub values: Vec<ValueChange>,
-    /// True if the update contains all values, so that missing ones were removed.
+    /// True if the update contains all values, so that missing ones were removed. The first
+    /// update of an era is always full.
     pub is_full: bool,
 }
 
@@ -178,7 +181,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct HostList {
     /// Revision of the list.
-    pub revision: u64,
+    pub revision: Revision,
     /// Zone and description of each host.
     pub hosts: Vec<(Name, ListedHost)>,
 }
@@ -199,7 +202,8 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct VoterSet {
     /// Revision of the platform's host list, zero for a set made from seeds.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: Revision,
     /// Hosts, sorted by address.
     pub hosts: Vec<ListedHost>,
     /// Digest of the addresses; zero only in the default, empty set.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -26,6 +26,7 @@
 use std::time::Duration;
 
 use crate::error::Result;
+use crate::revision::Revision;
 use crate::snapshot::Snapshot;
 
 pub use self::message::{
@@ -80,7 +81,7 @@
     /// Watch the platform's values and report the result as [`Event::Values`].
     Watch {
         /// Newest revision that is already known.
-        known_revision: u64,
+        known_revision: Revision,
         /// Maximum time that the platform waits for a change.
         max_wait: Duration,
         /// Time in which the response must begin, in addition to `max_wait`.
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -64,7 +64,7 @@
             tables.counters.stale_reads += 1;
             let failures = count_failure(&mut tables.platform_reads.values);
             let known = tables.values.highest_revision;
-            log::warn!(failures, known, revision = update.revision; "read_stale");
+            log::warn!(failures, known:%, revision:% = update.revision; "read_stale");
             tables.platform_reads.values.next_read = now + backoff(tables, failures);
         }
         Ok(update) => {
--- a/src/control/readers.rs
+++ b/src/control/readers.rs
@@ -13,7 +13,7 @@
 
 /// Returns true if this host reads the platform.
 pub(super) fn is_reader(tables: &Tables) -> bool {
-    if tables.values.revision == 0 {
+    if tables.values.revision.is_none() {
         return true;
     }
     let mut zones: SmallVec<[&Name; 8]> = SmallVec::new();
--- a/src/control/removals.rs
+++ b/src/control/removals.rs
@@ -1,4 +1,4 @@
-//! Removals of values, which are held back after an outage of the platform.
+//! Removals of values, which are held back after an outage or a restore of the platform.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -8,12 +8,14 @@
 use super::tables::Tables;
 use super::values::Values;
 use crate::id::Name;
+use crate::revision::Revision;
 
-/// Holds back removals after an outage of the platform.
+/// Holds back removals after an outage or a restore of the platform.
 ///
-/// Values that expired during the outage are registered again soon after the recovery if
-/// their owner is still alive.
+/// Values that expired during the outage, or that the copy does not contain, are registered
+/// again soon after the recovery if their owner is still alive.
 pub(super) fn hold(tables: &mut Tables, now: Duration, mut update: ValueUpdate) -> ValueUpdate {
+    record_restore(tables, now, update.revision);
     if update.is_full {
         let removed = missing_removals(&tables.values.values, &update);
         update.values.extend(removed);
@@ -52,6 +54,21 @@
     apply::from_platform(tables, &update);
 }
 
+/// Starts to hold back removals if the platform has been restored since the last update.
+fn record_restore(tables: &mut Tables, now: Duration, revision: Revision) {
+    let known = tables.values.highest_revision;
+    if known.is_none() || revision.era <= known.era {
+        return;
+    }
+    tables.counters.restores += 1;
+    tables.platform_reads.hold_until = now + tables.settings.read_pacing.removal_hold;
+    log::warn!(
+        era = revision.era, revision = revision.number,
+        era_before = known.era, revision_before = known.number;
+        "store_restored"
+    );
+}
+
 /// Returns removals for the active values that a full update does not contain.
 fn missing_removals(values: &Values, update: &ValueUpdate) -> Vec<ValueChange> {
     let listed: HashSet<&Name> = update.values.iter().map(|change| &change.key).collect();
@@ -62,7 +79,7 @@
         .collect()
 }
 
-fn removal(key: &Name, revision: u64) -> ValueChange {
+fn removal(key: &Name, revision: Revision) -> ValueChange {
     ValueChange {
         key: Name::clone(key),
         value: Value {
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -15,6 +15,7 @@
 use super::settings::Settings;
 use super::values::ValueTable;
 use crate::id::{Id, Incarnation};
+use crate::revision::{Revision, serialize_number};
 use crate::snapshot::{Host, Snapshot};
 
 /// All state of the control thread.
@@ -103,13 +104,14 @@
     #[serde(rename = "acked")]
     pub acked_timestamp: Option<Duration>,
     /// Configuration revision that is active on it.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: Revision,
     /// Its consecutive failed reads of the platform's values.
     #[serde(rename = "failures")]
     pub read_failures: u32,
     /// Revision of its host list.
-    #[serde(rename = "roster")]
-    pub list_revision: u64,
+    #[serde(rename = "roster", serialize_with = "serialize_number")]
+    pub list_revision: Revision,
     /// Number of heartbeats that still have to carry an update about it.
     #[serde(rename = "rumor")]
     pub gossip_left: u32,
@@ -304,6 +306,8 @@
     pub read_failures: u64,
     /// Responses of a stale platform replica.
     pub stale_reads: u64,
+    /// Restores of the platform from an older copy.
+    pub restores: u64,
     /// Updates of values that were refused.
     pub refused_values: u64,
     /// Updates of values that were activated.
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -10,6 +10,7 @@
 use super::message::{Value, ValueChange, ValueUpdate};
 use crate::error::Result;
 use crate::id::Name;
+use crate::revision::{Revision, serialize_number};
 use crate::segment::Route;
 use crate::snapshot::Service;
 use crate::ticket::TicketKeys;
@@ -55,10 +56,11 @@
 #[derive(Debug, Default, Serialize)]
 pub struct ValueTable {
     /// Active revision.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: Revision,
     /// Highest known revision, including refused ones.
-    #[serde(rename = "seen")]
-    pub highest_revision: u64,
+    #[serde(rename = "seen", serialize_with = "serialize_number")]
+    pub highest_revision: Revision,
     /// Active values.
     pub values: Values,
     /// Refused changes, which are retried together with later ones.
@@ -110,13 +112,22 @@
         Ok(config)
     }
 
-    /// Returns the active values that changed after the revision `after`.
+    /// Returns the active values that changed after the revision `after`, or all values if
+    /// the platform has been restored since.
     #[must_use]
-    pub fn changes_after(&self, after: u64) -> ValueUpdate {
+    pub fn changes_after(&self, after: Revision) -> ValueUpdate {
+        let is_full = after.era < self.revision.era;
+        let is_wanted = |value: &Value| {
+            if is_full {
+                value.json.is_some()
+            } else {
+                value.revision > after
+            }
+        };
         let values = self
             .values
             .iter()
-            .filter(|(_, value)| value.revision > after)
+            .filter(|(_, value)| is_wanted(value))
             .map(|(key, value)| ValueChange {
                 key: Arc::clone(key),
                 value: value.clone(),
@@ -125,11 +136,11 @@
         ValueUpdate {
             revision: self.revision,
             values,
-            is_full: false,
+            is_full,
         }
     }
 
-    fn accept(&mut self, values: Values, revision: u64) {
+    fn accept(&mut self, values: Values, revision: Revision) {
         self.values = values;
         self.refused_changes.clear();
         self.revision = self.revision.max(revision);
@@ -150,8 +161,8 @@
 }
 
 fn merge_value(values: &mut Values, key: &Name, value: &Value) {
-    let known = values.get(key).map_or(0, |known| known.revision);
-    if value.revision > known {
+    let is_newer = |known: &Value| value.revision > known.revision;
+    if values.get(key).is_none_or(is_newer) {
         values.insert(Arc::clone(key), value.clone());
     }
 }
--- a/src/control/voters.rs
+++ b/src/control/voters.rs
@@ -11,6 +11,7 @@
 use super::message::{HostInfo, HostList, ListedHost, VoterSet};
 use super::tables::{Tables, VoterSets};
 use crate::id::Name;
+use crate::revision::Revision;
 
 impl VoterSet {
     /// Creates the voter set of one zone from the platform's host list.
@@ -27,7 +28,7 @@
 
     /// Creates a voter set of these hosts, sorted by address and without duplicates.
     #[must_use]
-    pub fn new(revision: u64, mut hosts: Vec<ListedHost>) -> Self {
+    pub fn new(revision: Revision, mut hosts: Vec<ListedHost>) -> Self {
         hosts.sort_by_key(|host| host.peer_addr);
         hosts.dedup_by_key(|host| host.peer_addr);
         let digest = addrs_digest(&hosts);
@@ -38,7 +39,7 @@
         }
     }
 
-    fn precedence(&self) -> (u64, usize) {
+    fn precedence(&self) -> (Revision, usize) {
         (self.revision, self.hosts.len())
     }
 }
@@ -87,7 +88,7 @@
 
 /// Adds new members and seeds to the voter set until the platform's list is known.
 pub(super) fn run(tables: &mut Tables) {
-    if tables.voter_sets.latest.revision > 0 {
+    if !tables.voter_sets.latest.revision.is_none() {
         return;
     }
     let listed = &tables.voter_sets.latest.hosts;
@@ -109,7 +110,7 @@
     }
     let hosts = listed.iter().cloned().chain(new.into_iter().map(seed_host));
     let hosts = hosts.collect();
-    tables.voter_sets.latest = VoterSet::new(0, hosts);
+    tables.voter_sets.latest = VoterSet::new(Revision::default(), hosts);
 }
 
 /// Returns the digest of the voters' addresses, which is never zero.
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -28,6 +28,7 @@
 };
 use crate::error::{Error, Result};
 use crate::platform::store::Store;
+use crate::revision::Revision;
 use crate::snapshot::Snapshot;
 use crate::wire::{self, MAX_FETCH_BYTES, PeerKey};
 
@@ -60,7 +61,9 @@
     /// Waits for values newer than a revision. Takes the maximum wait, and the time in which
     /// the response must begin after it.
     pub watch_values: Arc<
-        dyn Fn(u64, Duration, Duration) -> BoxFuture<'static, Result<ValueUpdate>> + Send + Sync,
+        dyn Fn(Revision, Duration, Duration) -> BoxFuture<'static, Result<ValueUpdate>>
+            + Send
+            + Sync,
     >,
     /// Reads the host list.
     pub read_hosts: Arc<dyn Fn() -> BoxFuture<'static, Result<HostList>> + Send + Sync>,
@@ -266,7 +269,7 @@
             .spawn(async move { Event::Fetched(fetch(to, request, response_time, &key).await) });
     }
 
-    fn watch(&mut self, known_revision: u64, max_wait: Duration, response_time: Duration) {
+    fn watch(&mut self, known_revision: Revision, max_wait: Duration, response_time: Duration) {
         let source = &self.settings.source;
         let response = (source.watch_values)(known_revision, max_wait, response_time);
         self.pending_reads
--- a/src/front/host_list.rs
+++ b/src/front/host_list.rs
@@ -7,6 +7,7 @@
 use crate::control::message::{HostList, ListedHost};
 use crate::error::{Error, Result};
 use crate::id::Name;
+use crate::revision::Revision;
 
 /// Key of the host list in the store.
 pub const KEY: &str = "hosts";
@@ -31,7 +32,7 @@
 /// # Errors
 ///
 /// Returns an error when the text is not a valid host list.
-pub fn parse(revision: u64, json: &str) -> Result<HostList> {
+pub fn parse(revision: Revision, json: &str) -> Result<HostList> {
     let entries: Vec<HostEntry> = serde_json::from_str(json)
         .map_err(|err| Error::platform(format!("invalid host list: {err}")))?;
     let hosts = entries.into_iter().map(|entry| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -104,9 +104,9 @@
 //!
 //! let change = ValueChange {
 //!     key: "adserve".into(),
-//!     value: Value { revision: 7, json: Some("{}".into()) },
+//!     value: Value { revision: 7.into(), json: Some("{}".into()) },
 //! };
-//! let update = ValueUpdate { revision: 7, values: vec![change], is_full: false };
+//! let update = ValueUpdate { revision: 7.into(), values: vec![change], is_full: false };
 //! hosts[0].handle(Duration::ZERO, Event::Values(Ok(update)));
 //!
 //! for tick in 1..=30 {
@@ -128,7 +128,7 @@
 //!     }
 //! }
 //! assert_eq!(hosts[1].tables().members.len(), 1);
-//! assert_eq!(hosts[1].tables().values.revision, 7);
+//! assert_eq!(hosts[1].tables().values.revision, 7.into());
 //! # Ok(())
 //! # }
 //! ```
@@ -164,6 +164,7 @@
 pub mod packet;
 pub mod platform;
 pub mod prelude;
+pub mod revision;
 pub mod segment;
 pub mod snapshot;
 pub mod systems;
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -7,14 +7,15 @@
 use super::entry::{self, Entry};
 use crate::control::{BuiltConfig, ConfigBuilder, Value, Values};
 use crate::id::Name;
+use crate::revision::Revision;
 use crate::snapshot::Service;
 
 /// Decoded values, kept until their revision changes.
 #[derive(Default)]
 struct Cache {
     desired: Arc<DesiredState>,
-    desired_revision: u64,
-    entries: HashMap<Name, (u64, Option<Entry>)>,
+    desired_revision: Revision,
+    entries: HashMap<Name, (Revision, Option<Entry>)>,
 }
 
 /// Returns the function that builds services and routes for a host in `zone`.
@@ -79,20 +80,20 @@
             Ok(desired) => {
                 log::info!(
                     version = desired.version, before = self.desired.version,
-                    routes = desired.routes.len(), revision = value.revision;
+                    routes = desired.routes.len(), revision = value.revision.number;
                     "desired_in_force"
                 );
                 self.desired = Arc::new(desired);
             }
             Err(err) => {
-                log::warn!(revision = value.revision, cause:% = err; "desired_refused");
+                log::warn!(revision = value.revision.number, cause:% = err; "desired_refused");
             }
         }
     }
 }
 
 fn decode_cached<'a>(
-    cache: &'a mut HashMap<Name, (u64, Option<Entry>)>,
+    cache: &'a mut HashMap<Name, (Revision, Option<Entry>)>,
     key: &Name,
     value: &Value,
     zone: &str,
@@ -108,7 +109,7 @@
         let entry = match decoded {
             Some(Ok(entry)) => Some(entry),
             Some(Err(err)) => {
-                log::warn!(key:%, revision = value.revision, cause:% = err; "entry_refused");
+                log::warn!(key:%, revision = value.revision.number, cause:% = err; "entry_refused");
                 None
             }
             None => None,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use axum::body::{Body, to_bytes};
-use axum::http::{Request, Response, StatusCode, Uri};
+use axum::http::{HeaderMap, Request, Response, StatusCode, Uri};
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper_util::client::legacy::Client;
@@ -20,6 +20,7 @@
 use crate::control::{Value, ValueChange};
 use crate::error::{Error, Result};
 use crate::id::Name;
+use crate::revision::Revision;
 
 /// Maximum time until the response to a read that does not wait for changes begins.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -39,6 +40,9 @@
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
+/// Header with the number of times that the store has returned from a copy.
+const ERA_HEADER: &str = "Store-Era";
+
 /// Maximum number of pages read for one range.
 const MAX_PAGES: usize = 1_000;
 
@@ -73,6 +77,13 @@
     deleted: bool,
 }
 
+/// Response of the store, its body not yet decoded.
+struct Answer {
+    status: StatusCode,
+    era: u64,
+    body: Bytes,
+}
+
 /// Client for the values in the store whose keys begin with a prefix.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -101,7 +112,7 @@
     /// Waits up to `wait` for values with a revision above `after`.
     ///
     /// Reads all values when `after` is 0, or when the store no longer has the changes
-    /// since that revision. Each response must begin within `response_time`, which for the
+    /// since that revision, which is so after each restore. Each response must begin within `response_time`, which for the
     /// watch starts after `wait`.
     ///
     /// # Errors
@@ -110,21 +121,24 @@
     /// invalid.
     pub async fn watch(
         &self,
-        after: u64,
+        after: Revision,
         wait: Duration,
         response_time: Duration,
     ) -> Result<ValueUpdate> {
-        if after == 0 {
+        if after.is_none() {
             return self.read_all(response_time).await;
         }
         let millis = wait.as_millis();
         let prefix = &self.prefix;
-        let path = format!("/-/kv-watch?Prefix={prefix}&after={after}&WaitMs={millis}");
-        let (status, body) = self.get(&path, wait + response_time).await?;
-        match status {
-            StatusCode::OK => self.parse_events(&body),
-            StatusCode::GONE => self.read_all(response_time).await,
-            _ => Err(unexpected_status(status)),
+        let path = format!(
+            "/-/kv-watch?Prefix={prefix}&after={}&WaitMs={millis}",
+            after.number
+        );
+        let response = self.get(&path, wait + response_time).await?;
+        match response.status {
+            StatusCode::OK if response.era == after.era => self.parse_events(&response),
+            StatusCode::OK | StatusCode::GONE => self.read_all(response_time).await,
+            status => Err(unexpected_status(status)),
         }
     }
 
@@ -138,21 +152,27 @@
             let from = after.as_deref().unwrap_or_default();
             let prefix = &self.prefix;
             let path = format!("/-/kv-range?Prefix={prefix}&after={from}");
-            let (status, body) = self.get(&path, response_time).await?;
-            if status != StatusCode::OK {
-                return Err(unexpected_status(status));
+            let response = self.get(&path, response_time).await?;
+            if response.status != StatusCode::OK {
+                return Err(unexpected_status(response.status));
             }
-            let page: WirePage = serde_json::from_slice(&body).map_err(invalid_response)?;
+            let page: WirePage =
+                serde_json::from_slice(&response.body).map_err(invalid_response)?;
+            let era = response.era;
             if after.is_none() {
                 // The pages are not an atomic snapshot. Changes made while they are read
                 // are received by the watch, which starts at the first page's revision.
-                update.revision = page.store_revision;
+                update.revision = Revision::new(era, page.store_revision);
+            } else if update.revision.era != era {
+                return Err(Error::platform(
+                    "store was restored while its values were read",
+                ));
             }
             after = page.items.last().map(|item| item.key.clone());
             let items = page.items.into_iter();
             update
                 .values
-                .extend(items.map(|item| self.value_change(item)));
+                .extend(items.map(|item| self.value_change(era, item)));
             if !page.has_more || after.is_none() {
                 return Ok(update);
             }
@@ -168,35 +188,37 @@
     /// invalid.
     pub async fn read_value(&self, key: &str) -> Result<Option<Value>> {
         let path = format!("/-/kv-key?Key={key}");
-        let (status, body) = self.get(&path, RESPONSE_TIMEOUT).await?;
-        match status {
-            StatusCode::OK => serde_json::from_slice(&body).map(|item| Some(decode_value(item))),
-            StatusCode::NOT_FOUND => return Ok(None),
-            _ => return Err(unexpected_status(status)),
+        let response = self.get(&path, RESPONSE_TIMEOUT).await?;
+        match response.status {
+            StatusCode::OK => serde_json::from_slice(&response.body)
+                .map(|item| Some(decode_value(response.era, item)))
+                .map_err(invalid_response),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(unexpected_status(status)),
         }
-        .map_err(invalid_response)
     }
 
-    fn parse_events(&self, bytes: &[u8]) -> Result<ValueUpdate> {
-        let wire: WireEvents = serde_json::from_slice(bytes).map_err(invalid_response)?;
+    fn parse_events(&self, response: &Answer) -> Result<ValueUpdate> {
+        let wire: WireEvents = serde_json::from_slice(&response.body).map_err(invalid_response)?;
+        let era = response.era;
         let events = wire.events.into_iter();
         Ok(ValueUpdate {
-            revision: wire.store_revision,
-            values: events.map(|item| self.value_change(item)).collect(),
+            revision: Revision::new(era, wire.store_revision),
+            values: events.map(|item| self.value_change(era, item)).collect(),
             is_full: false,
         })
     }
 
-    fn value_change(&self, item: WireItem) -> ValueChange {
+    fn value_change(&self, era: u64, item: WireItem) -> ValueChange {
         let key = item.key.strip_prefix(&*self.prefix).map(Name::from);
         ValueChange {
             key: key.unwrap_or_else(|| item.key.clone()),
-            value: decode_value(item),
+            value: decode_value(era, item),
         }
     }
 
     /// Reads `path`; the response must begin within `limit`.
-    async fn get(&self, path: &str, limit: Duration) -> Result<(StatusCode, Bytes)> {
+    async fn get(&self, path: &str, limit: Duration) -> Result<Answer> {
         let uri: Uri = format!("http://{}{path}", self.addr).parse().map_err(|_| {
             Error::setting("platform", "not a valid address", "use the form IP:PORT")
         })?;
@@ -206,20 +228,33 @@
             .await
             .map_err(failed_request)?;
         let status = response.status();
+        let era = decode_era(response.headers())?;
         let body = Timeout::new(tower::service_fn(read_body), BODY_TIMEOUT)
             .oneshot(response.into_body())
             .await
             .map_err(failed_request)?;
-        Ok((status, body))
+        Ok(Answer { status, era, body })
     }
 }
 
+/// Returns the era of a response: zero if the store names none.
+fn decode_era(headers: &HeaderMap) -> Result<u64> {
+    let Some(header) = headers.get(ERA_HEADER) else {
+        return Ok(0);
+    };
+    let era = header
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    era.ok_or_else(|| Error::platform(format!("store sent an invalid era {header:?}")))
+}
+
 /// Converts an item to a value. Invalid UTF-8 is replaced, since such a value cannot be
 /// a valid entry anyway.
-fn decode_value(item: WireItem) -> Value {
+fn decode_value(era: u64, item: WireItem) -> Value {
     let text = |bytes: Vec<u8>| Name::from(String::from_utf8_lossy(&bytes));
     Value {
-        revision: item.revision,
+        revision: Revision::new(era, item.revision),
         json: item.value.filter(|_| !item.deleted).map(text),
     }
 }
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -11,5 +11,6 @@
 pub use crate::error::{Category, Error, Result};
 pub use crate::id::{FlowKey, Id, Incarnation, Name};
 pub use crate::packet::{Body, Class, ExecutionStatus, Load, Packet, Part, Reason};
+pub use crate::revision::Revision;
 pub use crate::snapshot::{Endpoint, Host, Lease, Policy, Service, Snapshot};
 pub use crate::ticket::{Home, Side, Target, Ticket, TicketKeys};
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -13,6 +13,7 @@
 
 use crate::id::{FlowKey, Id, Incarnation, Name, rendezvous_weight};
 use crate::packet::Class;
+use crate::revision::Revision;
 use crate::segment::Route;
 use crate::ticket::{Home, TicketKeys};
 
@@ -20,7 +21,7 @@
 #[derive(Clone, Debug)]
 pub struct Snapshot {
     /// Revision of the configuration in force.
-    pub revision: u64,
+    pub revision: Revision,
     /// Services by id.
     pub services: Arc<HashMap<Id, Arc<Service>>>,
     /// Id of the service that each endpoint address belongs to.
@@ -237,7 +238,7 @@
     #[must_use]
     pub fn empty(keys: TicketKeys) -> Self {
         Self {
-            revision: 0,
+            revision: Revision::default(),
             services: Arc::default(),
             addresses: Arc::default(),
             routes: Arc::default(),
--- a/src/systems/relay/established.rs
+++ b/src/systems/relay/established.rs
@@ -22,7 +22,7 @@
         tables.counters.unknown_cookies += 1;
         log::warn!(
             caller:% = segment.addrs.caller, front:% = segment.addrs.vip, cookie = segment.cookie,
-            revision = tables.snapshot.revision;
+            revision = tables.snapshot.revision.number;
             "cookie_unknown"
         );
         return;
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -117,7 +117,7 @@
         caller:% = segment.addrs.caller, front:% = segment.addrs.vip, route:% = route.name,
         endpoint:% = row.spec.name, zone:% = row.spec.zone, copies = segment.ack,
         running = row.own_requests, flows = row.flow_count, trial = unresponsive,
-        revision = tables.snapshot.revision;
+        revision = tables.snapshot.revision.number;
         "placed"
     );
 }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -183,7 +183,8 @@
 
     fn dump_snapshot(&self) -> Value {
         json!({
-            "revision": self.snapshot.revision,
+            "era": self.snapshot.revision.era,
+            "revision": self.snapshot.revision.number,
             "hosts": self.snapshot.hosts,
             "lease": self.snapshot.lease,
             "leaving": self.snapshot.leaving,
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -15,6 +15,7 @@
 use crate::control::{Value, ValueChange};
 use crate::error::{Error, Result};
 use crate::id::{Id, Name};
+use crate::revision::Revision;
 
 /// Maximum size of an encoded heartbeat, in bytes.
 pub const MAX_HEARTBEAT_BYTES: usize = 1_400;
@@ -105,6 +106,12 @@
     /// Consecutive failed reads of the platform's values by the sender.
     #[prost(uint32, tag = "15")]
     failures: u32,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "16")]
+    era: u64,
+    /// Era of `roster`.
+    #[prost(uint64, tag = "17")]
+    roster_era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -150,6 +157,9 @@
     rosters: bool,
     #[prost(bool, tag = "3")]
     members: bool,
+    /// Era of `after`.
+    #[prost(uint64, tag = "4")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -166,6 +176,12 @@
     base: Option<WireVoterSet>,
     #[prost(message, repeated, tag = "5")]
     members: Vec<WireMemberUpdate>,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "6")]
+    era: u64,
+    /// True if the values are complete.
+    #[prost(bool, tag = "7")]
+    full: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -176,6 +192,9 @@
     revision: u64,
     #[prost(string, optional, tag = "3")]
     json: Option<String>,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "4")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -184,6 +203,9 @@
     revision: u64,
     #[prost(message, repeated, tag = "2")]
     hosts: Vec<WireListedHost>,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "3")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -206,8 +228,8 @@
         version: heartbeat.version,
         leaving: heartbeat.leaving,
         card: heartbeat.info.as_ref().map(encode_host_info),
-        revision: heartbeat.revision,
-        roster: heartbeat.list_revision,
+        revision: heartbeat.revision.number,
+        roster: heartbeat.list_revision.number,
         sent_micros: heartbeat.sent_at.0.saturating_sub(heartbeat.incarnation),
         echo: heartbeat.echo.map(|echo| echo.0),
         ping: heartbeat.ping,
@@ -216,6 +238,8 @@
         base: heartbeat.vote.agreed_digest,
         news: heartbeat.updates.iter().map(encode_member_update).collect(),
         failures: heartbeat.read_failures,
+        era: heartbeat.revision.era,
+        roster_era: heartbeat.list_revision.era,
     };
     key.sign(wire.encode_to_vec())
 }
@@ -239,8 +263,8 @@
         leaving: wire.leaving,
         read_failures: wire.failures,
         info: decode_host_info(wire.from, wire.card)?,
-        revision: wire.revision,
-        list_revision: wire.roster,
+        revision: Revision::new(wire.era, wire.revision),
+        list_revision: Revision::new(wire.roster_era, wire.roster),
         sent_at: Timestamp(wire.incarnation.saturating_add(wire.sent_micros)),
         echo: wire.echo.map(Timestamp),
         ping: wire.ping,
@@ -261,9 +285,10 @@
 #[must_use]
 pub fn encode_fetch_request(request: &FetchRequest, key: &PeerKey) -> Bytes {
     let wire = WireFetchRequest {
-        after: request.known_revision,
+        after: request.known_revision.number,
         rosters: request.voters,
         members: request.members,
+        era: request.known_revision.era,
     };
     key.sign(wire.encode_to_vec())
 }
@@ -277,7 +302,7 @@
     let content = key.verify(bytes)?;
     let wire = WireFetchRequest::decode(content).map_err(|_| Error::malformed("fetch request"))?;
     Ok(FetchRequest {
-        known_revision: wire.after,
+        known_revision: Revision::new(wire.era, wire.after),
         voters: wire.rosters,
         members: wire.members,
     })
@@ -290,11 +315,13 @@
 #[must_use]
 pub fn encode_fetch_response(response: &FetchResponse, key: &PeerKey) -> Bytes {
     let wire = WireFetchResponse {
-        revision: response.values.revision,
+        revision: response.values.revision.number,
         values: response.values.values.iter().map(encode_value).collect(),
         pending: response.latest_voters.as_ref().map(encode_voter_set),
         base: response.agreed_voters.as_ref().map(encode_voter_set),
         members: response.members.iter().map(encode_member_update).collect(),
+        era: response.values.revision.era,
+        full: response.values.is_full,
     };
     key.sign(lz4_flex::compress_prepend_size(&wire.encode_to_vec()))
 }
@@ -311,9 +338,9 @@
         WireFetchResponse::decode(&*content).map_err(|_| Error::malformed("fetch response"))?;
     Ok(FetchResponse {
         values: ValueUpdate {
-            revision: wire.revision,
+            revision: Revision::new(wire.era, wire.revision),
             values: wire.values.into_iter().map(decode_value).collect(),
-            is_full: false,
+            is_full: wire.full,
         },
         latest_voters: wire.pending.map(decode_voter_set).transpose()?,
         agreed_voters: wire.base.map(decode_voter_set).transpose()?,
@@ -408,7 +435,8 @@
 fn encode_value(change: &ValueChange) -> WireValue {
     WireValue {
         key: change.key.to_string(),
-        revision: change.value.revision,
+        revision: change.value.revision.number,
+        era: change.value.revision.era,
         json: change.value.json.as_deref().map(str::to_owned),
     }
 }
@@ -417,7 +445,7 @@
     ValueChange {
         key: Name::from(wire.key),
         value: Value {
-            revision: wire.revision,
+            revision: Revision::new(wire.era, wire.revision),
             json: wire.json.map(Arc::from),
         },
     }
@@ -430,12 +458,14 @@
         leaving: host.leaving,
     });
     WireVoterSet {
-        revision: voters.revision,
+        revision: voters.revision.number,
         hosts: hosts.collect(),
+        era: voters.revision.era,
     }
 }
 
 fn decode_voter_set(wire: WireVoterSet) -> Result<VoterSet> {
+    let revision = Revision::new(wire.era, wire.revision);
     let hosts = wire.hosts.into_iter().map(|host| {
         Ok(ListedHost {
             name: host.name.into(),
@@ -443,5 +473,5 @@
             leaving: host.leaving,
         })
     });
-    Ok(VoterSet::new(wire.revision, hosts.collect::<Result<_>>()?))
+    Ok(VoterSet::new(revision, hosts.collect::<Result<_>>()?))
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -99,7 +99,7 @@
 impl World {
     pub fn new(seed: u64, hosts: usize) -> Self {
         let mut config = Snapshot::empty(TicketKeys::new("one", "two"));
-        config.revision = 1;
+        config.revision = 1.into();
         let mut world = Self {
             now: Duration::from_secs(10),
             tick_interval: systems::TICK_INTERVAL,
@@ -174,7 +174,7 @@
         names.dedup();
         let services: Vec<Service> = names.iter().map(|name| self.service_spec(name)).collect();
         self.config = self.config.clone().with_services(services);
-        self.config.revision += 1;
+        self.config.revision.number += 1;
     }
 
     fn service_spec(&self, name: &Name) -> Service {
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -178,11 +178,11 @@
 #[test]
 fn host_list_is_parsed_or_refused() {
     let list = r#"[{"name":"h","zone":"sv-a","state":"leaving","peer":"127.0.0.1:7"}]"#;
-    let hosts = host_list::parse(9, list).expect("hosts");
-    assert_eq!(hosts.revision, 9);
+    let hosts = host_list::parse(9.into(), list).expect("hosts");
+    assert_eq!(hosts.revision, 9.into());
     assert!(hosts.hosts[0].1.leaving);
     for nonsense in ["", "{}", r#"[{"name":"h"}]"#, r#"{"hosts":[]}"#, "\u{fffd}"] {
-        let err = host_list::parse(9, nonsense).expect_err("nonsense");
+        let err = host_list::parse(9.into(), nonsense).expect_err("nonsense");
         assert_eq!(err.classify(), Category::Platform);
     }
 }
@@ -195,8 +195,8 @@
         leaving: true,
         read_failures: 2,
         info: Some(zone::host_info(3)),
-        revision: 11,
-        list_revision: 4,
+        revision: Revision::new(2, 11),
+        list_revision: Revision::new(1, 4),
         sent_at: Timestamp(77),
         echo: Some(Timestamp(66)),
         ping: true,
@@ -244,15 +244,15 @@
     let route = r#"{"Host":"198.18.0.1","Prefix":"/443/","Service":"adserve","TimeoutMs":2500},"#;
     let response = FetchResponse {
         values: ValueUpdate {
-            revision: 7,
+            revision: Revision::new(3, 7),
             values: vec![ValueChange {
                 key: "op/config".into(),
                 value: Value {
-                    revision: 7,
+                    revision: Revision::new(3, 6),
                     json: Some(route.repeat(300).into()),
                 },
             }],
-            is_full: false,
+            is_full: true,
         },
         ..FetchResponse::default()
     };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -171,7 +171,7 @@
     ValueChange {
         key: key.into(),
         value: Value {
-            revision,
+            revision: revision.into(),
             json: text.map(Name::from),
         },
     }
@@ -188,7 +188,7 @@
         .map(|(key, text)| value_change(key, revision, text.clone()))
         .collect();
     let update = ValueUpdate {
-        revision,
+        revision: revision.into(),
         values,
         is_full: false,
     };
@@ -329,7 +329,7 @@
     )];
     set_values(&mut host, 1, &values);
     for text in [desired_state(6, &["other"]).to_string(), "{".to_owned()] {
-        let revision = host.tables().values.revision + 1;
+        let revision = host.tables().values.revision.number + 1;
         let snapshot = set_values(&mut host, revision, &[("op/config", Some(text))]);
         let snapshot = snapshot.expect("a snapshot");
         assert!(snapshot.services.contains_key(&Id::of("adserve")));
@@ -358,7 +358,7 @@
     let mut host = host_after_outage();
     let now = Duration::from_secs(10);
     let update = ValueUpdate {
-        revision: 6,
+        revision: 6.into(),
         values: vec![value_change("servers/i-1", 6, None)],
         is_full: false,
     };
@@ -383,7 +383,7 @@
     )];
     for (revision, values) in [(6, deleted), (7, restored)] {
         let update = ValueUpdate {
-            revision,
+            revision: revision.into(),
             values,
             is_full: false,
         };
@@ -406,7 +406,7 @@
     ];
     set_values(&mut host, 5, &values);
     let update = ValueUpdate {
-        revision: 8,
+        revision: 8.into(),
         values: vec![
             value_change("op/config", 5, Some(config)),
             value_change("servers/i-2", 5, Some(entry("adserve").to_string())),
@@ -423,6 +423,9 @@
 }
 
 /// A mock of the store that returns prepared responses and records the queries.
+///
+/// The era of a response stands in the field `era` of its body, which the store's own
+/// responses do not have.
 #[derive(Clone, Default)]
 struct MockStore {
     responses: Arc<Mutex<Vec<(StatusCode, Json)>>>,
@@ -465,7 +468,11 @@
         (!responses.is_empty()).then(|| responses.remove(0))
     };
     match next {
-        Some((status, body)) => (status, Reply(body)).into_response(),
+        Some((status, body)) => {
+            let era = body["era"].to_string();
+            let header = (body["era"] != Json::Null).then_some([("Store-Era", era)]);
+            (status, header, Reply(body)).into_response()
+        }
         // Never responds.
         None => std::future::pending().await,
     }
@@ -488,12 +495,13 @@
     let responses = vec![(StatusCode::OK, first), (StatusCode::OK, second)];
     let (mock, store) = MockStore::start(responses).await;
     let update = store
-        .watch(0, Duration::from_secs(1), RESPONSE_TIME)
+        .watch(0.into(), Duration::from_secs(1), RESPONSE_TIME)
         .await
         .expect("values");
     assert!(update.is_full);
     assert_eq!(
-        update.revision, 9,
+        update.revision,
+        9.into(),
         "changes after the first page are delivered again"
     );
     assert_eq!(
@@ -509,10 +517,10 @@
     let events = json!({"events": [store_item("a", 12, "1"), gone], "StoreRevision": 14});
     let (mock, store) = MockStore::start(vec![(StatusCode::OK, events)]).await;
     let update = store
-        .watch(11, Duration::from_secs(2), RESPONSE_TIME)
+        .watch(11.into(), Duration::from_secs(2), RESPONSE_TIME)
         .await
         .expect("values");
-    assert_eq!(update.revision, 14);
+    assert_eq!(update.revision, 14.into());
     assert_eq!(update.values[1], value_change("b", 13, None));
     assert_eq!(mock.queries(), ["Prefix=&after=11&WaitMs=2000"]);
 }
@@ -523,10 +531,50 @@
     let responses = vec![(StatusCode::GONE, json!({})), (StatusCode::OK, page)];
     let (_, store) = MockStore::start(responses).await;
     let update = store
-        .watch(11, Duration::from_secs(1), RESPONSE_TIME)
+        .watch(11.into(), Duration::from_secs(1), RESPONSE_TIME)
+        .await
+        .expect("values");
+    assert!(update.is_full && update.revision == 40.into());
+}
+
+#[tokio::test]
+async fn restored_store_causes_a_full_read() {
+    let events = json!({"events": [store_item("a", 12, "2")], "StoreRevision": 12, "era": 4});
+    let page = json!({"items": [store_item("a", 12, "2"), store_item("b", 7, "1")],
+                      "HasMore": false, "StoreRevision": 12, "era": 4});
+    let responses = vec![(StatusCode::OK, events), (StatusCode::OK, page)];
+    let (mock, store) = MockStore::start(responses).await;
+    let update = store
+        .watch(Revision::new(3, 11), Duration::from_secs(1), RESPONSE_TIME)
         .await
         .expect("values");
-    assert!(update.is_full && update.revision == 40);
+    assert!(update.is_full);
+    assert_eq!(update.revision, Revision::new(4, 12));
+    assert_eq!(update.values[1].value.revision, Revision::new(4, 7));
+    assert_eq!(
+        mock.queries(),
+        ["Prefix=&after=11&WaitMs=1000", "Prefix=&after="]
+    );
+}
+
+#[tokio::test]
+async fn pages_of_different_eras_and_invalid_eras_are_errors() {
+    let page = |era: Json, has_more: bool| {
+        let items = [store_item("a", 3, "1")];
+        json!({"items": items, "HasMore": has_more, "StoreRevision": 9, "era": era})
+    };
+    let responses = vec![
+        (StatusCode::OK, page(json!(1), true)),
+        (StatusCode::OK, page(json!(2), false)),
+        (StatusCode::OK, page(json!("first"), false)),
+        (StatusCode::OK, page(json!(-1), false)),
+    ];
+    let (_, store) = MockStore::start(responses).await;
+    for _ in 0..3 {
+        let read = store.watch(0.into(), Duration::ZERO, RESPONSE_TIME);
+        let error = read.await.unwrap_err();
+        assert_eq!(error.classify(), Category::Platform);
+    }
 }
 
 #[tokio::test]
@@ -546,7 +594,7 @@
     let (_, store) = MockStore::start(responses).await;
     for _ in 0..7 {
         let error = store
-            .watch(1, Duration::ZERO, RESPONSE_TIME)
+            .watch(1.into(), Duration::ZERO, RESPONSE_TIME)
             .await
             .unwrap_err();
         assert_eq!(error.classify(), Category::Platform);
@@ -557,14 +605,14 @@
 async fn missing_response_is_an_error() {
     let (_, store) = MockStore::start(vec![]).await;
     let error = store
-        .watch(1, Duration::from_secs(2), RESPONSE_TIME)
+        .watch(1.into(), Duration::from_secs(2), RESPONSE_TIME)
         .await
         .unwrap_err();
     assert_eq!(error.classify(), Category::Platform);
 }
 
 /// Names from the platform's messages, settings and keys.
-const PLATFORM_NAMES: [&str; 28] = [
+const PLATFORM_NAMES: [&str; 29] = [
     "DatagramAddr",
     "ReadyAddr",
     "InternalPorts",
@@ -593,6 +641,7 @@
     "BOUNCED",
     "HeartbeatMs",
     "JACINTHHINGE_CONFIG\"",
+    "Store-Era",
 ];
 
 /// Adds all files below `dir` to `found`.
@@ -633,7 +682,7 @@
     let (mock, _) = MockStore::start(vec![(StatusCode::OK, events)]).await;
     let store = Store::new(mock.addr(), "config/");
     let update = store
-        .watch(1, Duration::ZERO, RESPONSE_TIME)
+        .watch(1.into(), Duration::ZERO, RESPONSE_TIME)
         .await
         .expect("values");
     assert_eq!(
@@ -694,11 +743,11 @@
     };
     let early = run_and_list_fetches(&mut host, 2_000, 2_900);
     assert!(
-        early.iter().all(|(_, after)| *after == u64::MAX),
+        early.iter().all(|(_, after)| *after == Revision::MAX),
         "{early:?}"
     );
     let late = run_and_list_fetches(&mut host, 2_900, 6_000);
-    assert!(late.iter().any(|(_, after)| *after == 5), "{late:?}");
+    assert!(late.iter().any(|(_, after)| *after == 5.into()), "{late:?}");
 }
 
 /// Returns a heartbeat of another host that has applied `revision`.
@@ -717,8 +766,8 @@
             peer_addr: "10.2.0.40:7720".parse().expect("an address"),
             lanes: std::iter::once("10.2.0.40:8172".parse().expect("an address")).collect(),
         }),
-        revision,
-        list_revision: 0,
+        revision: revision.into(),
+        list_revision: Revision::default(),
         sent_at: Timestamp(1 + at),
         echo: None,
         ping: false,
--- a/tests/regression/ignored_readers.rs
+++ b/tests/regression/ignored_readers.rs
@@ -31,7 +31,7 @@
             zone.nodes.get_mut(&index).expect("a host").is_ignored = true;
         }
         zone.set_value("fleet", Some("2"));
-        let is_applied = |zone: &Zone| zone.all_nodes(|node| node.snapshot.revision == 2);
+        let is_applied = |zone: &Zone| zone.all_nodes(|node| node.snapshot.revision == 2.into());
         let elapsed = zone.run_until_condition(2 * APPLY_LIMIT, is_applied);
         assert!(
             elapsed.is_some_and(|elapsed| elapsed < APPLY_LIMIT),
--- a/tests/regression/unanswered_fetch.rs
+++ b/tests/regression/unanswered_fetch.rs
@@ -23,7 +23,7 @@
         // Only the fourth host has to fetch: the others read the platform.
         zone.network.unanswered_fetches = 1;
         zone.set_value("fleet", Some("2"));
-        let is_applied = |zone: &Zone| zone.all_nodes(|node| node.snapshot.revision == 2);
+        let is_applied = |zone: &Zone| zone.all_nodes(|node| node.snapshot.revision == 2.into());
         let elapsed = zone.run_until_condition(2 * APPLY_LIMIT, is_applied);
         assert_eq!(zone.network.unanswered_fetches, 0);
         assert!(
--- a/tests/values.rs
+++ b/tests/values.rs
@@ -23,7 +23,7 @@
 
 /// Returns true if every host has published this revision.
 fn is_applied(zone: &Zone, revision: u64) -> bool {
-    zone.all_nodes(|node| node.snapshot.revision == revision)
+    zone.all_nodes(|node| node.snapshot.revision == revision.into())
 }
 
 fn stored_value(node: &Node, key: &str) -> Option<Name> {
@@ -183,7 +183,7 @@
 /// the number of platform reads.
 fn count_reads_of_ten_changes(zone: &mut Zone) -> usize {
     zone.platform.read_times.clear();
-    let before = zone.platform.update.revision;
+    let before = zone.platform.update.revision.number;
     for change in 1..=10 {
         zone.set_value("fleet", Some(&format!("{change}0")));
         let revision = before + change;
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -98,7 +98,7 @@
 
 /// A watch that the platform has not answered yet.
 struct WatchCall {
-    known_revision: u64,
+    known_revision: Revision,
     time_left: Duration,
     response_time: Duration,
 }
@@ -253,14 +253,14 @@
 
     /// Replaces the platform's host list.
     pub fn set_host_list(&mut self, indices: impl IntoIterator<Item = usize>) {
-        self.platform.host_list.revision += 1;
+        self.platform.host_list.revision.number += 1;
         self.platform.host_list.hosts = indices.into_iter().map(listed_host).collect();
     }
 
     /// Sets a configuration value on the platform, or deletes it.
     pub fn set_value(&mut self, key: &str, json: Option<&str>) {
         let update = &mut self.platform.update;
-        update.revision += 1;
+        update.revision.number += 1;
         update.values.retain(|change| &*change.key != key);
         update.values.push(ValueChange {
             key: key.into(),
@@ -271,8 +271,13 @@
         });
     }
 
-    /// Replaces the platform's values by an earlier copy of them.
-    pub fn restore_platform(&mut self, copy: ValueUpdate) {
+    /// Replaces the platform's values by an earlier copy of them, in a new era.
+    pub fn restore_platform(&mut self, mut copy: ValueUpdate) {
+        let era = self.platform.update.revision.era + 1;
+        copy.revision.era = era;
+        for change in &mut copy.values {
+            change.value.revision.era = era;
+        }
         self.platform.update = copy;
     }
 
@@ -396,9 +401,15 @@
             return;
         }
         let mut update = update.clone();
-        update
-            .values
-            .retain(|change| change.value.revision > known_revision);
+        update.is_full = update.revision.era != known_revision.era;
+        let is_full = update.is_full;
+        update.values.retain(|change| {
+            if is_full {
+                change.value.json.is_some()
+            } else {
+                change.value.revision > known_revision
+            }
+        });
         let answer = is_reachable.then_some(update);
         let answer = answer.ok_or_else(|| Error::platform("down"));
         self.deliver(index, Event::Values(answer));
