Hand removals that are held back on to the hosts that fetch

What callers would see: after an outage of the store, hosts that do not read it keep an endpoint that is gone, and go on placing flows there. Cause: readers hold removals back for 2.2 s after an outage, and hosts that fetch from them in that time get the new revision without the removal. When a reader applies it, its revision is one that the others already have, so they never fetch it. Found while following removals after a restore. Evidence: six simulated hosts, a value removed during an outage: still in force on a host 10 s later. Change: the response to a fetch names the removals that are held back, and the host that fetches holds them back too.

--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -7,7 +7,7 @@
 
 use rand::seq::IndexedRandom;
 
-use super::message::{FetchRequest, FetchResponse, MemberUpdate, Status, ValueUpdate};
+use super::message::{FetchRequest, FetchResponse, MemberUpdate, Status, ValueChange, ValueUpdate};
 use super::tables::{Member, Tables};
 use super::{Action, Outbox, apply, members, readers, removals, voters};
 use crate::clock::millis;
@@ -93,6 +93,7 @@
     };
     FetchResponse {
         values: tables.values.changes_after(request.known_revision),
+        held_removals: removals::held_after(tables, request.known_revision),
         latest_voters,
         agreed_voters,
         members,
@@ -209,7 +210,7 @@
 
 fn apply_response(tables: &mut Tables, now: Duration, fetched: FetchResponse) {
     if tables.fetch.request.known_revision != NO_VALUES {
-        apply_values(tables, now, fetched.values);
+        apply_values(tables, now, fetched.values, fetched.held_removals);
     }
     if let Some(latest_voters) = fetched.latest_voters {
         voters::adopt_latest(&mut tables.voter_sets, latest_voters);
@@ -223,9 +224,10 @@
     tables.fetch.has_members |= tables.fetch.request.members;
 }
 
-fn apply_values(tables: &mut Tables, now: Duration, update: ValueUpdate) {
+fn apply_values(tables: &mut Tables, now: Duration, update: ValueUpdate, held: Vec<ValueChange>) {
     if update.revision > tables.values.revision {
         let update = removals::hold(tables, now, update);
+        removals::adopt(tables, now, held);
         apply::from_host(tables, &update);
     }
 }
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -137,6 +137,8 @@
 pub struct FetchResponse {
     /// Changed values that are active on the responding host.
     pub values: ValueUpdate,
+    /// Removals among the changes that the responding host still holds back.
+    pub held_removals: Vec<ValueChange>,
     /// Latest voter set.
     pub latest_voters: Option<VoterSet>,
     /// Last agreed voter set.
--- a/src/control/removals.rs
+++ b/src/control/removals.rs
@@ -30,6 +30,28 @@
     update
 }
 
+/// Holds back removals that another host holds back.
+///
+/// They are not among the values that it has in force, and once they are, their revision is
+/// no longer newer than what this host has fetched from it.
+pub(super) fn adopt(tables: &mut Tables, now: Duration, held: Vec<ValueChange>) {
+    if held.is_empty() {
+        return;
+    }
+    let hold_until = now + tables.settings.read_pacing.removal_hold;
+    let reads = &mut tables.platform_reads;
+    reads.hold_until = reads.hold_until.max(hold_until);
+    reads.held_removals.extend(held);
+}
+
+/// Returns the held removals that are newer than the revision `after`.
+pub(super) fn held_after(tables: &Tables, after: Revision) -> Vec<ValueChange> {
+    let held = tables.platform_reads.held_removals.iter();
+    held.filter(|change| change.value.revision > after)
+        .cloned()
+        .collect()
+}
+
 /// Applies the removals that were held back long enough and are still current.
 pub(super) fn release(tables: &mut Tables, now: Duration) {
     if tables.platform_reads.held_removals.is_empty() || now < tables.platform_reads.hold_until {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -182,6 +182,9 @@
     /// True if the values are complete.
     #[prost(bool, tag = "7")]
     full: bool,
+    /// Removals that the sender still holds back.
+    #[prost(message, repeated, tag = "8")]
+    held: Vec<WireValue>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -322,6 +325,7 @@
         members: response.members.iter().map(encode_member_update).collect(),
         era: response.values.revision.era,
         full: response.values.is_full,
+        held: response.held_removals.iter().map(encode_value).collect(),
     };
     key.sign(lz4_flex::compress_prepend_size(&wire.encode_to_vec()))
 }
@@ -342,6 +346,7 @@
             values: wire.values.into_iter().map(decode_value).collect(),
             is_full: wire.full,
         },
+        held_removals: wire.held.into_iter().map(decode_value).collect(),
         latest_voters: wire.pending.map(decode_voter_set).transpose()?,
         agreed_voters: wire.base.map(decode_voter_set).transpose()?,
         members: wire
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -254,6 +254,13 @@
             }],
             is_full: true,
         },
+        held_removals: vec![ValueChange {
+            key: "servers/i-1".into(),
+            value: Value {
+                revision: Revision::new(3, 5),
+                json: None,
+            },
+        }],
         ..FetchResponse::default()
     };
     let bytes = wire::encode_fetch_response(&response, &key);
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -16,6 +16,7 @@
 mod deadline_outlives_record;
 mod duplicate_probe_answer;
 mod former_home_closes_flows;
+mod held_removal;
 mod ignored_readers;
 mod lost_probes;
 mod mixed_answer_parts;
