Restore the store from a copy in the soak and check a change at the end

Cause: the soak could not play the drill in which the store returns from a copy, and checked no guarantee of the configuration. Change: the fault RestoreStore, after which the operator and the endpoints write again what was lost and stray entries expire; the rule config, which opens a flow by a new route through each host. A write of an unchanged value is not a change of the store. The period without planned faults grows from 8 to 17 s, so that faults that end late leave time for the check.

--- a/examples/soak/caller.rs
+++ b/examples/soak/caller.rs
@@ -116,6 +116,15 @@
         inboxes.insert(port, flow);
     }
 
+    /// Opens a flow to `vip` and closes it again; returns false if no endpoint accepted it.
+    pub async fn can_open(&self, vip: SocketAddrV4, rng: &mut SmallRng) -> bool {
+        let Some(flow) = OpenFlow::open(self, vip, rng).await else {
+            return false;
+        };
+        flow.close().await;
+        true
+    }
+
     /// Makes one request after the other until `end`.
     pub async fn run_caller(self, vip: Vip, seed: u64, end: Instant) {
         let mut rng = SmallRng::seed_from_u64(seed);
--- a/examples/soak/endpoint.rs
+++ b/examples/soak/endpoint.rs
@@ -131,7 +131,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn store_key(&self) -> String {
+    pub fn store_key(&self) -> String {
         format!("servers/i-{:010x}", self.spec.number)
     }
 
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -36,6 +36,8 @@
     PublishConfig,
     /// The store, or the proxy to it, fails in the given way.
     StoreMode(StoreMode),
+    /// The store is down and then comes back from a copy of this age.
+    RestoreStore(Duration),
 }
 
 /// A fault with its start, counted from the start of the traffic, and its duration.
@@ -85,6 +87,7 @@
         StoreMode::Silent,
     ];
     let mode = modes.choose(rng).copied().unwrap_or(StoreMode::Down);
+    let copy_age = Duration::from_millis(rng.random_range(500..12_000));
     let faults = [
         (3, Fault::KillHost),
         (1, Fault::KillAllHosts),
@@ -98,6 +101,7 @@
         (1, Fault::ExpireEntry),
         (3, Fault::PublishConfig),
         (4, Fault::StoreMode(mode)),
+        (2, Fault::RestoreStore(copy_age)),
     ];
     let chosen = faults.choose_weighted(rng, |fault| fault.0);
     chosen.map_or(Fault::PublishConfig, |fault| fault.1)
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -45,11 +45,22 @@
 /// Time for hosts to start and enter rotation.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
 
-/// Period without faults at the end: time for hosts to recover from the last fault, and
-/// the final part in which the share of served requests is measured.
-const FAULT_FREE_TIME: Duration = Duration::from_secs(8);
+/// Period without planned faults at the end: time for the last ones to end and for hosts to
+/// recover from them, for the check of a change, and the final part in which the share of
+/// served requests is measured.
+const FAULT_FREE_TIME: Duration = Duration::from_secs(17);
 const MEASURED_TIME: Duration = Duration::from_secs(3);
 
+/// Time without faults after which a change must be in force within [`APPLY_TIME`] on all
+/// hosts, and the users' limit for that.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+const APPLY_TIME: Duration = Duration::from_secs(3);
+
+/// Times after the restore of the store at which its writers have written again what was
+/// lost, and at which the entries of endpoints that are gone expire.
+const REWRITE_TIME: Duration = Duration::from_millis(1_200);
+const EXPIRY_TIME: Duration = Duration::from_millis(3_600);
+
 /// Time that a new process needs until its program runs, on a busy machine.
 const EXEC_TIME: Duration = Duration::from_millis(100);
 
@@ -97,6 +108,8 @@
     hosts: Vec<Host>,
     endpoints: Vec<RunningEndpoint>,
     config_version: u64,
+    /// The newest configuration.
+    config: serde_json::Value,
     next_endpoint: u64,
     work_dir: PathBuf,
 }
@@ -110,6 +123,9 @@
     ReplaceEndpoint(u64),
     PublishEntry(u64),
     RestoreStore,
+    RestoreCopy(Duration),
+    RewriteStore,
+    ExpireEntries,
 }
 
 #[tokio::main(flavor = "current_thread")]
@@ -169,6 +185,7 @@
             hosts: Vec::new(),
             endpoints: Vec::new(),
             config_version: 0,
+            config: serde_json::Value::Null,
             next_endpoint: 1,
             work_dir,
             options,
@@ -256,19 +273,47 @@
             };
             route(vip.addr, service, vip.run_once)
         });
+        let version_route = route(version_vip(self.config_version), "main", false);
         let idle_routes = (0..self.rng.random_range(0..200_u8)).map(|last| {
             let addr = SocketAddrV4::new(Ipv4Addr::new(198, 18, 1, last), 443);
             route(addr, "main", false)
         });
-        let routes: Vec<_> = served_routes.into_iter().chain(idle_routes).collect();
-        self.store.set(
-            "op/config",
-            &json!({
-                "Version": self.config_version, "Routes": routes,
-                "Services": [{"Name": "main", "MaxConns": 2000}, {"Name": "small", "MaxConns": 2000}],
-                "Limits": {"IdleTimeoutMs": 30_000},
-            }),
-        );
+        let routes = served_routes.into_iter().chain([version_route]);
+        let routes: Vec<_> = routes.chain(idle_routes).collect();
+        self.config = json!({
+            "Version": self.config_version, "Routes": routes,
+            "Services": [{"Name": "main", "MaxConns": 2000}, {"Name": "small", "MaxConns": 2000}],
+            "Limits": {"IdleTimeoutMs": 30_000},
+        });
+        self.store.set("op/config", &self.config);
+    }
+
+    /// Writes again what the operator and the endpoints have written.
+    fn rewrite_store(&self) {
+        self.store.set("op/config", &self.config);
+        for running in &self.endpoints {
+            running.endpoint.publish();
+        }
+    }
+
+    /// Publishes a change after the last fault and checks that all hosts apply it in time.
+    async fn check_config(&mut self, faults_ended: Instant) -> std::io::Result<()> {
+        sleep_until(faults_ended + SETTLING_TIME).await;
+        self.publish_config();
+        sleep_until(faults_ended + SETTLING_TIME + APPLY_TIME).await;
+        let vip = version_vip(self.config_version);
+        for (index, host) in self.hosts.iter().enumerate() {
+            let router = Router::default();
+            router.add(host.spec.ip);
+            let last = u8::try_from(index + 1).unwrap_or(u8::MAX);
+            let addr = SocketAddrV4::new(Ipv4Addr::new(127, self.subnet, 6, last), LANE_PORT);
+            let prober = CallerNode::start(addr, router, self.checker.clone()).await?;
+            if !prober.can_open(vip, &mut self.rng).await {
+                let details = format!("{} lacks version {}", host.spec.name, self.config_version);
+                self.checker.lock().report_violation("config", &details);
+            }
+        }
+        Ok(())
     }
 
     /// Injects the faults and returns true if no guarantee was violated.
@@ -294,7 +339,8 @@
             recoveries = pending;
             let expired: Vec<(Instant, Recovery)> = expired;
             for (_, recovery) in expired {
-                self.recover(recovery).await?;
+                let next = self.recover(recovery).await?;
+                recoveries.extend(next.map(|(delay, recovery)| (now + delay, recovery)));
             }
             while plan
                 .last()
@@ -307,6 +353,7 @@
                 }
             }
         }
+        self.check_config(Instant::now()).await?;
         sleep_until(end - MEASURED_TIME).await;
         let counts_before = self.request_counts();
         callers.join_all().await;
@@ -369,6 +416,10 @@
                 self.store.mode.send_replace(mode);
                 vec![Recovery::RestoreStore]
             }
+            Fault::RestoreStore(copy_age) => {
+                self.store.mode.send_replace(StoreMode::Reset);
+                vec![Recovery::RestoreCopy(copy_age)]
+            }
             Fault::PublishConfig => {
                 self.publish_config();
                 Vec::new()
@@ -427,7 +478,11 @@
         }
     }
 
-    async fn recover(&mut self, recovery: Recovery) -> std::io::Result<()> {
+    /// Ends a fault, or one of its steps. Returns the next step and its delay.
+    async fn recover(
+        &mut self,
+        recovery: Recovery,
+    ) -> std::io::Result<Option<(Duration, Recovery)>> {
         let find_endpoint = |number| {
             let mut all = self.endpoints.iter();
             all.find(|running| running.endpoint.spec.number == number)
@@ -462,9 +517,23 @@
             Recovery::RestoreStore => {
                 self.store.mode.send_replace(StoreMode::Up);
             }
+            Recovery::RestoreCopy(copy_age) => {
+                self.store.restore(copy_age);
+                self.store.mode.send_replace(StoreMode::Up);
+                return Ok(Some((REWRITE_TIME, Recovery::RewriteStore)));
+            }
+            Recovery::RewriteStore => {
+                self.rewrite_store();
+                return Ok(Some((EXPIRY_TIME - REWRITE_TIME, Recovery::ExpireEntries)));
+            }
+            Recovery::ExpireEntries => {
+                let endpoints = self.endpoints.iter();
+                let keys: Vec<String> = endpoints.map(|row| row.endpoint.store_key()).collect();
+                self.store.retain("servers/", &keys);
+            }
             Recovery::ReplaceEndpoint(number) => self.replace_endpoint(number).await?,
         }
-        Ok(())
+        Ok(None)
     }
 
     /// Removes an endpoint that has drained and gives its address to the other service.
@@ -561,6 +630,12 @@
     }
 }
 
+/// Returns the address of the route that only this version of the configuration has.
+fn version_vip(version: u64) -> SocketAddrV4 {
+    let last = u8::try_from(version % 250).unwrap_or(0);
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 2, last), 444)
+}
+
 fn route(addr: SocketAddrV4, service: &str, run_once: bool) -> serde_json::Value {
     json!({
         "Name": format!("r-{addr}"), "Host": addr.ip(), "Prefix": format!("/{}/", addr.port()),
--- a/examples/soak/store.rs
+++ b/examples/soak/store.rs
@@ -7,6 +7,7 @@
 
 use axum::extract::{Query, State};
 use axum::http::StatusCode;
+use axum::middleware::map_response_with_state;
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::{Json, Router};
@@ -17,7 +18,7 @@
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How the store and its proxy behave.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -48,11 +49,15 @@
     value: Vec<u8>,
     revision: u64,
     deleted: bool,
+    #[serde(skip)]
+    written_at: Instant,
 }
 
 /// Current items and the history of all changes.
 #[derive(Default)]
 struct StoreData {
+    /// Number of restores.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     change_log: Vec<Item>,
@@ -88,6 +93,7 @@
         let router = Router::new()
             .route("/-/kv-range", get(list_items))
             .route("/-/kv-watch", get(watch_values))
+            .layer(map_response_with_state(store.clone(), add_era))
             .with_state(store.clone());
         let listener = TcpListener::bind(store_addr).await?;
         tokio::spawn(async move { axum::serve(listener, router).await });
@@ -96,14 +102,53 @@
         Ok(store)
     }
 
+    /// Writes a value, unless the store has it already.
     pub fn set(&self, key: &str, value: &Value) {
-        self.write(key, Some(value.to_string().into_bytes()));
+        let bytes = value.to_string().into_bytes();
+        let is_known = |item: &Item| item.value == bytes;
+        if !self.lock_data().items.get(key).is_some_and(is_known) {
+            self.write(key, Some(bytes));
+        }
     }
 
     pub fn remove(&self, key: &str) {
         self.write(key, None);
     }
 
+    /// Loses all changes that are not older than `copy_age`, and begins a new era.
+    pub fn restore(&self, copy_age: Duration) {
+        let mut data = self.lock_data();
+        data.change_log
+            .retain(|item| item.written_at.elapsed() > copy_age);
+        data.items.clear();
+        for item in data.change_log.clone() {
+            if item.deleted {
+                data.items.remove(&item.key);
+            } else {
+                data.items.insert(item.key.clone(), item);
+            }
+        }
+        data.revision = data.change_log.last().map_or(1, |item| item.revision);
+        data.era += 1;
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes the items under a prefix whose keys are not among `keys`.
+    pub fn retain(&self, prefix: &str, keys: &[String]) {
+        let is_stray = |key: &&String| key.starts_with(prefix) && !keys.contains(key);
+        let stray: Vec<String> = self
+            .lock_data()
+            .items
+            .keys()
+            .filter(is_stray)
+            .cloned()
+            .collect();
+        for key in stray {
+            self.remove(&key);
+        }
+    }
+
     fn write(&self, key: &str, value: Option<Vec<u8>>) {
         let mut data = self.lock_data();
         data.revision += 1;
@@ -112,6 +157,7 @@
             deleted: value.is_none(),
             value: value.unwrap_or_default(),
             revision: data.revision,
+            written_at: Instant::now(),
         };
         if item.deleted {
             data.items.remove(key);
@@ -143,6 +189,13 @@
     }
 }
 
+/// Adds the number of restores to a response.
+async fn add_era(State(store): State<Store>, mut response: Response) -> Response {
+    let era = store.lock_data().era;
+    response.headers_mut().insert("Store-Era", era.into());
+    response
+}
+
 async fn list_items(State(store): State<Store>) -> Response {
     if let Some(answer) = store.fault_response().await {
         return answer;
@@ -161,7 +214,7 @@
         return answer;
     }
     let mode = *store.mode.borrow();
-    if mode == StoreMode::Compacted {
+    if mode == StoreMode::Compacted || query.after > store.lock_data().revision {
         return StatusCode::GONE.into_response();
     }
     if mode == StoreMode::RolledBack {
