--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -524,7 +524,8 @@
             }
             Recovery::RewriteStore => {
                 self.rewrite_store();
-                return Ok(Some((EXPIRY_TIME - REWRITE_TIME, Recovery::ExpireEntries)));
+                let delay = EXPIRY_TIME.saturating_sub(REWRITE_TIME);
+                return Ok(Some((delay, Recovery::ExpireEntries)));
             }
             Recovery::ExpireEntries => {
                 let endpoints = self.endpoints.iter();
