Keep newer values when the store returns with older ones

What callers would see: after a restore, endpoints that are draining get new flows until they have reported again, and a host that starts then gets the older desired state from the others. Change: a value carries the version that its writer gave it, which src/platform/version.rs decodes; across eras a value replaces a known one only if that version is not lower. Hosts hand it on with the value. Measured: older_values_of_a_restored_store_do_not_replace_newer_ones failed before at the draining endpoint, and passes. Remains: a host that starts after a restore and reads the store before its writers have written again has the older desired state until they have.

--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -147,12 +147,25 @@
     pub members: Vec<MemberUpdate>,
 }
 
+/// Version that the writer of a value gave it, by which versions of one value are ordered
+/// independently of the store; zero if the writer gives none.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct WriterVersion {
+    /// Incarnation of the writer.
+    pub incarnation: Incarnation,
+    /// Number of the version within the incarnation.
+    pub number: u64,
+}
+
 /// One configuration value.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Value {
     /// Revision in which it was last changed.
     #[serde(flatten)]
     pub revision: Revision,
+    /// Version that its writer gave it.
+    #[serde(skip)]
+    pub version: WriterVersion,
     /// JSON text, or none if the value was removed; dumps show only its size.
     #[serde(serialize_with = "serialize_size")]
     pub json: Option<Name>,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -31,6 +31,7 @@
 
 pub use self::message::{
     FetchRequest, FetchResponse, Heartbeat, HostList, Value, ValueChange, ValueUpdate,
+    WriterVersion,
 };
 pub use self::settings::{LeaseTiming, ReadPacing, Settings};
 pub use self::tables::{Counters, LocalHost, Tables};
--- a/src/control/removals.rs
+++ b/src/control/removals.rs
@@ -106,7 +106,7 @@
         key: Name::clone(key),
         value: Value {
             revision,
-            json: None,
+            ..Value::default()
         },
     }
 }
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -161,8 +161,17 @@
 }
 
 fn merge_value(values: &mut Values, key: &Name, value: &Value) {
-    let is_newer = |known: &Value| value.revision > known.revision;
-    if values.get(key).is_none_or(is_newer) {
+    if values.get(key).is_none_or(|known| replaces(value, known)) {
         values.insert(Arc::clone(key), value.clone());
     }
 }
+
+/// Returns true if a value replaces the known one.
+///
+/// The copy from which a store was restored may hold an older version, which its writer will
+/// replace again.
+fn replaces(value: &Value, known: &Value) -> bool {
+    let is_same_era = value.revision.era == known.revision.era;
+    let is_removal = value.json.is_none();
+    value.revision > known.revision && (is_same_era || is_removal || value.version >= known.version)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -104,7 +104,7 @@
 //!
 //! let change = ValueChange {
 //!     key: "adserve".into(),
-//!     value: Value { revision: 7.into(), json: Some("{}".into()) },
+//!     value: Value { revision: 7.into(), json: Some("{}".into()), ..Value::default() },
 //! };
 //! let update = ValueUpdate { revision: 7.into(), values: vec![change], is_full: false };
 //! hosts[0].handle(Duration::ZERO, Event::Values(Ok(update)));
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,5 +11,7 @@
 mod services;
 pub mod settings;
 pub mod store;
+mod version;
 
 pub use self::services::service_builder;
+pub use self::version::writer_version;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,6 +16,7 @@
 use tower::ServiceExt;
 use tower::timeout::Timeout;
 
+use super::version::writer_version;
 use crate::control::message::ValueUpdate;
 use crate::control::{Value, ValueChange};
 use crate::error::{Error, Result};
@@ -253,9 +254,12 @@
 /// a valid entry anyway.
 fn decode_value(era: u64, item: WireItem) -> Value {
     let text = |bytes: Vec<u8>| Name::from(String::from_utf8_lossy(&bytes));
+    let json = item.value.filter(|_| !item.deleted).map(text);
+    let version = json.as_deref().map(|json| writer_version(&item.key, json));
     Value {
         revision: Revision::new(era, item.revision),
-        json: item.value.filter(|_| !item.deleted).map(text),
+        version: version.unwrap_or_default(),
+        json,
     }
 }
 
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -12,7 +12,7 @@
     FetchRequest, FetchResponse, Heartbeat, HostInfo, ListedHost, MemberUpdate, Status, Timestamp,
     ValueUpdate, Vote, VoterSet,
 };
-use crate::control::{Value, ValueChange};
+use crate::control::{Value, ValueChange, WriterVersion};
 use crate::error::{Error, Result};
 use crate::id::{Id, Name};
 use crate::revision::Revision;
@@ -198,6 +198,12 @@
     /// Era of `revision`.
     #[prost(uint64, tag = "4")]
     era: u64,
+    /// Incarnation of the writer.
+    #[prost(uint64, tag = "5")]
+    incarnation: u64,
+    /// Number of the writer's version.
+    #[prost(uint64, tag = "6")]
+    version: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -442,6 +448,8 @@
         key: change.key.to_string(),
         revision: change.value.revision.number,
         era: change.value.revision.era,
+        incarnation: change.value.version.incarnation,
+        version: change.value.version.number,
         json: change.value.json.as_deref().map(str::to_owned),
     }
 }
@@ -451,6 +459,10 @@
         key: Name::from(wire.key),
         value: Value {
             revision: Revision::new(wire.era, wire.revision),
+            version: WriterVersion {
+                incarnation: wire.incarnation,
+                number: wire.version,
+            },
             json: wire.json.map(Arc::from),
         },
     }
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -9,7 +9,7 @@
 use jacinthhinge::control::message::{FetchRequest, Timestamp, Vote};
 use jacinthhinge::control::{
     BuiltConfig, ConfigBuilder, FetchResponse, Heartbeat, ReadPacing, Settings, Value, ValueChange,
-    ValueUpdate,
+    ValueUpdate, WriterVersion,
 };
 use jacinthhinge::front::control::{self, ControlChannels, ControlSettings, PlatformSource};
 use jacinthhinge::front::host_list;
@@ -249,6 +249,10 @@
                 key: "op/config".into(),
                 value: Value {
                     revision: Revision::new(3, 6),
+                    version: WriterVersion {
+                        incarnation: 4,
+                        number: 2,
+                    },
                     json: Some(route.repeat(300).into()),
                 },
             }],
@@ -258,7 +262,7 @@
             key: "servers/i-1".into(),
             value: Value {
                 revision: Revision::new(3, 5),
-                json: None,
+                ..Value::default()
             },
         }],
         ..FetchResponse::default()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -168,10 +168,14 @@
 }
 
 fn value_change(key: &str, revision: u64, text: Option<String>) -> ValueChange {
+    let version = text
+        .as_deref()
+        .map(|text| platform::writer_version(key, text));
     ValueChange {
         key: key.into(),
         value: Value {
             revision: revision.into(),
+            version: version.unwrap_or_default(),
             json: text.map(Name::from),
         },
     }
@@ -422,6 +426,67 @@
     );
 }
 
+/// Returns a draining endpoint's entry, and an older one from when it was ready.
+fn draining_and_older_entry() -> (String, String) {
+    let mut draining = entry("adserve");
+    draining["State"] = json!("draining");
+    draining["SeqNo"] = json!(9);
+    (draining.to_string(), entry("adserve").to_string())
+}
+
+/// Returns a full update of a store that was restored.
+fn restored_update(values: &[(&str, u64, String)]) -> ValueUpdate {
+    let values = values.iter().map(|(key, number, text)| {
+        let value = Value {
+            revision: Revision::new(1, *number),
+            ..value_change(key, *number, Some(text.clone())).value
+        };
+        ValueChange {
+            key: (*key).into(),
+            value,
+        }
+    });
+    ValueUpdate {
+        revision: Revision::new(1, 4),
+        values: values.collect(),
+        is_full: true,
+    }
+}
+
+#[test]
+fn older_values_of_a_restored_store_do_not_replace_newer_ones() {
+    let mut host = host();
+    let (draining, ready) = draining_and_older_entry();
+    let newest = desired_state(7, &["adserve"]).to_string();
+    let values = [
+        ("op/config", Some(newest.clone())),
+        ("servers/i-1", Some(draining.clone())),
+    ];
+    set_values(&mut host, 5, &values);
+    let older = desired_state(6, &["other"]).to_string();
+    let update = restored_update(&[("op/config", 3, older), ("servers/i-1", 4, ready.clone())]);
+    let now = Duration::from_secs(3);
+    let snapshot = handle(&mut host, now, Event::Values(Ok(update))).expect("a snapshot");
+    assert!(endpoints(&snapshot, "adserve")[0].draining);
+    let held = &host.tables().values.values;
+    assert_eq!(held["op/config"].json.as_deref(), Some(&*newest));
+    assert_eq!(host.tables().values.revision, Revision::new(1, 4));
+
+    // What is written after the restore is newer than what is held.
+    let mut warm = entry("adserve");
+    warm["SeqNo"] = json!(12);
+    let newer = desired_state(8, &["adserve", "other"]).to_string();
+    let mut update = restored_update(&[
+        ("op/config", 5, newer),
+        ("servers/i-1", 6, warm.to_string()),
+    ]);
+    update.revision = Revision::new(1, 6);
+    update.is_full = false;
+    let snapshot = handle(&mut host, now, Event::Values(Ok(update))).expect("a snapshot");
+    assert!(!endpoints(&snapshot, "adserve")[0].draining);
+    assert_eq!(snapshot.routes.len(), 2);
+}
+
 /// A mock of the store that returns prepared responses and records the queries.
 ///
 /// The era of a response stands in the field `era` of its body, which the store's own
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -267,6 +267,7 @@
             value: Value {
                 revision: update.revision,
                 json: json.map(Name::from),
+                ..Value::default()
             },
         });
     }
