Restore the platform's stand-in from a copy

Cause: the stand-in for the own interface could not play a restore, and answered a watch from a revision that it does not have with an empty list. Change: POST /bench/restore returns to the store before the last publication and raises Store-Era, which all answers carry; such a watch gets status 410.

--- a/examples/platform/main.rs
+++ b/examples/platform/main.rs
@@ -2,13 +2,15 @@
 //!
 //! It serves the read calls of `docs/PROTOCOL.md` from an operators' configuration
 //! file. Over the `/bench` routes, scripts can publish a new file, change the state
-//! of a host, and make the store unavailable, slow or stale.
+//! of a host, make the store unavailable, slow or stale, and restore it from a copy.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
 
 use axum::extract::{Query, State};
 use axum::http::StatusCode;
+use axum::middleware::map_response_with_state;
+use axum::response::Response;
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use bpaf::Bpaf;
@@ -125,6 +127,8 @@
 }
 
 struct PlatformState {
+    /// Number of restores.
+    era: u64,
     store: Store,
     /// Store before the last publication, served in stale mode.
     previous_store: Store,
@@ -155,6 +159,7 @@
     publish_values(&mut store, parse_values(&options.config, &text)?);
     let platform = Platform {
         state: Arc::new(std::sync::Mutex::new(PlatformState {
+            era: 0,
             previous_store: store.clone(),
             store,
             mode: Mode::Up,
@@ -168,10 +173,12 @@
         .route("/-/kv-watch", get(get_watch))
         .route("/-/kv-key", get(get_key))
         .route("/bench/mode", post(set_mode))
+        .route("/bench/restore", post(restore))
         .route("/bench/publish", post(publish_file))
         .route("/bench/value", post(set_value))
         .route("/bench/host", post(set_host))
         .route("/bench/calls", get(get_calls))
+        .layer(map_response_with_state(platform.clone(), add_era))
         .with_state(platform);
     ops::serve(options.listen, routes).await
 }
@@ -341,6 +348,10 @@
         let (events, revision) = {
             let state = lock(&platform.state);
             let store = state.visible_store()?;
+            if query.after > store.revision && state.mode != Mode::Stale {
+                let cause = format!("no revision {}", query.after);
+                return Err((StatusCode::GONE, cause));
+            }
             (
                 items_after(store, &query.prefix, query.after),
                 store.revision,
@@ -386,6 +397,22 @@
     platform.change_notify.notify_waiters();
 }
 
+/// Returns to the store before the last publication, in a new era.
+async fn restore(State(platform): State<Platform>) -> Json<Value> {
+    let mut state = lock(&platform.state);
+    state.store = state.previous_store.clone();
+    state.era += 1;
+    platform.change_notify.notify_waiters();
+    Json(json!({"era": state.era, "revision": state.store.revision}))
+}
+
+/// Adds the number of restores to a response.
+async fn add_era(State(platform): State<Platform>, mut response: Response) -> Response {
+    let era = lock(&platform.state).era;
+    response.headers_mut().insert("Store-Era", era.into());
+    response
+}
+
 async fn publish_file(State(platform): State<Platform>, text: String) -> JsonResult {
     let values = parse_values("publication", &text)
         .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()))?;
