Start simulated zones of frequent readers in one place

Cause: four regression tests repeated the same start. Change: Zone::with_frequent_reads; two doc comments wrapped. The tests check what they did.

--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -191,7 +191,8 @@
     texts.map(|json| json.len()).sum()
 }
 
-/// Records an answer, resets the failure count and, after an outage, starts to hold back removals.
+/// Records an answer, resets the failure count and, after an outage, starts to hold back
+/// removals.
 fn record_recovery(tables: &mut Tables, now: Duration) {
     let read = &mut tables.platform_reads.values;
     let failures = std::mem::take(&mut read.failures);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -112,9 +112,9 @@
 
     /// Waits up to `wait` for values with a revision above `after`.
     ///
-    /// Reads all values when `after` is 0, or when the store no longer has the changes
-    /// since that revision, which is so after each restore. Each response must begin within `response_time`, which for the
-    /// watch starts after `wait`.
+    /// Reads all values when `after` is 0, or when the store no longer has the changes since
+    /// that revision, which is so after each restore. Each response must begin within
+    /// `response_time`, which for the watch starts after `wait`.
     ///
     /// # Errors
     ///
--- a/tests/regression/held_removal.rs
+++ b/tests/regression/held_removal.rs
@@ -2,29 +2,15 @@
 //! stays in force on the hosts that do not read the store: the readers hold the removal back
 //! and apply it later, at a revision that the others already have.
 
-use jacinthhinge::control::ReadPacing;
 use jacinthhinge::prelude::*;
 
-use crate::zone::{self, Node, Zone};
+use crate::zone::{Node, Zone};
 
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Time that a value may take to be written again, and that a change may take to be in force.
 const REMOVAL_LIMIT: Duration = Duration::from_secs(5);
 
-/// Returns six hosts, of which three read the platform.
-fn started_zone() -> Zone {
-    let mut zone = Zone::new();
-    zone.read_pacing = ReadPacing::frequent();
-    zone.az_count = 3;
-    zone.seeds = (0..6).map(zone::peer_addr).collect();
-    (0..6).for_each(|index| zone.start(index));
-    zone.platform.up = true;
-    zone.set_value("fleet", Some("1"));
-    zone.run_for(10 * SECOND);
-    zone
-}
-
 fn has_value(node: &Node) -> bool {
     let value = node.control.tables().values.values.get("gone");
     value.is_some_and(|value| value.json.is_some())
@@ -42,7 +28,7 @@
 #[test]
 fn removal_that_was_held_back_reaches_all_hosts_after_an_outage() {
     for delay_ms in (0..1_500).step_by(100) {
-        let mut zone = started_zone();
+        let mut zone = Zone::with_frequent_reads(6);
         zone.set_value("gone", Some("1"));
         zone.run_for(Duration::from_millis(3_000 + delay_ms));
         assert!(zone.all_nodes(has_value));
@@ -56,7 +42,7 @@
 
 #[test]
 fn value_that_is_missing_after_a_restore_is_removed_from_all_hosts() {
-    let mut zone = started_zone();
+    let mut zone = Zone::with_frequent_reads(6);
     let copy = zone.platform.update.clone();
     zone.set_value("gone", Some("1"));
     zone.run_for(3 * SECOND);
--- a/tests/regression/ignored_readers.rs
+++ b/tests/regression/ignored_readers.rs
@@ -1,7 +1,6 @@
 //! The store leaves the reads of all readers unanswered, and the hosts that rely on them
 //! learn it only when a read has lasted as long as a watch may: a change is in force late.
 
-use jacinthhinge::control::ReadPacing;
 use jacinthhinge::prelude::*;
 
 use crate::zone::{self, Zone};
@@ -13,14 +12,8 @@
 fn ignored_readers_do_not_delay_a_change() {
     const HOSTS: usize = 12;
     for delay_ms in (0..2_000).step_by(100) {
-        let mut zone = Zone::new();
-        zone.read_pacing = ReadPacing::frequent();
-        zone.az_count = 3;
-        zone.seeds = (0..HOSTS).map(zone::peer_addr).collect();
-        (0..HOSTS).for_each(|index| zone.start(index));
-        zone.platform.up = true;
-        zone.set_value("fleet", Some("1"));
-        zone.run_for(Duration::from_millis(10_000 + delay_ms));
+        let mut zone = Zone::with_frequent_reads(HOSTS);
+        zone.run_for(Duration::from_millis(delay_ms));
         let mut ids: Vec<usize> = (0..HOSTS).collect();
         ids.sort_by_key(|index| zone::host_id(*index));
         let readers = (0..3).map(|place| {
--- a/tests/regression/restored_store.rs
+++ b/tests/regression/restored_store.rs
@@ -1,29 +1,15 @@
 //! The store comes back from a copy some seconds old and gives out revisions again; hosts
 //! take its answers for stale ones, or skip what it has written in its new life.
 
-use jacinthhinge::control::ReadPacing;
 use jacinthhinge::prelude::*;
 
-use crate::zone::{self, Zone};
+use crate::zone::Zone;
 
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Time after its acknowledgement within which a change is in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
 
-/// Returns five hosts, of which three read the platform.
-fn started_zone() -> Zone {
-    let mut zone = Zone::new();
-    zone.read_pacing = ReadPacing::frequent();
-    zone.az_count = 3;
-    zone.seeds = (0..5).map(zone::peer_addr).collect();
-    (0..5).for_each(|index| zone.start(index));
-    zone.platform.up = true;
-    zone.set_value("fleet", Some("1"));
-    zone.run_for(10 * SECOND);
-    zone
-}
-
 fn has_value(zone: &Zone, key: &str, json: &str) -> bool {
     zone.all_nodes(|node| {
         let value = node.control.tables().values.values.get(key);
@@ -34,7 +20,7 @@
 #[test]
 fn restored_store_delays_no_change() {
     for lost_changes in 1..6 {
-        let mut zone = started_zone();
+        let mut zone = Zone::with_frequent_reads(5);
         let copy = zone.platform.update.clone();
         for change in 0..lost_changes {
             zone.set_value("fleet", Some(&format!("{change}0")));
@@ -61,7 +47,7 @@
 
 /// Returns hosts that know the value `lost`, which is missing after the restore of the store.
 fn zone_with_lost_value() -> Zone {
-    let mut zone = started_zone();
+    let mut zone = Zone::with_frequent_reads(5);
     let copy = zone.platform.update.clone();
     zone.set_value("lost", Some("1"));
     zone.run_for(2 * SECOND);
@@ -89,7 +75,7 @@
 
 #[test]
 fn host_without_the_store_learns_of_a_restore_from_others() {
-    let mut zone = started_zone();
+    let mut zone = Zone::with_frequent_reads(5);
     let copy = zone.platform.update.clone();
     zone.set_value("fleet", Some("2"));
     zone.run_for(2 * SECOND);
--- a/tests/regression/unanswered_fetch.rs
+++ b/tests/regression/unanswered_fetch.rs
@@ -1,10 +1,9 @@
 //! The connection of a fetch to another host never opens, and the host that does not read the
 //! platform waits for it for so long that a change is in force late.
 
-use jacinthhinge::control::ReadPacing;
 use jacinthhinge::prelude::*;
 
-use crate::zone::{self, Zone};
+use crate::zone::Zone;
 
 /// Time after its acknowledgement within which a change is in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
@@ -12,14 +11,8 @@
 #[test]
 fn unanswered_fetch_does_not_delay_a_change() {
     for delay_ms in (0..1_000).step_by(50) {
-        let mut zone = Zone::new();
-        zone.read_pacing = ReadPacing::frequent();
-        zone.az_count = 3;
-        zone.seeds = (0..4).map(zone::peer_addr).collect();
-        (0..4).for_each(|index| zone.start(index));
-        zone.platform.up = true;
-        zone.set_value("fleet", Some("1"));
-        zone.run_for(Duration::from_millis(10_000 + delay_ms));
+        let mut zone = Zone::with_frequent_reads(4);
+        zone.run_for(Duration::from_millis(delay_ms));
         // Only the fourth host has to fetch: the others read the platform.
         zone.network.unanswered_fetches = 1;
         zone.set_value("fleet", Some("2"));
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -179,6 +179,20 @@
         zone
     }
 
+    /// Returns a zone over three availability zones, in which three hosts read the platform,
+    /// which is up, and all have read a first value from it.
+    pub fn with_frequent_reads(count: usize) -> Self {
+        let mut zone = Self::new();
+        zone.read_pacing = ReadPacing::frequent();
+        zone.az_count = 3;
+        zone.seeds = (0..count).map(peer_addr).collect();
+        (0..count).for_each(|index| zone.start(index));
+        zone.platform.up = true;
+        zone.set_value("fleet", Some("1"));
+        zone.run_for(Duration::from_secs(10));
+        zone
+    }
+
     /// Starts a host with a new incarnation.
     pub fn start(&mut self, index: usize) {
         self.start_count += 1;
