Write the last log lines before the process exits

What operators saw: the event ended was missing at times in the log of a host that had stopped. Cause: lines wait in a queue for the writer thread, and nothing waited for the queue at the exit. Change: the queue takes a request to report when all lines before it are written; both exits wait for it, at most 0.5 s. Logging itself still never blocks.

--- a/src/front/logs.rs
+++ b/src/front/logs.rs
@@ -3,7 +3,8 @@
 //! A line has the fields `time`, `level`, `host` and `event`, and the fields of the
 //! event. Logging never blocks: a bounded queue passes the lines to a writer thread, and
 //! the lines per second of each kind of event are limited. Dropped lines are counted and
-//! reported once per second and kind of event as the event `left_out`.
+//! reported once per second and kind of event as the event `left_out`. Only a process that
+//! ends waits, for a limited time, until its last lines are written.
 
 use std::collections::HashMap;
 use std::io::{self, Write};
@@ -16,6 +17,7 @@
 use log::kv::{Error as KvError, Key, Value as KvValue, VisitSource};
 use log::{Level, LevelFilter, Record};
 use serde_json::{Map, Value, json};
+use smallvec::SmallVec;
 
 use crate::error::{Error, Result};
 use crate::id::Name;
@@ -35,6 +37,16 @@
 /// Period over which the limits count lines.
 const LIMIT_WINDOW: Duration = Duration::from_secs(1);
 
+/// Maximum time that a process which ends waits for its last lines to be written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Item of the queue of the writer thread.
+enum Queued {
+    Line(String),
+    /// Request for a message once all lines before it have been written.
+    Flush(SyncSender<()>),
+}
+
 /// Starts logging for the host named `host`, at `level`.
 ///
 /// # Errors
@@ -62,24 +74,37 @@
     Ok(())
 }
 
+/// Waits until the lines logged so far are written, at most [`FLUSH_TIMEOUT`].
+pub fn flush() {
+    log::logger().flush();
+}
+
 /// Writes queued lines until the queue is closed, all waiting lines in one call.
-fn write_lines(lines: &Receiver<String>) {
+fn write_lines(queue: &Receiver<Queued>) {
     let mut out = io::stdout().lock();
-    while let Ok(first) = lines.recv() {
-        let mut text = first;
-        for line in lines.try_iter() {
-            text.push_str(&line);
+    while let Ok(first) = queue.recv() {
+        let mut text = String::new();
+        let mut flushed: SmallVec<[SyncSender<()>; 1]> = SmallVec::new();
+        for queued in std::iter::once(first).chain(queue.try_iter()) {
+            match queued {
+                Queued::Line(line) => text.push_str(&line),
+                Queued::Flush(done) => flushed.push(done),
+            }
         }
         if out.write_all(text.as_bytes()).is_err() {
             // Standard output is closed; the host continues without logs.
             return;
         }
+        for done in flushed {
+            // An error means that nobody waits any more.
+            let _ = done.send(());
+        }
     }
 }
 
 struct JsonWriter {
     host: Name,
-    sender: SyncSender<String>,
+    sender: SyncSender<Queued>,
     limiter: Mutex<RateLimiter>,
 }
 
@@ -104,7 +129,12 @@
     }
 
     fn flush(&self) -> io::Result<()> {
-        Ok(())
+        let (done, flushed) = sync_channel(1);
+        let is_queued = self.sender.try_send(Queued::Flush(done)).is_ok();
+        if is_queued && flushed.recv_timeout(FLUSH_TIMEOUT).is_ok() {
+            return Ok(());
+        }
+        Err(io::ErrorKind::TimedOut.into())
     }
 
     fn max_log_level(&self) -> LevelFilter {
@@ -128,7 +158,7 @@
 
     /// Queues a line, or counts it as dropped when the queue is full.
     fn send(&self, limiter: &mut RateLimiter, line: String, event: &str) {
-        if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.sender.try_send(Queued::Line(line)) {
             limiter.count_dropped(event);
         }
     }
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -112,6 +112,7 @@
     }
     stop_lanes(lanes).await;
     log::info!("ended");
+    logs::flush();
     Ok(())
 }
 
@@ -302,6 +303,7 @@
     let _ = leave.send(true);
     next_signal().await;
     log::warn!(cause = "second_signal"; "ended");
+    logs::flush();
     process::exit(FORCED_EXIT_STATUS)
 }
 
