Hold removals back while the store is away again

What callers saw: open flows were reset although their endpoints lived, when the store went away a second time within two seconds of its return. Cause: removals were applied when their time had passed, also while reads failed again, though the owners of the entries could not have registered. Measured: removal_waits_while_the_store_is_away_again failed at the first of its phases (0 ms) before and passes.

--- a/src/control/removals.rs
+++ b/src/control/removals.rs
@@ -53,8 +53,12 @@
 }
 
 /// Applies the removals that were held back long enough and are still current.
+///
+/// They wait while the platform is away again, since their owners cannot register.
 pub(super) fn release(tables: &mut Tables, now: Duration) {
-    if tables.platform_reads.held_removals.is_empty() || now < tables.platform_reads.hold_until {
+    let reads = &tables.platform_reads;
+    let is_away = reads.is_reader && reads.values.failures > 0;
+    if reads.held_removals.is_empty() || is_away || now < reads.hold_until {
         return;
     }
     let held = std::mem::take(&mut tables.platform_reads.held_removals);
--- a/tests/regression/held_removal.rs
+++ b/tests/regression/held_removal.rs
@@ -53,3 +53,26 @@
     zone.platform.up = true;
     assert_removed_in_time(&mut zone);
 }
+
+#[test]
+fn removal_waits_while_the_store_is_away_again() {
+    for delay_ms in (0..1_000).step_by(100) {
+        let mut zone = Zone::with_frequent_reads(6);
+        zone.set_value("gone", Some("1"));
+        zone.run_for(Duration::from_millis(3_000 + delay_ms));
+        zone.platform.up = false;
+        zone.run_for(SECOND);
+        zone.set_value("gone", None);
+        zone.platform.up = true;
+        zone.run_for(2 * SECOND);
+        zone.platform.up = false;
+        for _ in 0..60 {
+            zone.run_for(Duration::from_millis(100));
+            assert!(zone.all_nodes(has_value), "{delay_ms} ms, {:?}", zone.now);
+        }
+        zone.set_value("gone", Some("1"));
+        zone.platform.up = true;
+        zone.run_for(5 * SECOND);
+        assert!(zone.all_nodes(has_value), "{delay_ms} ms");
+    }
+}
