Count a host of the soak as down from its exit on

Cause: after SIGTERM a host counted as calm until it was started again, 6 s or more after it had left. While most hosts are out of rotation the routers use all of them, so that requests sent to the missing one stall. Change: the fault of a host begins when its process has exited, as it does for one that is killed. A host that is still leaving counts as calm as before.

--- a/examples/soak/hosts.rs
+++ b/examples/soak/hosts.rs
@@ -151,11 +151,14 @@
             return;
         };
         let (checker, name) = (self.checker.clone(), self.spec.name.clone());
+        let ip = self.spec.ip;
         // SIGTERM ends a process that has not installed its handler yet, with an exit
         // status that is no success.
         let handles_signals = self.started.elapsed() >= SIGNAL_HANDLING_AGE;
         self.exit_check = Some(tokio::spawn(async move {
             let status = timeout(GRACE_PERIOD, child.wait()).await;
+            // From its exit on, packets to the host are lost.
+            checker.begin_fault(FaultTarget::Host(ip));
             let stopped_cleanly =
                 status.is_ok_and(|status| status.is_ok_and(|s| s.success() || !handles_signals));
             if !stopped_cleanly {
