--- a/src/front/logs.rs
+++ b/src/front/logs.rs
@@ -74,7 +74,7 @@
     Ok(())
 }
 
-/// Waits until the lines logged so far are written, at most [`FLUSH_TIMEOUT`].
+/// Waits, for half a second at most, until the lines logged so far are written.
 pub fn flush() {
     log::logger().flush();
 }
