--- a/src/systems/pause.rs
+++ b/src/systems/pause.rs
@@ -27,7 +27,9 @@
 /// Records the end of a pause, so that timers do not count the time in which nothing was
 /// read.
 pub(super) fn detect(tables: &mut Tables, now: Duration) {
-    if now >= tables.last_tick + TICK_INTERVAL + MIN_PAUSE && tables.last_resume < now {
+    let is_started = !tables.last_tick.is_zero();
+    if is_started && now >= tables.last_tick + TICK_INTERVAL + MIN_PAUSE && tables.last_resume < now
+    {
         tables.counters.process_pauses += u64::from(tables.last_resume <= tables.last_tick);
         tables.last_resume = now;
     }
--- a/src/systems/relay/failure_detector.rs
+++ b/src/systems/relay/failure_detector.rs
@@ -8,6 +8,9 @@
 //! one retransmission per flow is enough. When all or most endpoints are silent, the cause
 //! is this host, and no endpoint is marked down.
 //!
+//! After a pause of this process, what it reads first waited for it and not for the endpoints.
+//! Nothing is marked down and no flow is reset until new observations have replaced the old ones.
+//!
 //! Each lane, a traffic thread with its own tables, detects failures from the flows that
 //! pass through it.
 
@@ -58,6 +61,10 @@
 /// Time after a large configuration change was read during which detection is paused.
 const SNAPSHOT_GRACE: Duration = Duration::from_secs(2);
 
+/// Time after a pause of this process during which detection is paused: callers retransmit what
+/// waited, and endpoints answer it, well within it.
+const RESUME_GRACE: Duration = Duration::from_secs(2);
+
 /// Minimum number of endpoints with stalled flows in the own zone for which this host itself
 /// counts as impaired.
 const MIN_LOCAL_ENDPOINTS: usize = 3;
@@ -101,10 +108,16 @@
     }
 }
 
+/// Returns true shortly after a pause of this process.
+pub(super) fn has_just_resumed(tables: &Tables, now: Duration) -> bool {
+    !tables.last_resume.is_zero() && now < tables.last_resume + RESUME_GRACE
+}
+
 /// Returns true when this host's own link or processor is the likely cause of silence.
 fn is_host_impaired(tables: &mut Tables, now: Duration) -> bool {
     let in_grace = |read_at| now < read_at + SNAPSHOT_GRACE;
     tables.snapshot.large_update.is_some_and(in_grace)
+        || has_just_resumed(tables, now)
         || tables.recent_counts.retransmissions_exceed_answers(now)
         || is_local_zone_stalled(tables, now)
 }
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -63,7 +63,10 @@
         flow.counts_load = false;
     }
     let row = tables.endpoints.get(flow.endpoint);
-    if row.is_some_and(|row| awaits_down_endpoint(row, flow, now)) && is_idempotent(tables, flow) {
+    if row.is_some_and(|row| awaits_down_endpoint(row, flow, now))
+        && is_idempotent(tables, flow)
+        && !failure_detector::has_just_resumed(tables, now)
+    {
         Liveness::Down
     } else {
         Liveness::Alive
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -30,6 +30,7 @@
 mod reopen_at_removed_endpoint;
 mod replayed_heartbeat;
 mod restored_store;
+mod resumed_host;
 mod retries_at_leaving_home;
 mod silent_store;
 mod simultaneous_endpoint_exits;
