Pass on what a stopping lane has taken

Cause: a lane that stopped left what was in its socket unread, and dropped the openings and requests that waited for their service.

Change: waiting requests count as work in flight. A lane that stops reads its socket until it is empty, handles what it read and forwards what still waits, whatever the limit; where no endpoint is left, it resets the flow, which has not been opened then.

Result: regression/queue_at_stop; its calls did not exist before.

--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -116,6 +116,9 @@
 /// [`LaneStats`].
 const STATS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of batches that a stopping lane reads: more than fit into a socket's buffer.
+const MAX_LAST_BATCHES: usize = 256;
+
 /// Capacity of a lane's command channel.
 const COMMAND_QUEUE_SIZE: usize = 16;
 
@@ -181,6 +184,8 @@
     codec: &'a Codec,
     socket: UdpSocket,
     buffer: Box<[u8]>,
+    /// Number of datagrams read in this tick.
+    batch_size: usize,
     last_stats: Duration,
 }
 
@@ -214,6 +219,7 @@
             codec,
             socket,
             buffer: vec![0; codec.max_bytes + 1].into(),
+            batch_size: 0,
             last_stats: Duration::ZERO,
         };
         lane_loop.run(commands).await;
@@ -228,7 +234,10 @@
                 _ = self.socket.readable() => false,
                 _ = timer.tick() => true,
                 command = commands.recv() => match command {
-                    None | Some(Command::Stop) => return,
+                    None | Some(Command::Stop) => {
+                        self.finish();
+                        return;
+                    }
                     Some(Command::Dump(name, reply)) => {
                         // A command does not run a tick: the socket may not have been
                         // polled since a pause, and a read would wrongly find it empty.
@@ -257,6 +266,19 @@
         self.send_outbox(now);
     }
 
+    /// Reads the socket until it is empty, and passes on all that was read.
+    fn finish(&mut self) {
+        for _ in 0..MAX_LAST_BATCHES {
+            self.run_tick(false);
+            if self.batch_size == 0 {
+                break;
+            }
+        }
+        let now = self.clock.now();
+        systems::finish(&mut self.tables, now, &mut self.outbox);
+        self.send_outbox(now);
+    }
+
     fn update_snapshot(&mut self, now: Duration) {
         let snapshot = self.shared.snapshot.load();
         if !Arc::ptr_eq(&snapshot, &self.tables.snapshot) {
@@ -266,6 +288,7 @@
     }
 
     fn read_batch(&mut self) {
+        self.batch_size = 0;
         while self.tables.pending_input() < BATCH_SIZE {
             let (size, from) = match self.socket.try_recv_from(&mut self.buffer) {
                 Ok(received) => received,
@@ -278,6 +301,7 @@
     }
 
     fn decode(&mut self, size: usize, from: SocketAddr) {
+        self.batch_size += 1;
         let bytes = Bytes::copy_from_slice(&self.buffer[..size]);
         if (self.codec.decode)(bytes, from, &mut self.tables).is_err() {
             self.tables.counters.malformed_datagrams += 1;
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -78,6 +78,11 @@
     }
 }
 
+/// Handles what the lane has taken and not passed on yet, before it stops.
+pub fn finish(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    relay::finish(tables, now, out);
+}
+
 /// Runs the timer systems. Call it at least once every [`TICK_INTERVAL`].
 pub fn run_timers(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     pause::detect(tables, now);
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -35,6 +35,11 @@
     overload_queue::release_queued(tables, now, out);
 }
 
+/// Forwards or refuses the segments that still wait for their service when the lane stops.
+pub(super) fn finish(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    overload_queue::release_all(tables, now, out);
+}
+
 fn process_segment(tables: &mut Tables, segment: &Segment, now: Duration, out: &mut Outbox) {
     if segment.is_opening() {
         open::run(tables, segment, now, out);
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -79,6 +79,13 @@
     }
 }
 
+/// Processes all queued segments, whatever the limits of their services, the oldest first.
+pub(super) fn release_all(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    for waiting in tables.held_requests.take_all() {
+        process_segment(tables, &waiting.segment, now, out);
+    }
+}
+
 /// Updates the limit of each service, and drops segments that their callers have abandoned.
 pub(super) fn run_timers(tables: &mut Tables, now: Duration) {
     let policies = Arc::clone(&tables.policies);
--- a/src/tables/held.rs
+++ b/src/tables/held.rs
@@ -78,6 +78,12 @@
         expired
     }
 
+    /// Removes and returns all requests, the oldest first.
+    pub fn take_all(&mut self) -> Vec<HeldRequest> {
+        self.arrival_times.clear();
+        std::mem::take(&mut self.rows).into_values().collect()
+    }
+
     /// Returns how many requests of this lane a service may have in progress, if known.
     #[must_use]
     pub fn capacity(&self, service: Id) -> Option<f64> {
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -147,12 +147,13 @@
         self.inbox.len() + self.segments.len()
     }
 
-    /// Returns the number of unfinished requests and unopened flows; a lane that passed
-    /// a segment lately counts as one more.
+    /// Returns the number of unfinished requests, unopened flows and waiting segments; a lane
+    /// that passed a segment lately counts as one more.
     #[must_use]
     pub fn in_flight(&self, now: Duration) -> usize {
         self.requests.in_flight(now)
             + self.flows.unopened_count()
+            + self.held_requests.len()
             + usize::from(self.tracked_flows.is_active(now))
     }
 
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -26,6 +26,7 @@
 mod pause_outlasts_record;
 mod ping_during_recovery;
 mod probe_of_reassigned_endpoint;
+mod queue_at_stop;
 mod quiet_zone;
 mod reopen_at_removed_endpoint;
 mod replayed_heartbeat;
