Read the store on one connection a read, and end reads that stop

Cause: the client kept connections to the store and used them again. A second copy of a response that arrives late on such a connection is taken for the answer to the next read: each read then gets the answer of the one before it, and a page that came twice hides the page after it, whose values would count as removed. A response that began and then stopped held its reader up for 1.5 s more than one that never begins; one over a slow link was given up after 1.5 s, again and again.

Ruled out: telling the copies apart by their content; a watch without changes looks like the next.

Change: a connection serves one read. A page that ends like the one before it is refused. A response that has begun may take 10 s, but must not stop for longer than until the time in which it had to begin, or half a second after that.

A response that ends early was an error before and is one now.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,18 +1,22 @@
 //! HTTP client for the platform's key-value store.
+//!
+//! Each read uses a connection of its own. On a connection that is used again, a second copy
+//! of an earlier response would be taken for the answer to the next read.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use axum::body::{Body, to_bytes};
+use axum::body::Body;
 use axum::http::{HeaderMap, Request, Response, StatusCode, Uri};
-use bytes::Bytes;
-use http_body_util::Empty;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use serde_with::base64::Base64;
 use serde_with::serde_as;
+use tokio::time::{Instant, timeout, timeout_at};
 use tower::ServiceExt;
 use tower::timeout::Timeout;
 
@@ -26,8 +30,13 @@
 /// Maximum time until the response to a read that does not wait for changes begins.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Maximum time from the beginning of a response to its end.
-const BODY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum time from the beginning of a response to its end: at 10 Mbit/s, a page with one
+/// value of the largest size and many small ones takes two seconds.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Maximum time without any bytes of a response that has begun, once the time in which it had
+/// to begin has passed. A lost packet is retransmitted well within it.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -106,7 +115,9 @@
         Self {
             addr,
             prefix: prefix.into(),
-            client: Client::builder(TokioExecutor::new()).build(connector),
+            client: Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(0)
+                .build(connector),
         }
     }
 
@@ -114,7 +125,8 @@
     ///
     /// Reads all values when `after` is 0, or when the store no longer has the changes since
     /// that revision, which is so after each restore. Each response must begin within
-    /// `response_time`, which for the watch starts after `wait`.
+    /// `response_time`, which for the watch starts after `wait`. One that has begun and then
+    /// stops ends the read at that time too, or up to half a second later.
     ///
     /// # Errors
     ///
@@ -169,7 +181,11 @@
                     "store was restored while its values were read",
                 ));
             }
-            after = page.items.last().map(|item| item.key.clone());
+            let last = page.items.last().map(|item| item.key.clone());
+            if last.is_some() && last == after {
+                return Err(Error::platform("store sent the same page twice"));
+            }
+            after = last;
             let items = page.items.into_iter();
             update
                 .values
@@ -218,11 +234,12 @@
         }
     }
 
-    /// Reads `path`; the response must begin within `limit`.
+    /// Reads `path`; the response must begin within `limit`, and must not stop after that.
     async fn get(&self, path: &str, limit: Duration) -> Result<Answer> {
         let uri: Uri = format!("http://{}{path}", self.addr).parse().map_err(|_| {
             Error::setting("platform", "not a valid address", "use the form IP:PORT")
         })?;
+        let begin_by = Instant::now() + limit;
         let request = tower::service_fn(|uri| send_request(&self.client, uri));
         let response = Timeout::new(request, limit)
             .oneshot(uri)
@@ -230,10 +247,8 @@
             .map_err(failed_request)?;
         let status = response.status();
         let era = decode_era(response.headers())?;
-        let body = Timeout::new(tower::service_fn(read_body), BODY_TIMEOUT)
-            .oneshot(response.into_body())
-            .await
-            .map_err(failed_request)?;
+        let body = timeout(BODY_TIMEOUT, read_body(response.into_body(), begin_by));
+        let body = body.await.unwrap_or_else(|_| Err(stalled_response()))?;
         Ok(Answer { status, era, body })
     }
 }
@@ -271,8 +286,29 @@
     Ok(client.request(request).await?.map(Body::new))
 }
 
-async fn read_body(body: Body) -> Result<Bytes, tower::BoxError> {
-    Ok(to_bytes(body, MAX_RESPONSE_BYTES).await?)
+/// Reads a body, which may stop for [`STALL_TIMEOUT`] at most after `begin_by`.
+async fn read_body(mut body: Body, begin_by: Instant) -> Result<Bytes> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let next_by = begin_by.max(Instant::now() + STALL_TIMEOUT);
+        let Ok(frame) = timeout_at(next_by, body.frame()).await else {
+            return Err(stalled_response());
+        };
+        let Some(frame) = frame else {
+            return Ok(bytes.freeze());
+        };
+        if let Ok(data) = frame.map_err(|err| failed_request(err.into()))?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > MAX_RESPONSE_BYTES {
+            return Err(Error::oversized(bytes.len(), MAX_RESPONSE_BYTES));
+        }
+    }
+}
+
+#[cold]
+fn stalled_response() -> Error {
+    Error::platform("the store's response stopped before its end")
 }
 
 #[cold]
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -19,6 +19,7 @@
 mod former_home_closes_flows;
 mod held_removal;
 mod ignored_readers;
+mod late_response_copy;
 mod lost_probes;
 mod mixed_answer_parts;
 mod packet_of_other_service;
@@ -36,6 +37,7 @@
 mod silent_store;
 mod simultaneous_endpoint_exits;
 mod stalls_of_departed_flows;
+mod stopped_response;
 mod unanswered_fetch;
 mod unanswered_read;
 
