Remove on all hosts what was withdrawn before a host restarted

Cause: hosts hand on the changes after a revision. A host that has read all values knows nothing of what was removed before, so a host that was behind and fetched from it kept a withdrawn server or key for good. A host that starts while the store is away fetched from the first host that it heard, however far behind that one was. Removals that a host held back were applied by the clock alone, also in the two seconds in which it did not know yet that the store was silent again, and never on a host that the store turned away while it answered others.

Change: a host knows the revision from which on it knows all removals, and sends everything to a host that is behind that one; what the whole set leaves out is held back like a removal after an outage. A host without values waits for one round of heartbeats and fetches from the newest. Heartbeats say how long ago the store answered; removals are applied once it has answered this host or another one after the time for which they are held back.

--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -7,6 +7,7 @@
 
 use rand::seq::IndexedRandom;
 
+use super::heartbeat::HEARTBEAT_PERIOD;
 use super::message::{FetchRequest, FetchResponse, MemberUpdate, Status, ValueChange, ValueUpdate};
 use super::tables::{Member, Tables};
 use super::{Action, Outbox, apply, members, readers, removals, voters};
@@ -25,8 +26,9 @@
 /// Revision above all others, for a fetch that requests no values.
 const NO_VALUES: Revision = Revision::MAX;
 
-/// Maximum time that a host without values waits for its own first read.
-const FIRST_FETCH_DELAY: Duration = Duration::from_millis(300);
+/// Time that a host without values waits for its own first read, and for the heartbeats of all
+/// hosts that it has contacted: the first one to be heard may be far behind the others.
+const FIRST_FETCH_DELAY: Duration = HEARTBEAT_PERIOD;
 
 /// Maximum random pause after a fetch, also after a first failure, since the next fetch goes
 /// to another host.
@@ -127,19 +129,15 @@
 /// the platform, its reads fail, or its read is late.
 fn wants_values(tables: &Tables, now: Duration) -> bool {
     let reads_failing = tables.platform_reads.values.failures > 0;
-    let fetch_delay = tables.settings.read_pacing.fetch_delay;
     let delay = if tables.values.revision.is_none() {
-        fetch_delay.min(FIRST_FETCH_DELAY)
-    } else if readers::is_reader(tables) {
-        fetch_delay
+        FIRST_FETCH_DELAY
+    } else if readers::is_reader(tables) && !reads_failing {
+        tables.settings.read_pacing.fetch_delay
     } else {
         Duration::ZERO
     };
     let is_late = |since| now >= since + delay;
-    tables
-        .fetch
-        .behind_since
-        .is_some_and(|since| reads_failing || is_late(since))
+    tables.fetch.behind_since.is_some_and(is_late)
 }
 
 fn current_view(member: &Member) -> Option<u64> {
@@ -176,6 +174,13 @@
         let failed = tables.fetch.failed_peer;
         candidates.retain(|(id, _)| Some(tables.members[id].info.peer_addr) != failed);
     }
+    if with_values && tables.values.revision.is_none() {
+        // A host that has just started may have known more in its last run than some of the
+        // others do, and must not use again what was removed.
+        let revision_of = |id: &Id| tables.members[id].revision;
+        let newest = candidates.iter().map(|(id, _)| revision_of(id)).max();
+        candidates.retain(|(id, _)| Some(revision_of(id)) == newest);
+    }
     let own_zone = &tables.me.info.availability_zone;
     let is_near = |id: &Id| tables.members[id].info.availability_zone == *own_zone;
     if candidates.iter().any(|(id, _)| is_near(id)) {
@@ -226,6 +231,9 @@
 
 fn apply_values(tables: &mut Tables, now: Duration, update: ValueUpdate, held: Vec<ValueChange>) {
     if update.revision > tables.values.revision {
+        if update.is_full {
+            removals::hold_from_now(tables, now);
+        }
         let update = removals::hold(tables, now, update);
         removals::adopt(tables, now, held);
         apply::from_host(tables, &update);
--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -31,6 +31,10 @@
 /// Maximum number of hosts not known to be alive that are contacted in one round.
 const MAX_CONTACTS: usize = 3;
 
+/// Maximum age of the platform's last answer that a heartbeat still mentions: longer than removals
+/// are held back after an outage.
+const MAX_READ_AGE: Duration = Duration::from_secs(10);
+
 /// Maximum number of gossiped member updates in one heartbeat.
 const MAX_UPDATES: usize = 5;
 
@@ -148,6 +152,7 @@
         member.vote = heartbeat.vote.clone();
         member.revision = heartbeat.revision;
         member.read_failures = heartbeat.read_failures;
+        member.last_read = heartbeat.read_age.map(|age| now.saturating_sub(age));
         member.list_revision = heartbeat.list_revision;
         member.acked_timestamp = heartbeat.echo.and_then(|echo| echo.local_time(incarnation));
     }
@@ -212,6 +217,7 @@
         version: tables.me.version,
         leaving: tables.me.leaving_since.is_some(),
         read_failures: tables.platform_reads.values.failures,
+        read_age: read_age(tables, now),
         info: (!has_acked).then(|| tables.me.info.clone()),
         revision: tables.values.revision,
         list_revision: tables.voter_sets.latest.revision,
@@ -223,6 +229,13 @@
     }
 }
 
+/// Returns the time since the platform last answered this host, unless that is long ago.
+fn read_age(tables: &Tables, now: Duration) -> Option<Duration> {
+    let last_answer = tables.platform_reads.values.last_answer;
+    let age = now.saturating_sub(last_answer);
+    (!last_answer.is_zero() && age <= MAX_READ_AGE).then_some(age)
+}
+
 /// Selects the updates for a heartbeat: first what the receiver must refute, then the updates
 /// that have been sent least often.
 fn select_updates(tables: &mut Tables, to: Option<Id>) -> SmallVec<[MemberUpdate; 2]> {
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -101,6 +101,7 @@
         acked_timestamp: None,
         revision: Revision::default(),
         read_failures: 0,
+        last_read: None,
         list_revision: Revision::default(),
         gossip_left: gossip_count,
     };
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -24,6 +24,8 @@
     pub leaving: bool,
     /// The sender's consecutive failed reads of the platform's values.
     pub read_failures: u32,
+    /// Time since the platform last answered the sender, unless that is long ago.
+    pub read_age: Option<Duration>,
     /// Host info of the sender, until the receiver has acknowledged a heartbeat.
     pub info: Option<HostInfo>,
     /// Configuration revision that is active on the sender.
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -34,7 +34,7 @@
     if !tables.platform_reads.started {
         schedule_first_reads(tables, now);
     }
-    removals::release(tables, now);
+    removals::release(tables);
     let is_reader = readers::is_reader(tables);
     if is_reader && !tables.platform_reads.is_reader {
         start_reading(tables, now);
--- a/src/control/removals.rs
+++ b/src/control/removals.rs
@@ -1,4 +1,7 @@
 //! Removals of values, which are held back after an outage or a restore of the platform.
+//!
+//! The time for which they are held back counts only if the platform could be reached throughout:
+//! a removal is applied once the platform has answered this host or another one after that time.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -30,6 +33,16 @@
     update
 }
 
+/// Starts to hold back removals that are learned from another host.
+///
+/// That host may have read the platform right after an outage, without the values that
+/// expired meanwhile.
+pub(super) fn hold_from_now(tables: &mut Tables, now: Duration) {
+    let hold_until = now + tables.settings.read_pacing.removal_hold;
+    let reads = &mut tables.platform_reads;
+    reads.hold_until = reads.hold_until.max(hold_until);
+}
+
 /// Holds back removals that another host holds back.
 ///
 /// They are not among the values that it has in force, and once they are, their revision is
@@ -38,10 +51,8 @@
     if held.is_empty() {
         return;
     }
-    let hold_until = now + tables.settings.read_pacing.removal_hold;
-    let reads = &mut tables.platform_reads;
-    reads.hold_until = reads.hold_until.max(hold_until);
-    reads.held_removals.extend(held);
+    hold_from_now(tables, now);
+    tables.platform_reads.held_removals.extend(held);
 }
 
 /// Returns the held removals that are newer than the revision `after`.
@@ -55,10 +66,9 @@
 /// Applies the removals that were held back long enough and are still current.
 ///
 /// They wait while the platform is away again, since their owners cannot register.
-pub(super) fn release(tables: &mut Tables, now: Duration) {
+pub(super) fn release(tables: &mut Tables) {
     let reads = &tables.platform_reads;
-    let is_away = reads.is_reader && reads.values.failures > 0;
-    if reads.held_removals.is_empty() || is_away || now < reads.hold_until {
+    if reads.held_removals.is_empty() || last_platform_answer(tables) < reads.hold_until {
         return;
     }
     let held = std::mem::take(&mut tables.platform_reads.held_removals);
@@ -80,6 +90,15 @@
     apply::from_platform(tables, &update);
 }
 
+/// Returns the last time at which the platform is known to have answered any host.
+fn last_platform_answer(tables: &Tables) -> Duration {
+    let own = tables.platform_reads.values.last_answer;
+    let members = tables.live_members();
+    members
+        .filter_map(|member| member.last_read)
+        .fold(own, Duration::max)
+}
+
 /// Starts to hold back removals if the platform has been restored since the last update.
 fn record_restore(tables: &mut Tables, now: Duration, revision: Revision) {
     let known = tables.values.highest_revision;
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -109,6 +109,9 @@
     /// Its consecutive failed reads of the platform's values.
     #[serde(rename = "failures")]
     pub read_failures: u32,
+    /// When the platform last answered it, if it has said so.
+    #[serde(rename = "read")]
+    pub last_read: Option<Duration>,
     /// Revision of its host list.
     #[serde(rename = "roster", serialize_with = "serialize_number")]
     pub list_revision: Revision,
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -61,6 +61,10 @@
     /// Highest known revision, including refused ones.
     #[serde(rename = "seen", serialize_with = "serialize_number")]
     pub highest_revision: Revision,
+    /// Revision from which on all removals are known. What was removed before it may be
+    /// missing here without a trace.
+    #[serde(skip)]
+    pub complete_from: Revision,
     /// Active values.
     pub values: Values,
     /// Refused changes, which are retried together with later ones.
@@ -81,11 +85,12 @@
         merge_changes(&mut values, update);
         match builder.call(&values) {
             Ok(config) => {
-                self.accept(values, update.revision);
+                self.accept(values, update);
                 Ok(config)
             }
             Err(err) => {
                 merge_changes(&mut self.refused_changes, update);
+                self.note_completeness(update);
                 Err(err)
             }
         }
@@ -107,16 +112,16 @@
         self.refused_changes
             .retain(|key, value| values.get(key).is_none_or(|v| v.revision < value.revision));
         let refused_changes = std::mem::take(&mut self.refused_changes);
-        self.accept(values, update.revision);
+        self.accept(values, update);
         self.refused_changes = refused_changes;
         Ok(config)
     }
 
     /// Returns the active values that changed after the revision `after`, or all values if
-    /// the platform has been restored since.
+    /// some removals since then are not known here.
     #[must_use]
     pub fn changes_after(&self, after: Revision) -> ValueUpdate {
-        let is_full = after.era < self.revision.era;
+        let is_full = after < self.complete_from;
         let is_wanted = |value: &Value| {
             if is_full {
                 value.json.is_some()
@@ -140,11 +145,18 @@
         }
     }
 
-    fn accept(&mut self, values: Values, revision: Revision) {
+    fn accept(&mut self, values: Values, update: &ValueUpdate) {
         self.values = values;
         self.refused_changes.clear();
-        self.revision = self.revision.max(revision);
-        self.highest_revision = self.highest_revision.max(revision);
+        self.revision = self.revision.max(update.revision);
+        self.highest_revision = self.highest_revision.max(update.revision);
+        self.note_completeness(update);
+    }
+
+    fn note_completeness(&mut self, update: &ValueUpdate) {
+        if update.is_full {
+            self.complete_from = self.complete_from.max(update.revision);
+        }
     }
 }
 
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -1,6 +1,7 @@
 //! Encoding of messages between hosts, with an authentication code.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use prost::Message;
@@ -112,6 +113,9 @@
     /// Era of `roster`.
     #[prost(uint64, tag = "17")]
     roster_era: u64,
+    /// Milliseconds since the platform last answered the sender, absent if that is long ago.
+    #[prost(uint32, optional, tag = "18")]
+    read_age_ms: Option<u32>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -249,10 +253,15 @@
         failures: heartbeat.read_failures,
         era: heartbeat.revision.era,
         roster_era: heartbeat.list_revision.era,
+        read_age_ms: heartbeat.read_age.map(encode_millis),
     };
     key.sign(wire.encode_to_vec())
 }
 
+fn encode_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Verifies and decodes a heartbeat.
 ///
 /// # Errors
@@ -271,6 +280,7 @@
         version: wire.version,
         leaving: wire.leaving,
         read_failures: wire.failures,
+        read_age: wire.read_age_ms.map(|ms| Duration::from_millis(ms.into())),
         info: decode_host_info(wire.from, wire.card)?,
         revision: Revision::new(wire.era, wire.revision),
         list_revision: Revision::new(wire.roster_era, wire.roster),
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -194,6 +194,7 @@
         version: 2,
         leaving: true,
         read_failures: 2,
+        read_age: Some(Duration::from_millis(1_234)),
         info: Some(zone::host_info(3)),
         revision: Revision::new(2, 11),
         list_revision: Revision::new(1, 4),
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -29,6 +29,7 @@
 mod probe_of_reassigned_endpoint;
 mod queue_at_stop;
 mod quiet_zone;
+mod removed_after_restart;
 mod reopen_at_removed_endpoint;
 mod replayed_heartbeat;
 mod restored_store;
