Replace a watch that the store no longer answers

Cause: the project's own interface waits for 20 to 30 s in a watch. After a silence of the store, in a zone with few hosts none has a watch that ends soon, and a change was in force after 12.1 s instead of 6 s. Shorter watches would cost more reads than an idle host may make.

Change: the reads of the host list, which take place every few seconds in a small zone, tell the store's revision. If that is newer than what the host knows, or if those reads failed after the watch began, the watch is abandoned and a new one sent, once for each revision. The list is read every 3 to 4.5 s in small zones, before every 4 to 6 s; after failures, small groups wait for 1.5 s at most, large ones for a tenth of a second a host.

--- a/examples/platform/main.rs
+++ b/examples/platform/main.rs
@@ -384,7 +384,9 @@
         revision: store.host_revision,
         deleted: false,
     };
-    Ok(Json(json!(item)))
+    let mut answer = json!(item);
+    answer["StoreRevision"] = json!(store.revision);
+    Ok(Json(answer))
 }
 
 #[derive(Deserialize)]
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -201,6 +201,8 @@
     pub revision: Revision,
     /// Zone and description of each host.
     pub hosts: Vec<(Name, ListedHost)>,
+    /// Revision of the platform's newest change to anything, when the list was read.
+    pub platform_revision: Revision,
 }
 
 /// Host in a host list or voter set.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -79,7 +79,8 @@
         /// Time in which the response must begin.
         response_time: Duration,
     },
-    /// Watch the platform's values and report the result as [`Event::Values`].
+    /// Watch the platform's values and report the result as [`Event::Values`]. A watch that
+    /// is still in flight is abandoned, and its result is not reported.
     Watch {
         /// Newest revision that is already known.
         known_revision: Revision,
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -17,7 +17,11 @@
 const LARGE_UPDATE_BYTES: usize = 100_000;
 
 /// Minimum pause between two reads of the host list.
-const MIN_HOSTS_PAUSE: Duration = Duration::from_secs(4);
+///
+/// A read of the list also shows whether a watch of the values is still answered, so in a zone
+/// with few hosts it takes place several times within the 6 s in which a change must be in
+/// force.
+const MIN_HOSTS_PAUSE: Duration = Duration::from_secs(3);
 
 /// Pause between two reads of the host list for each host of the zone.
 ///
@@ -27,7 +31,14 @@
 
 /// Maximum random time added to each pause between two reads of the host list, and the
 /// maximum delay of the first read.
-const MAX_HOSTS_JITTER: Duration = Duration::from_secs(2);
+const MAX_HOSTS_JITTER: Duration = Duration::from_millis(1_500);
+
+/// Maximum pause after a failed read for each host of the group. It bounds the reads of all
+/// hosts to ten a second, and those of a few hosts soon notice the platform's return.
+const BACKOFF_STEP: Duration = Duration::from_millis(100);
+
+/// Lower limit of the maximum pause after any number of failures.
+const MIN_MAX_BACKOFF: Duration = Duration::from_millis(1_500);
 
 /// Starts the reads that are due and applies removals that were held back long enough.
 pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
@@ -101,6 +112,7 @@
             tables.platform_reads.hosts.next_read = now + backoff(tables, failures);
         }
         Ok(list) => {
+            check_watch(tables, now, &list);
             tables.platform_reads.hosts.failures = 0;
             tables.platform_reads.hosts.next_read = now + pause;
             let voters = VoterSet::for_zone(&list, &tables.me.info.zone);
@@ -115,6 +127,26 @@
     }
 }
 
+/// Replaces a watch that the platform does not answer any more, as the answer to another read
+/// shows: the platform has changed since what is known, or it was away after the watch began.
+///
+/// The change may be to something that is not watched, so one revision replaces one watch only.
+fn check_watch(tables: &mut Tables, now: Duration, list: &HostList) {
+    let reads = &mut tables.platform_reads;
+    if !reads.values.in_flight {
+        return;
+    }
+    let known = tables.values.highest_revision.max(reads.checked_revision);
+    let has_changed = list.platform_revision > known;
+    let was_away = reads.hosts.failures > 0 && reads.values.started_at < reads.hosts.started_at;
+    if has_changed || was_away {
+        reads.checked_revision = reads.checked_revision.max(list.platform_revision);
+        reads.values.in_flight = false;
+        reads.values.next_read = now;
+        tables.counters.replaced_watches += 1;
+    }
+}
+
 /// Starts reading in place of other hosts.
 ///
 /// If the reads of a member fail, values may have expired during the outage that will be
@@ -178,7 +210,11 @@
     let doublings = failures.saturating_sub(1).min(16);
     let pacing = tables.settings.read_pacing;
     let pause = pacing.initial_backoff.saturating_mul(1 << doublings);
-    let pause = pause.min(pacing.max_backoff);
+    let hosts = u32::try_from(tables.live_members().count()).unwrap_or(u32::MAX);
+    let longest = BACKOFF_STEP
+        .saturating_mul(hosts.saturating_add(1))
+        .max(MIN_MAX_BACKOFF);
+    let pause = pause.min(pacing.max_backoff).min(longest);
     pause / 2 + tables.jitter(pause / 2)
 }
 
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -222,6 +222,9 @@
 pub(super) struct PlatformReads {
     pub(super) values: ReadState,
     pub(super) hosts: ReadState,
+    /// Newest revision of the platform for which a watch was replaced.
+    #[serde(skip)]
+    pub(super) checked_revision: Revision,
     /// True once the first reads have been scheduled.
     pub(super) started: bool,
     /// True while this host is one of the readers.
@@ -307,6 +310,9 @@
     pub reads: u64,
     /// Failed reads of the platform.
     pub read_failures: u64,
+    /// Watches of the platform's values that were abandoned because another read showed that
+    /// they are not answered.
+    pub replaced_watches: u64,
     /// Responses of a stale platform replica.
     pub stale_reads: u64,
     /// Restores of the platform from an older copy.
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -14,7 +14,7 @@
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::codec::{Decoder, Encoder, Framed, LengthDelimitedCodec};
 use tokio_util::udp::UdpFramed;
@@ -97,9 +97,13 @@
 }
 
 async fn read_hosts(store: &Store) -> Result<HostList> {
-    let value = store.read_value(host_list::KEY).await?;
-    let value = value.ok_or_else(|| Error::platform("the store has no host list"))?;
-    host_list::parse(value.revision, value.json.as_deref().unwrap_or_default())
+    let read = store.read_value(host_list::KEY).await?;
+    let (value, revision) = read.ok_or_else(|| Error::platform("the store has no host list"))?;
+    let list = host_list::parse(value.revision, value.json.as_deref().unwrap_or_default())?;
+    Ok(HostList {
+        platform_revision: revision,
+        ..list
+    })
 }
 
 impl std::fmt::Debug for PlatformSource {
@@ -151,6 +155,8 @@
     channels: ControlChannels,
     heartbeat_socket: HeartbeatSocket,
     pending_reads: JoinSet<Event>,
+    /// The watch in flight, which the next one replaces.
+    pending_watch: Option<AbortHandle>,
     connections: JoinSet<()>,
 }
 
@@ -176,6 +182,7 @@
         settings,
         channels,
         pending_reads: JoinSet::new(),
+        pending_watch: None,
         connections: JoinSet::new(),
     };
     event_loop.run(inbox, listener).await;
@@ -272,8 +279,12 @@
     fn watch(&mut self, known_revision: Revision, max_wait: Duration, response_time: Duration) {
         let source = &self.settings.source;
         let response = (source.watch_values)(known_revision, max_wait, response_time);
-        self.pending_reads
+        let watch = self
+            .pending_reads
             .spawn(async move { Event::Values(response.await) });
+        if let Some(replaced) = self.pending_watch.replace(watch) {
+            replaced.abort();
+        }
     }
 
     fn read_hosts(&mut self) {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -73,6 +73,15 @@
     store_revision: u64,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireKey {
+    #[serde(flatten)]
+    item: WireItem,
+    #[serde(default)]
+    store_revision: u64,
+}
+
 /// Key-value item, or an event that reports its write or deletion.
 #[serde_as]
 #[derive(Deserialize)]
@@ -203,13 +212,16 @@
     ///
     /// Returns an error when the request fails or times out, or when the response is
     /// invalid.
-    pub async fn read_value(&self, key: &str) -> Result<Option<Value>> {
-        let path = format!("/-/kv-key?Key={key}");
+    pub async fn read_value(&self, key: &str) -> Result<Option<(Value, Revision)>> {
+        let path = format!("/-/kv-key?Key={}", escape(key));
         let response = self.get(&path, RESPONSE_TIMEOUT).await?;
         match response.status {
-            StatusCode::OK => serde_json::from_slice(&response.body)
-                .map(|item| Some(decode_value(response.era, item)))
-                .map_err(invalid_response),
+            StatusCode::OK => {
+                let wire: WireKey =
+                    serde_json::from_slice(&response.body).map_err(invalid_response)?;
+                let revision = Revision::new(response.era, wire.store_revision);
+                Ok(Some((decode_value(response.era, wire.item), revision)))
+            }
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(unexpected_status(status)),
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -781,18 +781,21 @@
 
 #[tokio::test]
 async fn single_value_is_read_or_missing() {
+    let mut item = store_item("hosts", 7, "[]");
+    item["StoreRevision"] = json!(9);
     let responses = vec![
-        (StatusCode::OK, store_item("hosts", 7, "[]")),
+        (StatusCode::OK, item),
         (StatusCode::NOT_FOUND, json!({})),
         (StatusCode::SERVICE_UNAVAILABLE, json!({})),
     ];
     let (_, store) = MockStore::start(responses).await;
-    let found = store
+    let (found, revision) = store
         .read_value("hosts")
         .await
         .expect("an answer")
         .expect("an item");
     assert_eq!(found.json.as_deref(), Some("[]"));
+    assert_eq!(revision, 9.into());
     assert!(
         store
             .read_value("hosts")
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -49,6 +49,8 @@
     pub is_ignored: bool,
     pub exited: bool,
     pub paused_until: Duration,
+    /// Number of the watch whose result it waits for; it has abandoned the earlier ones.
+    watch_count: u64,
     pending_events: Vec<Event>,
 }
 
@@ -97,10 +99,13 @@
     Heartbeat(usize, Box<Heartbeat>),
     Fetch(usize, Incarnation, usize, FetchRequest, Duration),
     Watch(usize, Incarnation, WatchCall),
+    WatchError(usize, Incarnation, WatchCall, Error),
 }
 
 /// A watch that the platform has not answered yet.
+#[derive(Clone, Copy)]
 struct WatchCall {
+    number: u64,
     known_revision: Revision,
     time_left: Duration,
     response_time: Duration,
@@ -229,6 +234,7 @@
             is_ignored: false,
             exited: false,
             paused_until: Duration::ZERO,
+            watch_count: 0,
             pending_events: Vec::new(),
         };
         self.nodes.insert(index, node);
@@ -368,9 +374,12 @@
                     Task::Event(index, run, Event::Fetched(answer)),
                 );
             }
-            Task::Watch(index, run, call) if self.is_up(index, run) => {
+            Task::Watch(index, run, call) if self.is_current(index, run, &call) => {
                 self.answer_watch(index, run, &call);
             }
+            Task::WatchError(index, run, call, error) if self.is_current(index, run, &call) => {
+                self.deliver(index, Event::Values(Err(error)));
+            }
             _ => {}
         }
     }
@@ -380,6 +389,10 @@
         node.is_some_and(|node| node.incarnation == run && !node.exited)
     }
 
+    fn is_current(&self, index: usize, run: Incarnation, call: &WatchCall) -> bool {
+        self.is_up(index, run) && self.nodes[&index].watch_count == call.number
+    }
+
     fn answer_fetch(
         &mut self,
         from: usize,
@@ -405,10 +418,10 @@
 
     fn answer_watch(&mut self, index: usize, run: Incarnation, call: &WatchCall) {
         if self.nodes[&index].is_ignored {
-            let answer = Event::Values(Err(Error::platform("no answer")));
+            let error = Error::platform("no answer");
             let time_limit = self.now + call.time_left + call.response_time;
             self.network
-                .schedule(time_limit, Task::Event(index, run, answer));
+                .schedule(time_limit, Task::WatchError(index, run, *call, error));
             return;
         }
         let is_reachable = self.platform.up && self.nodes[&index].reaches_platform;
@@ -465,7 +478,9 @@
             response_time,
         } => {
             platform.read_times.push(now);
+            node.watch_count += 1;
             let call = WatchCall {
+                number: node.watch_count,
                 known_revision,
                 time_left: max_wait,
                 response_time,
@@ -474,7 +489,10 @@
         }
         Action::ReadHosts => {
             platform.read_times.push(now);
-            let answer = (platform.up && node.reaches_platform).then(|| platform.host_list.clone());
+            let answer = (platform.up && node.reaches_platform).then(|| HostList {
+                platform_revision: platform.update.revision,
+                ..platform.host_list.clone()
+            });
             let answer = answer.ok_or_else(|| Error::platform("down"));
             network.schedule(now + LATENCY, Task::Event(index, run, Event::Hosts(answer)));
         }
