Follow the endpoints' list whatever other writers leave in it

Deep nesting alone did no harm: the parser refuses it or skips it without recursion.

Change: entries are decoded with ranges, keys are escaped, odd bytes are not passed on. An endpoint whose entry became unreadable counts as draining. An endpoint listed twice is gone when both entries are. Values that fail on their own are replaced by the last valid ones of their keys; host list entries are read one by one. Each refusal is one line and counts in `refused_entries`.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -32,7 +32,7 @@
 pub use self::explain::ExplainedValue;
 use self::fault::{Faults, suggest};
 use self::model::{ExceptionRow, Secrets, ServiceRow, Values};
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::id::Name;
 use crate::snapshot::Service;
 use crate::ticket::TicketKeys;
@@ -136,6 +136,24 @@
         Ok(config)
     }
 
+    /// Checks one of the platform's values on its own.
+    ///
+    /// Exceptions refer to services, so of these only the JSON syntax is checked.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Config::from_values`] does.
+    pub fn check_value(key: &str, text: &str) -> Result<()> {
+        if matches!(parse_key(key), Some(Section::TopLevel(EXCEPTION))) {
+            let syntax = serde_json::from_str::<serde::de::IgnoredAny>(text);
+            return syntax.map(drop).map_err(|err| {
+                let remedy = "publish values that `jacinthhinge check` accepts";
+                Error::config(key, err.to_string(), remedy)
+            });
+        }
+        Self::from_values([(key, text)]).map(drop)
+    }
+
     /// Returns the values for the platform, as pairs of a key and a JSON value.
     ///
     /// The secrets are included in plain text.
--- a/src/config/read.rs
+++ b/src/config/read.rs
@@ -21,6 +21,7 @@
 use super::{Config, EXCEPTION, FLEET, KEYS, MAX_NAME_LENGTH, SERVICE, is_name};
 use crate::id::Name;
 use crate::packet::Class;
+use crate::snapshot::MAX_SLOTS;
 
 const SECTIONS: [&str; 4] = [FLEET, SERVICE, EXCEPTION, KEYS];
 
@@ -32,9 +33,9 @@
 const TIME_RANGE: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_hours(1);
 const SHARE_RANGE: RangeInclusive<f64> = 0.0..=1.0;
 const WEIGHT_RANGE: RangeInclusive<f64> = 0.01..=100.0;
-const SLOT_RANGE: RangeInclusive<u32> = 1..=100_000;
+const SLOT_RANGE: RangeInclusive<u32> = 1..=MAX_SLOTS;
 const CONN_RANGE: RangeInclusive<u32> = 1..=10_000_000;
-const RESERVE_RANGE: RangeInclusive<u32> = 0..=100_000;
+const RESERVE_RANGE: RangeInclusive<u32> = 0..=MAX_SLOTS;
 const RANK_RANGE: RangeInclusive<u32> = 0..=1_000;
 
 /// Reads a whole configuration; invalid values are reported and left out.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! wall clock.
 
 mod apply;
+mod claims;
 pub mod failure_detector;
 mod fetch;
 pub mod heartbeat;
@@ -29,6 +30,7 @@
 use crate::revision::Revision;
 use crate::snapshot::Snapshot;
 
+pub use self::claims::cap_slots;
 pub use self::message::{
     FetchRequest, FetchResponse, Heartbeat, HostList, Value, ValueChange, ValueUpdate,
     WriterVersion,
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -319,6 +319,8 @@
     pub restores: u64,
     /// Updates of values that were refused.
     pub refused_values: u64,
+    /// Single values that were refused, while the others were activated.
+    pub refused_entries: u64,
     /// Updates of values that were activated.
     pub accepted_values: u64,
     /// Fetches from other hosts.
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use serde::Serialize;
 
@@ -27,6 +27,9 @@
     pub routes: HashMap<SocketAddr, Route>,
     /// Ticket keys, if the values contain any.
     pub keys: Option<TicketKeys>,
+    /// Number of values that were refused on their own since the last build, while the others
+    /// were used.
+    pub refused_values: u64,
 }
 
 type BuildFn = dyn Fn(&Values) -> Result<BuiltConfig> + Send + Sync;
@@ -41,11 +44,72 @@
         Self(Arc::new(build))
     }
 
+    /// Adds a step that adjusts each configuration after it is built.
+    #[must_use]
+    pub fn and_then(self, adjust: impl Fn(&mut BuiltConfig) + Send + Sync + 'static) -> Self {
+        Self::new(move |values| {
+            let mut config = self.call(values)?;
+            adjust(&mut config);
+            Ok(config)
+        })
+    }
+
+    /// Checks each value on its own before the configuration is built. One that fails is
+    /// replaced by the last valid value of its key, so that it does not hold back the others.
+    #[must_use]
+    pub fn with_check(
+        self,
+        check: impl Fn(&str, &str) -> Result<()> + Send + Sync + 'static,
+    ) -> Self {
+        let checked = Mutex::new(HashMap::<Name, CheckedValue>::new());
+        Self::new(move |values| {
+            let mut checked = checked.lock().unwrap_or_else(PoisonError::into_inner);
+            checked.retain(|key, _| values.contains_key(key));
+            let mut usable = Values::new();
+            let mut refused_values = 0;
+            for (key, value) in values {
+                let row = checked.entry(Arc::clone(key)).or_default();
+                refused_values += u64::from(!row.update(key, value, &check));
+                usable.extend(row.valid.clone().map(|valid| (Arc::clone(key), valid)));
+            }
+            let mut config = self.call(&usable)?;
+            config.refused_values += refused_values;
+            Ok(config)
+        })
+    }
+
     fn call(&self, values: &Values) -> Result<BuiltConfig> {
         (self.0)(values)
     }
 }
 
+/// Last valid value of a key, and the revision that was checked last.
+#[derive(Default)]
+struct CheckedValue {
+    revision: Option<Revision>,
+    valid: Option<Value>,
+}
+
+impl CheckedValue {
+    /// Checks a value unless its revision was checked last; returns false if it is refused.
+    fn update(
+        &mut self,
+        key: &Name,
+        value: &Value,
+        check: impl Fn(&str, &str) -> Result<()>,
+    ) -> bool {
+        if self.revision.replace(value.revision) == Some(value.revision) {
+            return true;
+        }
+        if let Some(Err(err)) = value.json.as_deref().map(|json| check(key, json)) {
+            log::warn!(key:%, revision = value.revision.number, cause:% = err; "value_refused");
+            return false;
+        }
+        self.valid = Some(value.clone());
+        true
+    }
+}
+
 impl fmt::Debug for ConfigBuilder {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("ConfigBuilder(..)")
--- a/src/front/host_list.rs
+++ b/src/front/host_list.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::control::message::{HostList, ListedHost};
 use crate::error::{Error, Result};
@@ -29,12 +30,18 @@
 
 /// Parses a JSON host list that was written at `revision`.
 ///
+/// An invalid entry is logged and left out, so that the others are still followed.
+///
 /// # Errors
 ///
-/// Returns an error when the text is not a valid host list.
+/// Returns an error when the text is not a list, or when none of its entries is valid.
 pub fn parse(revision: Revision, json: &str) -> Result<HostList> {
-    let entries: Vec<HostEntry> = serde_json::from_str(json)
+    let texts: Vec<&RawValue> = serde_json::from_str(json)
         .map_err(|err| Error::platform(format!("invalid host list: {err}")))?;
+    let entries: Vec<HostEntry> = texts.iter().filter_map(|text| parse_entry(text)).collect();
+    if entries.is_empty() && !texts.is_empty() {
+        return Err(Error::platform("no entry of the host list is valid"));
+    }
     let hosts = entries.into_iter().map(|entry| {
         let listed = ListedHost {
             name: entry.name,
@@ -46,5 +53,12 @@
     Ok(HostList {
         revision,
         hosts: hosts.collect(),
+        ..HostList::default()
     })
 }
+
+fn parse_entry(json: &RawValue) -> Option<HostEntry> {
+    serde_json::from_str(json.get())
+        .inspect_err(|err| log::warn!(cause:% = err; "host_entry_refused"))
+        .ok()
+}
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -127,7 +127,8 @@
             ..defaults.info
         },
         drain_limit: host_settings.grace_period.saturating_sub(STOP_MARGIN),
-        config_builder: platform::service_builder(host_settings.zone.clone()),
+        config_builder: platform::service_builder(host_settings.zone.clone())
+            .and_then(control_plane::cap_slots),
         read_pacing: ReadPacing::frequent(),
         ..defaults
     }
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -247,6 +247,7 @@
             ..BuiltConfig::default()
         })
     })
+    .with_check(Config::check_value)
 }
 
 /// Reports counters and gauges to the statsd server, forever.
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -8,6 +8,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use smallvec::SmallVec;
 
+use super::decoding_error;
 use crate::error::{Error, Result};
 use crate::id::{Id, Name};
 use crate::segment::{RequestKind, Route};
@@ -85,8 +86,8 @@
 
 /// Decodes a desired state from JSON.
 pub(super) fn decode(json: &str) -> Result<DesiredState> {
-    let wire: WireDesired = serde_json::from_str(json)
-        .map_err(|err| Error::platform(format!("cannot decode the desired state: {err}")))?;
+    let wire: WireDesired =
+        serde_json::from_str(json).map_err(|err| decoding_error("desired state", &err))?;
     let routes = wire
         .routes
         .iter()
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -1,4 +1,8 @@
 //! Builds services and routes from the values in the store.
+//!
+//! A value that cannot be decoded affects no other one. An entry that can no longer be decoded
+//! names no endpoint for new flows, but its last endpoint may still run, so its open flows stay
+//! there as if it were draining.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -15,13 +19,21 @@
 struct Cache {
     desired: Arc<DesiredState>,
     desired_revision: Revision,
-    entries: HashMap<Name, (Revision, Option<Entry>)>,
+    entries: HashMap<Name, CachedEntry>,
+    /// Values that were refused since the last build.
+    refused: u64,
+}
+
+struct CachedEntry {
+    revision: Revision,
+    /// Endpoint that the entry names, draining if only an earlier revision could be decoded.
+    entry: Option<Entry>,
 }
 
 /// Returns the function that builds services and routes for a host in `zone`.
 ///
-/// An entry that cannot be decoded is skipped. A desired state that cannot be decoded, or
-/// has a lower version than the current one, is ignored.
+/// An entry that cannot be decoded takes no new flows. A desired state that cannot be decoded,
+/// or has a lower version than the current one, is ignored.
 #[must_use]
 pub fn service_builder(zone: Name) -> ConfigBuilder {
     let cache = Mutex::new(Cache::default());
@@ -47,7 +59,9 @@
             .iter()
             .filter(|(key, _)| key.starts_with(entry::PREFIX));
         for (key, value) in entries {
-            let Some(entry) = decode_cached(&mut self.entries, key, value, zone) else {
+            self.update_entry(key, value, zone);
+            let cached = self.entries.get(key);
+            let Some(entry) = cached.and_then(|cached| cached.entry.as_ref()) else {
                 continue;
             };
             let Some(service) = services.get_mut(&entry.service) else {
@@ -61,9 +75,38 @@
             services: services.into_values().collect(),
             routes: self.desired.routes.clone(),
             keys: None,
+            refused_values: std::mem::take(&mut self.refused),
         }
     }
 
+    /// Decodes an entry unless its revision is the cached one.
+    fn update_entry(&mut self, key: &Name, value: &Value, zone: &str) {
+        let cached = self.entries.get(key);
+        if cached.is_some_and(|cached| cached.revision == value.revision) {
+            return;
+        }
+        let decoded = value
+            .json
+            .as_deref()
+            .map(|json| entry::decode(key, json, zone));
+        let entry = match decoded {
+            Some(Ok(entry)) => Some(entry),
+            Some(Err(err)) => {
+                self.refused += 1;
+                log::warn!(key:%, revision = value.revision.number, cause:% = err; "entry_refused");
+                let mut last = self.entries.remove(key).and_then(|cached| cached.entry);
+                if let Some(entry) = &mut last {
+                    entry.endpoint.draining = true;
+                }
+                last
+            }
+            None => None,
+        };
+        let revision = value.revision;
+        self.entries
+            .insert(Arc::clone(key), CachedEntry { revision, entry });
+    }
+
     fn apply_desired(&mut self, value: &Value) {
         let Some(json) = value.json.as_deref() else {
             return;
@@ -74,6 +117,7 @@
         self.desired_revision = value.revision;
         match desired::decode(json) {
             Ok(desired) if desired.version < self.desired.version => {
+                self.refused += 1;
                 let (current, older) = (self.desired.version, desired.version);
                 log::warn!(version = older, in_force = current, cause = "older"; "desired_refused");
             }
@@ -86,35 +130,9 @@
                 self.desired = Arc::new(desired);
             }
             Err(err) => {
+                self.refused += 1;
                 log::warn!(revision = value.revision.number, cause:% = err; "desired_refused");
             }
         }
     }
 }
-
-fn decode_cached<'a>(
-    cache: &'a mut HashMap<Name, (Revision, Option<Entry>)>,
-    key: &Name,
-    value: &Value,
-    zone: &str,
-) -> Option<&'a Entry> {
-    let changed = cache
-        .get(key)
-        .is_none_or(|(revision, _)| *revision != value.revision);
-    if changed {
-        let decoded = value
-            .json
-            .as_deref()
-            .map(|json| entry::decode(key, json, zone));
-        let entry = match decoded {
-            Some(Ok(entry)) => Some(entry),
-            Some(Err(err)) => {
-                log::warn!(key:%, revision = value.revision.number, cause:% = err; "entry_refused");
-                None
-            }
-            None => None,
-        };
-        cache.insert(Arc::clone(key), (value.revision, entry));
-    }
-    cache.get(key)?.1.as_ref()
-}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,6 +13,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use serde::Deserialize;
 use serde_with::base64::Base64;
 use serde_with::serde_as;
@@ -20,6 +21,7 @@
 use tower::ServiceExt;
 use tower::timeout::Timeout;
 
+use super::entry;
 use super::version::writer_version;
 use crate::control::message::ValueUpdate;
 use crate::control::{Value, ValueChange};
@@ -56,6 +58,14 @@
 /// Maximum number of pages read for one range.
 const MAX_PAGES: usize = 1_000;
 
+/// Characters of a key that are escaped in a query.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~')
+    .remove(b'/');
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WirePage {
@@ -151,7 +161,7 @@
             return self.read_all(response_time).await;
         }
         let millis = wait.as_millis();
-        let prefix = &self.prefix;
+        let prefix = escape(&self.prefix);
         let path = format!(
             "/-/kv-watch?Prefix={prefix}&after={}&WaitMs={millis}",
             after.number
@@ -171,8 +181,8 @@
         };
         let mut after = None::<Name>;
         for _ in 0..MAX_PAGES {
-            let from = after.as_deref().unwrap_or_default();
-            let prefix = &self.prefix;
+            let from = escape(after.as_deref().unwrap_or_default());
+            let prefix = escape(&self.prefix);
             let path = format!("/-/kv-range?Prefix={prefix}&after={from}");
             let response = self.get(&path, response_time).await?;
             if response.status != StatusCode::OK {
@@ -206,7 +216,8 @@
         Err(Error::platform("range has too many pages"))
     }
 
-    /// Reads the value at a key; returns `None` when the key does not exist.
+    /// Reads the value at a key and the revision of the store; returns `None` when the key does
+    /// not exist.
     ///
     /// # Errors
     ///
@@ -277,11 +288,10 @@
     era.ok_or_else(|| Error::platform(format!("store sent an invalid era {header:?}")))
 }
 
-/// Converts an item to a value. Invalid UTF-8 is replaced, since such a value cannot be
-/// a valid entry anyway.
+/// Converts an item to a value.
 fn decode_value(era: u64, item: WireItem) -> Value {
-    let text = |bytes: Vec<u8>| Name::from(String::from_utf8_lossy(&bytes));
-    let json = item.value.filter(|_| !item.deleted).map(text);
+    let value = item.value.filter(|_| !item.deleted);
+    let json = value.map(|bytes| decode_text(&item.key, bytes));
     let version = json.as_deref().map(|json| writer_version(&item.key, json));
     Value {
         revision: Revision::new(era, item.revision),
@@ -290,6 +300,26 @@
     }
 }
 
+/// Returns the text of a value.
+///
+/// Instead of bytes that are no text, and of an entry that is too long, a JSON string with the
+/// reason is returned. It is refused where the value is decoded, and other hosts need not copy
+/// the original.
+fn decode_text(key: &str, bytes: Vec<u8>) -> Name {
+    let size = bytes.len();
+    if key.starts_with(entry::PREFIX) && size > entry::MAX_ENTRY_BYTES {
+        return format!("\"entry of {size} bytes\"").into();
+    }
+    match String::from_utf8(bytes) {
+        Ok(text) => text.into(),
+        Err(_) => format!("\"{size} bytes that are not UTF-8\"").into(),
+    }
+}
+
+fn escape(key: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(key, ESCAPED)
+}
+
 async fn send_request(
     client: &Client<HttpConnector, Empty<Bytes>>,
     uri: Uri,
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -17,6 +17,9 @@
 use crate::segment::Route;
 use crate::ticket::{Home, TicketKeys};
 
+/// Largest number of requests that an endpoint may execute at once.
+pub const MAX_SLOTS: u32 = 100_000;
+
 /// Configuration, membership and leases that a traffic lane decides from.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -170,7 +170,7 @@
 pub(super) fn relay_limit(tables: &Tables, tuning: &Tuning, service: Id, now: Duration) -> f64 {
     let rows = tables.endpoints.of_service(service);
     let usable = rows.filter(|row| row.accepts_work(now) && row.down.is_none());
-    let slots: u32 = usable.map(|row| row.spec.slots).sum();
+    let slots: f64 = usable.map(|row| f64::from(row.spec.slots)).sum();
     let leads_here = |route: &&Route| route.targets.iter().any(|(id, _)| *id == service);
     let routes = tables.snapshot.routes.values().filter(leads_here);
     let target_latency = routes
@@ -186,7 +186,7 @@
     // Hosts that share the load, including some that are expected but not known yet.
     let hosts = tables.snapshot.expected_hosts;
     // At least one request, or the lanes of a large group of hosts would send none.
-    (f64::from(slots) * requests_per_slot.max(tuning.relay_depth) / f64::from(hosts)).max(1.0)
+    (slots * requests_per_slot.max(tuning.relay_depth) / f64::from(hosts)).max(1.0)
 }
 
 /// Returns the mean answer time of a service's endpoints in seconds, or zero if none is
@@ -241,7 +241,7 @@
 /// to count the requests of the others, so the report must be recent.
 fn long_request_load(row: &EndpointRow, reserved_slots: u32, now: Duration) -> Option<u32> {
     let limit = row.spec.slots.saturating_sub(reserved_slots).max(1);
-    let busy = (row.own_requests + row.other_requests).max(row.load.active_requests);
+    let busy = (row.own_requests.saturating_add(row.other_requests)).max(row.load.active_requests);
     let is_recent = now < row.last_heard + MAX_REPORT_AGE;
     (is_ready(row, now) && is_recent && !is_underreporting(row) && busy < limit).then_some(busy)
 }
@@ -260,13 +260,13 @@
 ) -> Option<u32> {
     let is_old = now >= row.last_heard + tuning.report_ttl;
     let others = match is_underreporting(row) {
-        true => row.own_requests * (lanes - 1),
+        true => row.own_requests.saturating_mul(lanes - 1),
         false if is_old => 0,
         false => row.other_requests,
     };
-    let busy = row.own_requests + others;
+    let busy = row.own_requests.saturating_add(others);
     let fits_window = f64::from(row.own_requests + 1) <= row.window;
-    let has_slot = busy < row.spec.slots + tuning.overcommit;
+    let has_slot = busy < row.spec.slots.saturating_add(tuning.overcommit);
     (is_ready(row, now) && fits_window && has_slot).then_some(busy)
 }
 
@@ -289,8 +289,8 @@
 /// report are added to both: the report does not include them, and `flow_count` includes
 /// them only once the endpoint has confirmed them.
 fn estimated_flows(row: &EndpointRow, lanes: u32) -> u32 {
-    let reported = row.load.conns + row.unreported_flows;
-    let extrapolated = (row.flow_count + row.unreported_flows) * lanes;
+    let reported = row.load.conns.saturating_add(row.unreported_flows);
+    let extrapolated = (row.flow_count + row.unreported_flows).saturating_mul(lanes);
     if reported < extrapolated / 2 {
         extrapolated
     } else {
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -166,13 +166,13 @@
         .filter(|(id, weight)| *weight > 0 && tables.endpoints.count(*id) > 0)
         .copied()
         .collect();
-    let total: u32 = usable.iter().map(|(_, weight)| weight).sum();
+    let total: u64 = usable.iter().map(|(_, weight)| u64::from(*weight)).sum();
     if total == 0 {
         return None;
     }
     let mut left = tables.rng.random_range(0..total);
     for (id, weight) in usable {
-        match left.checked_sub(weight) {
+        match left.checked_sub(u64::from(weight)) {
             Some(rest) => left = rest,
             None => return Some(id),
         }
--- a/src/tables/cookies.rs
+++ b/src/tables/cookies.rs
@@ -6,7 +6,7 @@
 //! flows to it may exist, so that they are reset and not forwarded to another endpoint
 //! that received its address.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -85,8 +85,15 @@
             .values()
             .flat_map(|service| service.endpoints.iter().map(|e| (e.id, (service.id, e))))
             .collect();
+        // An endpoint may be listed under two ids, since other writers may copy its entry.
+        let running: HashSet<(SocketAddr, u64)> = listed
+            .values()
+            .map(|(_, endpoint)| (endpoint.addr, endpoint.relay_number))
+            .collect();
         for row in self.rows.values_mut().flatten() {
-            if row.removed_at.is_none() && !listed.contains_key(&row.id) {
+            let is_gone =
+                !listed.contains_key(&row.id) && !running.contains(&(row.addr, row.number));
+            if row.removed_at.is_none() && is_gone {
                 row.removed_at = Some(now);
                 removed.push(Name::clone(&row.name));
             }
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -424,7 +424,7 @@
         let group = self.services.entry(row.service).or_default();
         group.rows.push(slot);
         group.own_requests += row.own_requests;
-        group.total_slots += row.spec.slots;
+        group.total_slots = group.total_slots.saturating_add(row.spec.slots);
         self.rows.push(row);
     }
 }
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -22,6 +22,8 @@
 mod late_response_copy;
 mod lost_probes;
 mod mixed_answer_parts;
+mod odd_entry;
+mod odd_value;
 mod packet_of_other_service;
 mod pause_after_clock_read;
 mod pause_outlasts_record;
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -174,8 +174,20 @@
 
 /// Returns a segment of an established flow, with the cookie of endpoint `number`.
 pub fn data_segment(port: u16, number: u64, seq: u32, len: u16, ack: u32) -> Segment {
-    let cookie = cookie_of(Id::of(&format!("i-{number:02x}")));
-    segment(port, SegmentKind::Data, seq, ack, cookie, len)
+    let name = format!("i-{number:02x}");
+    cookie_segment(port, &name, SegmentKind::Data, seq, len, ack)
+}
+
+/// Returns a segment of an established flow, with the cookie of the endpoint `name`.
+pub fn cookie_segment(
+    port: u16,
+    name: &str,
+    kind: SegmentKind,
+    seq: u32,
+    len: u16,
+    ack: u32,
+) -> Segment {
+    segment(port, kind, seq, ack, cookie_of(Id::of(name)), len)
 }
 
 /// Returns endpoints of the local zone, numbered from 1.
