--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -152,8 +152,6 @@
         member.vote = heartbeat.vote.clone();
         member.revision = heartbeat.revision;
         member.read_failures = heartbeat.read_failures;
-        tables.output.snapshot_changed |= member.is_withdrawn != heartbeat.withdrawn;
-        member.is_withdrawn = heartbeat.withdrawn;
         member.last_read = heartbeat.read_age.map(|age| now.saturating_sub(age));
         member.list_revision = heartbeat.list_revision;
         member.acked_timestamp = heartbeat.echo.and_then(|echo| echo.local_time(incarnation));
@@ -218,7 +216,6 @@
         incarnation: tables.me.incarnation,
         version: tables.me.version,
         leaving: tables.me.leaving_since.is_some(),
-        withdrawn: tables.me.withdrawn_until.is_some(),
         read_failures: tables.platform_reads.values.failures,
         read_age: read_age(tables, now),
         info: (!has_acked).then(|| tables.me.info.clone()),
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -102,7 +102,6 @@
         revision: Revision::default(),
         read_failures: 0,
         last_read: None,
-        is_withdrawn: false,
         list_revision: Revision::default(),
         gossip_left: gossip_count,
     };
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -22,8 +22,6 @@
     pub version: u32,
     /// True if the sender is shutting down.
     pub leaving: bool,
-    /// True while the sender is overloaded and reports that it is not ready.
-    pub withdrawn: bool,
     /// The sender's consecutive failed reads of the platform's values.
     pub read_failures: u32,
     /// Time since the platform last answered the sender, unless that is long ago.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,7 +13,6 @@
 mod leave;
 mod members;
 pub mod message;
-mod overload;
 mod platform_reads;
 mod publish;
 mod readers;
@@ -61,8 +60,6 @@
     Leave,
     /// No work is in flight on the traffic lanes.
     Drained,
-    /// Time for which a traffic lane has not kept up with its traffic.
-    Backlog(Duration),
 }
 
 /// Output that the front end carries out.
@@ -134,7 +131,6 @@
             Event::Seeds(seeds) => tables.settings.seeds = seeds,
             Event::Leave => leave::start(tables, now, &mut outbox),
             Event::Drained => leave::record_drained(tables),
-            Event::Backlog(time) => overload::run(tables, now, time),
         }
         run_dependents(tables, now, &mut outbox);
         outbox
--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -16,15 +16,11 @@
 pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     let leaving = tables.me.leaving_since.is_some();
     let lease_changed = is_lease_changed(tables, now);
-    let withdrawn = tables.me.withdrawn_until.is_some();
-    let state_changed =
-        leaving != tables.snapshot.leaving || withdrawn != tables.snapshot.withdrawn;
-    if !(tables.output.snapshot_changed || lease_changed || state_changed) {
+    if !(tables.output.snapshot_changed || lease_changed || leaving != tables.snapshot.leaving) {
         return;
     }
     tables.output.snapshot_changed = false;
     tables.snapshot.leaving = leaving;
-    tables.snapshot.withdrawn = withdrawn;
     tables.snapshot.expected_hosts = count_expected_hosts(tables);
     tables.snapshot.hosts_changed = tables.lease_state.hosts_changed;
     tables.snapshot.partial_lease = Lease {
@@ -40,9 +36,7 @@
 /// A host that has just started knows few members yet, so it counts half of the seeds it
 /// has not met as hosts that will come up.
 fn count_expected_hosts(tables: &Tables) -> u32 {
-    let remaining = tables
-        .live_members()
-        .filter(|member| !member.leaving && !member.is_withdrawn);
+    let remaining = tables.live_members().filter(|member| !member.leaving);
     let is_known = |seed: &SocketAddr| tables.members.values().any(|m| m.info.peer_addr == *seed);
     let unknown_seeds = tables.settings.seeds.iter().filter(|seed| !is_known(seed));
     u32::try_from(remaining.count() + unknown_seeds.count().div_ceil(2) + 1).unwrap_or(u32::MAX)
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -62,9 +62,6 @@
     /// When its shutdown began.
     #[serde(rename = "leaving")]
     pub leaving_since: Option<Duration>,
-    /// Time until which it reports that it is not ready, if it is overloaded.
-    #[serde(rename = "withdrawn")]
-    pub withdrawn_until: Option<Duration>,
     /// True once its shutdown is complete.
     #[serde(rename = "gone")]
     pub has_left: bool,
@@ -115,9 +112,6 @@
     /// When the platform last answered it, if it has said so.
     #[serde(rename = "read")]
     pub last_read: Option<Duration>,
-    /// True while it reports that it is not ready because it is overloaded.
-    #[serde(rename = "withdrawn")]
-    pub is_withdrawn: bool,
     /// Revision of its host list.
     #[serde(rename = "roster", serialize_with = "serialize_number")]
     pub list_revision: Revision,
@@ -309,8 +303,6 @@
     pub suspicions: u64,
     /// Wrong updates about this host that it refuted.
     pub refutations: u64,
-    /// Times that this host withdrew because it was overloaded.
-    pub withdrawals: u64,
     /// Members that became dead.
     #[serde(rename = "deaths")]
     pub members_died: u64,
@@ -352,7 +344,6 @@
             incarnation: settings.incarnation,
             version: 0,
             leaving_since: None,
-            withdrawn_until: None,
             has_left: false,
             info,
         };
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -118,8 +118,6 @@
     pub publish_snapshot: Arc<dyn Fn(Arc<Snapshot>) + Send + Sync>,
     /// Returns the number of unfinished requests and unopened flows of all lanes.
     pub count_in_flight: Arc<dyn Fn() -> usize + Send + Sync>,
-    /// Returns the longest time for which a lane has not kept up with its traffic.
-    pub backlog_time: Arc<dyn Fn() -> Duration + Send + Sync>,
     /// Becomes true when this host shall drain and leave.
     pub leave: watch::Receiver<bool>,
     /// Requests for a dump of the control tables.
@@ -234,13 +232,6 @@
             let now = self.clock.now();
             self.control.handle(now, Event::Drained);
         }
-        if is_tick {
-            let backlog = Event::Backlog((self.channels.backlog_time)());
-            let outbox = self.control.handle(self.clock.now(), backlog);
-            if self.run_actions(outbox).await {
-                return true;
-            }
-        }
         let now = self.clock.now();
         let outbox = self.control.handle(now, event);
         self.run_actions(outbox).await
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -7,7 +7,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Interval, MissedTickBehavior, interval};
 
-use crate::clock::{Clock, millis};
+use crate::clock::Clock;
 use crate::error::{Error, Result};
 use crate::id::Name;
 use crate::packet::{Body, MAX_PACKET_BYTES};
@@ -42,8 +42,6 @@
 pub struct LaneStats {
     /// Number of unfinished requests and unopened flows.
     pub in_flight: AtomicUsize,
-    /// Time in milliseconds for which the lane has not kept up with its traffic.
-    pub backlog_ms: AtomicU64,
     /// Number of open flows.
     pub flows: AtomicUsize,
     /// Number of tracked flows whose segments are forwarded without reading the payload.
@@ -261,8 +259,6 @@
         let now = self.clock.now();
         self.update_snapshot(now);
         systems::run(&mut self.tables, now, &mut self.outbox);
-        let backlog = millis(self.tables.backlog_time(now));
-        self.stats.backlog_ms.store(backlog, Ordering::Relaxed);
         if timers_due {
             systems::run_timers(&mut self.tables, now, &mut self.outbox);
             self.update_stats(now);
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -81,7 +81,6 @@
     let channels = ControlChannels {
         publish_snapshot: snapshot_publisher(&shared),
         count_in_flight: in_flight_counter(&lanes),
-        backlog_time: backlog_reader(&lanes),
         leave: leaving.clone(),
         dump_requests,
         seeds: front_end.seeds,
@@ -167,14 +166,6 @@
     })
 }
 
-fn backlog_reader(lanes: &Arc<[Lane]>) -> Arc<dyn Fn() -> Duration + Send + Sync> {
-    let lanes = Arc::clone(lanes);
-    Arc::new(move || {
-        let time = |lane: &Lane| lane.stats.backlog_ms.load(Ordering::Relaxed);
-        Duration::from_millis(lanes.iter().map(time).max().unwrap_or_default())
-    })
-}
-
 /// Parts of the daemon that depend on its front end.
 pub struct FrontEnd {
     /// Datagram format of the lanes.
@@ -341,8 +332,7 @@
         dump: Arc::new(move |name| dump_tables(Arc::clone(&lanes), dump_sender.clone(), name)),
         ready: Arc::new(move || {
             let snapshot = shared.snapshot.load();
-            let is_configured = !snapshot.services.is_empty() && !snapshot.hosts.is_empty();
-            is_configured && !snapshot.withdrawn && !*leaving.borrow()
+            !snapshot.services.is_empty() && !snapshot.hosts.is_empty() && !*leaving.borrow()
         }),
     }
 }
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -49,8 +49,6 @@
     pub earlier_views: Arc<[Arc<[Host]>]>,
     /// True while this host is shutting down.
     pub leaving: bool,
-    /// True while this host is overloaded and traffic should go to others.
-    pub withdrawn: bool,
     /// Time at which this host last read a large configuration change, which keeps its
     /// link and its processor busy.
     pub large_update: Option<Duration>,
@@ -255,7 +253,6 @@
             partial_lease: Lease::default(),
             earlier_views: Arc::from([]),
             leaving: false,
-            withdrawn: false,
             large_update: None,
         }
     }
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -76,7 +76,6 @@
         // The socket was read until it was empty, some time after the previous tick.
         tables.last_drained = last_tick;
     }
-    pause::update_backlog(tables, now, last_tick, drained);
 }
 
 /// Handles what the lane has taken and not passed on yet, before it stops.
--- a/src/systems/pause.rs
+++ b/src/systems/pause.rs
@@ -24,24 +24,6 @@
     std::mem::replace(&mut tables.last_tick, now)
 }
 
-/// Records whether this lane keeps up with its traffic: its last tick was not long ago, and its
-/// socket holds no more than it has read in this one.
-///
-/// A single pause ends with one tick that is late, and the next one is in time.
-pub(super) fn update_backlog(
-    tables: &mut Tables,
-    now: Duration,
-    last_tick: Duration,
-    drained: bool,
-) {
-    let is_late = !last_tick.is_zero() && now >= last_tick + TICK_INTERVAL + MIN_PAUSE;
-    if drained && !is_late {
-        tables.behind_since = None;
-    } else {
-        tables.behind_since.get_or_insert(now);
-    }
-}
-
 /// Records the end of a pause, so that timers do not count the time in which nothing was
 /// read.
 pub(super) fn detect(tables: &mut Tables, now: Duration) {
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -85,8 +85,6 @@
     /// Time after which the socket was last read until it was empty; every packet of the
     /// current tick arrived after it.
     pub last_drained: Duration,
-    /// Time from which on this lane has not kept up with its traffic.
-    pub behind_since: Option<Duration>,
     /// Longest time that a packet of this tick may have waited to be read after the
     /// process was paused; zero without a pause.
     pub max_wait: Duration,
@@ -120,7 +118,6 @@
             rng: SmallRng::seed_from_u64(seed),
             last_tick: Duration::ZERO,
             last_drained: Duration::ZERO,
-            behind_since: None,
             max_wait: Duration::ZERO,
             last_resume: Duration::ZERO,
         }
@@ -150,14 +147,6 @@
         self.inbox.len() + self.segments.len()
     }
 
-    /// Returns the time for which this lane has not kept up with its traffic.
-    #[must_use]
-    pub fn backlog_time(&self, now: Duration) -> Duration {
-        self.behind_since
-            .map(|since| now.saturating_sub(since))
-            .unwrap_or_default()
-    }
-
     /// Returns the number of unfinished requests, unopened flows and waiting segments; a lane
     /// that passed a segment lately counts as one more.
     #[must_use]
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -116,9 +116,6 @@
     /// Milliseconds since the platform last answered the sender, absent if that is long ago.
     #[prost(uint32, optional, tag = "18")]
     read_age_ms: Option<u32>,
-    /// True while the sender is overloaded and reports that it is not ready.
-    #[prost(bool, tag = "19")]
-    withdrawn: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -257,7 +254,6 @@
         era: heartbeat.revision.era,
         roster_era: heartbeat.list_revision.era,
         read_age_ms: heartbeat.read_age.map(encode_millis),
-        withdrawn: heartbeat.withdrawn,
     };
     key.sign(wire.encode_to_vec())
 }
@@ -283,7 +279,6 @@
         incarnation: wire.incarnation,
         version: wire.version,
         leaving: wire.leaving,
-        withdrawn: wire.withdrawn,
         read_failures: wire.failures,
         read_age: wire.read_age_ms.map(|ms| Duration::from_millis(ms.into())),
         info: decode_host_info(wire.from, wire.card)?,
