Share the control thread of a relay host between the tests

Two tests built the same settings; the lane with waiting requests of the resumed host is built once.

--- a/tests/decoding.rs
+++ b/tests/decoding.rs
@@ -5,18 +5,14 @@
 
 mod relaying;
 
-use jacinthhinge::control::message::HostInfo;
-use jacinthhinge::control::{
-    Action, Control, Event, LeaseTiming, ReadPacing, Settings, Value, ValueChange, ValueUpdate,
-    cap_slots,
-};
+use jacinthhinge::control::{Action, Control, Event, Value, ValueChange, ValueUpdate};
 use jacinthhinge::front::host_list;
 use jacinthhinge::platform::{self, header, settings};
 use jacinthhinge::prelude::*;
 use jacinthhinge::wire::{self, PeerKey};
 use proptest::prelude::*;
 use proptest::sample::Index;
-use relaying::{LaneHarness, ms, opening_segment};
+use relaying::{LaneHarness, ms, opening_segment, relay_control};
 use serde_json::{Value as Json, json};
 
 const SECRET: &str = "secret";
@@ -149,24 +145,7 @@
 }
 
 fn host() -> Control {
-    let settings = Settings {
-        info: HostInfo {
-            name: "sv-a-1".into(),
-            zone: "is-sudvestur".into(),
-            availability_zone: "sv-a".into(),
-            peer_addr: "10.1.0.10:7720".parse().expect("an address"),
-            lanes: std::iter::once("10.1.0.10:8172".parse().expect("an address")).collect(),
-        },
-        incarnation: 1,
-        seeds: vec![],
-        keys: TicketKeys::new("one", "two"),
-        lease_timing: LeaseTiming::default(),
-        drain_limit: Duration::from_secs(5),
-        config_builder: platform::service_builder("sv-a".into()).and_then(cap_slots),
-        read_pacing: ReadPacing::frequent(),
-        rng_seed: 1,
-    };
-    let mut host = Control::new(settings, Duration::ZERO);
+    let mut host = relay_control();
     deliver(&mut host, 1, "op/config", &desired_state(1).to_string());
     for number in 1..=3 {
         let key = format!("servers/i-{number:08x}");
--- a/tests/regression/odd_entry.rs
+++ b/tests/regression/odd_entry.rs
@@ -7,12 +7,7 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use axum::{Json, Router};
-use jacinthhinge::control::message::HostInfo;
-use jacinthhinge::control::{
-    Action, Control, Event, LeaseTiming, ReadPacing, Settings, Value, ValueChange, ValueUpdate,
-    cap_slots,
-};
-use jacinthhinge::platform;
+use jacinthhinge::control::{Action, Control, Event, Value, ValueChange, ValueUpdate};
 use jacinthhinge::prelude::*;
 use jacinthhinge::segment::{RelayAction, SegmentKind};
 use serde::Deserialize;
@@ -23,7 +18,7 @@
 use crate::process::{self, Host};
 use crate::relaying::{
     LaneHarness, cookie_segment, data_segment, endpoint, is_reset, local_endpoints, ms,
-    opening_segment, snapshot,
+    opening_segment, relay_control, snapshot,
 };
 
 /// Depth of nesting that overflows the stack of a recursive parser.
@@ -120,27 +115,6 @@
     ]
 }
 
-fn host() -> Control {
-    let settings = Settings {
-        info: HostInfo {
-            name: "sv-a-1".into(),
-            zone: "is-sudvestur".into(),
-            availability_zone: "sv-a".into(),
-            peer_addr: "10.1.0.10:7720".parse().expect("an address"),
-            lanes: std::iter::once("10.1.0.10:8172".parse().expect("an address")).collect(),
-        },
-        incarnation: 1,
-        seeds: vec![],
-        keys: TicketKeys::new("one", "two"),
-        lease_timing: LeaseTiming::default(),
-        drain_limit: Duration::from_secs(5),
-        config_builder: platform::service_builder("sv-a".into()).and_then(cap_slots),
-        read_pacing: ReadPacing::frequent(),
-        rng_seed: 1,
-    };
-    Control::new(settings, Duration::ZERO)
-}
-
 fn change(key: &str, revision: u64, text: Option<String>) -> ValueChange {
     ValueChange {
         key: key.into(),
@@ -176,7 +150,7 @@
 
 /// Returns a host with the tests' endpoints, at revision 1.
 fn host_with_endpoints() -> Control {
-    let mut host = host();
+    let mut host = relay_control();
     let mut values = vec![change("op/config", 1, Some(desired_state(1).to_string()))];
     for number in 1..=ENDPOINT_COUNT {
         let text = entry(number).to_string();
--- a/tests/regression/resumed_host.rs
+++ b/tests/regression/resumed_host.rs
@@ -9,6 +9,17 @@
 /// flows are forgotten.
 const PAUSE: Duration = Duration::from_secs(3);
 
+/// Returns a lane with four endpoints, and its flows, each of which waits for an answer.
+fn lane_with_requests() -> (LaneHarness, Vec<(u16, u64)>) {
+    let mut harness = LaneHarness::new(&local_endpoints(4));
+    let flows = establish_evenly(&mut harness, 4, 6);
+    harness.advance(ms(500));
+    for (port, number) in &flows {
+        harness.send_request(*port, *number);
+    }
+    (harness, flows)
+}
+
 /// Plays the second after the pause: the flows of endpoint 1 retransmit what waited, while those
 /// of the others make progress. Returns true if a flow is reset.
 fn is_any_flow_reset(harness: &mut LaneHarness, flows: &[(u16, u64)]) -> bool {
@@ -27,36 +38,21 @@
 
 #[test]
 fn paused_host_resets_no_flow_by_what_waited_for_it() {
-    let mut harness = LaneHarness::new(&local_endpoints(4));
-    let flows = establish_evenly(&mut harness, 4, 6);
-    harness.advance(ms(500));
-    for (port, number) in &flows {
-        harness.send_request(*port, *number);
-    }
+    let (mut harness, flows) = lane_with_requests();
     harness.now += PAUSE;
     assert!(!is_any_flow_reset(&mut harness, &flows));
 }
 
 #[test]
 fn running_host_resets_the_flows_of_an_unresponsive_endpoint() {
-    let mut harness = LaneHarness::new(&local_endpoints(4));
-    let flows = establish_evenly(&mut harness, 4, 6);
-    harness.advance(ms(500));
-    for (port, number) in &flows {
-        harness.send_request(*port, *number);
-    }
+    let (mut harness, flows) = lane_with_requests();
     harness.advance(ms(200));
     assert!(is_any_flow_reset(&mut harness, &flows));
 }
 
 #[test]
 fn endpoint_that_was_down_before_a_pause_gets_time_to_answer() {
-    let mut harness = LaneHarness::new(&local_endpoints(4));
-    let flows = establish_evenly(&mut harness, 4, 6);
-    harness.advance(ms(500));
-    for (port, number) in &flows {
-        harness.send_request(*port, *number);
-    }
+    let (mut harness, flows) = lane_with_requests();
     harness.advance(ms(200));
     assert!(is_any_flow_reset(&mut harness, &flows));
     harness.now += PAUSE;
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -3,6 +3,9 @@
 
 use std::collections::HashMap;
 
+use jacinthhinge::control::message::HostInfo;
+use jacinthhinge::control::{Control, LeaseTiming, ReadPacing, Settings, cap_slots};
+use jacinthhinge::platform;
 use jacinthhinge::prelude::*;
 use jacinthhinge::segment::{FlowAddrs, RelayAction, RequestKind, Route, Segment, SegmentKind};
 use jacinthhinge::systems;
@@ -64,6 +67,28 @@
     Arc::new(snapshot)
 }
 
+/// Returns the control thread of a host of the relay in zone `sv-a`, which holds no values yet.
+pub fn relay_control() -> Control {
+    let settings = Settings {
+        info: HostInfo {
+            name: "sv-a-1".into(),
+            zone: "is-sudvestur".into(),
+            availability_zone: "sv-a".into(),
+            peer_addr: addr("10.1.0.10:7720"),
+            lanes: std::iter::once(addr("10.1.0.10:8172")).collect(),
+        },
+        incarnation: 1,
+        seeds: vec![],
+        keys: TicketKeys::new("one", "two"),
+        lease_timing: LeaseTiming::default(),
+        drain_limit: Duration::from_secs(5),
+        config_builder: platform::service_builder("sv-a".into()).and_then(cap_slots),
+        read_pacing: ReadPacing::frequent(),
+        rng_seed: 1,
+    };
+    Control::new(settings, Duration::ZERO)
+}
+
 impl LaneHarness {
     pub fn new(endpoints: &[Endpoint]) -> Self {
         let home = Home {
