Review: a host takes its zone for cut off while one endpoint drains

Planned work alone: the flows of two endpoints of another service, which live and work on longer requests, are reset.

--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -28,6 +28,8 @@
     pub safe: bool,
     /// Whether a flow is used for many requests.
     pub keeps_flow: bool,
+    /// Period in which all users with this habit ask at the same moment, if they do.
+    pub period: Option<Duration>,
 }
 
 enum State {
@@ -118,7 +120,7 @@
     pub fn add_users(&mut self, node: usize, count: usize, habit: &Habit, from: Instant) {
         for _ in 0..count {
             let name = format!("{}{}", habit.name, self.users.len());
-            let pause = self.between(habit.pause_ms);
+            let pause = habit.period.unwrap_or_else(|| self.between(habit.pause_ms));
             self.users.push(User {
                 habit: habit.clone(),
                 node,
@@ -371,7 +373,10 @@
             tally.failed += 1;
             record.line(&format!("refused {id}"));
         }
-        user.next_ask = now + pause;
+        user.next_ask = match user.habit.period {
+            None => now + pause,
+            Some(period) => user.next_ask + period,
+        };
         if !user.habit.keeps_flow {
             self.close(node, port);
         }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod endpoint;
 mod hosts;
+mod leaving;
 mod moved;
 mod neighbour;
 mod packet;
@@ -21,6 +22,7 @@
     let case = std::env::args().nth(1).unwrap_or_default();
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let result = match case.as_str() {
+        "leaving" => leaving::run(trouble),
         "moved" => moved::run(trouble),
         "neighbour" => neighbour::run(trouble),
         _ => Err(std::io::Error::other(format!("unknown case {case:?}"))),
--- a/review/standin/moved.rs
+++ b/review/standin/moved.rs
@@ -43,6 +43,7 @@
         deadline: Duration::from_millis(2500),
         safe: true,
         keeps_flow: true,
+        period: None,
     };
     let confirms = Habit {
         name: "confirm",
--- a/review/standin/neighbour.rs
+++ b/review/standin/neighbour.rs
@@ -44,6 +44,7 @@
         deadline: Duration::from_millis(2500),
         safe: true,
         keeps_flow: true,
+        period: None,
     };
     let proofs = Habit {
         name: "proof",
@@ -95,14 +96,15 @@
 
 /// FLOW (a): a host reset an open flow whose endpoint lives and has not been disturbed.
 ///
-/// No machine of the system and no endpoint but the crashed one is disturbed in this case, so all
+/// No machine of the system is disturbed, and no endpoint but the one that crashes or leaves, so all
 /// others are in touch all the while.
-fn judge(world: &mut World) {
+pub fn judge(world: &mut World) {
     for reset in std::mem::take(&mut world.clients.resets) {
         let Some(opened) = reset.opened else { continue };
         let holder = world.endpoints.iter().find(|endpoint| endpoint.holds_open(&reset.flow));
         let Some(holder) = holder else { continue };
-        if holder.crashed.is_none() && reset.at.duration_since(opened) < MAX_FLOW {
+        let is_calm = holder.crashed.is_none() && !holder.draining;
+        if is_calm && reset.at.duration_since(opened) < MAX_FLOW {
             let asked = reset.asked.as_deref().unwrap_or("no request");
             let text = format!(
                 "host {} reset {}, open at {} of {}, which lives undisturbed and worked on {asked}",
