--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use crate::endpoint::signature;
-use crate::hosts::{Router, LANE_PORT};
-use crate::packet::{Flow, Packet, ACK, FIN, RST, SYN};
+use crate::hosts::{LANE_PORT, Router};
+use crate::packet::{ACK, FIN, Flow, Packet, RST, SYN};
 use crate::record::Record;
 use crate::stream::Stream;
 
@@ -113,7 +113,13 @@
         let socket = UdpSocket::bind((ip, LANE_PORT))?;
         socket.set_nonblocking(true)?;
         let flows = HashMap::new();
-        self.nodes.push(Node { ip, zone, socket, flows, next_port: 40_000 });
+        self.nodes.push(Node {
+            ip,
+            zone,
+            socket,
+            flows,
+            next_port: 40_000,
+        });
         Ok(self.nodes.len() - 1)
     }
 
@@ -149,7 +155,9 @@
         for node in 0..self.nodes.len() {
             let mut buffer = [0; 2048];
             while let Ok((size, from)) = self.nodes[node].socket.recv_from(&mut buffer) {
-                let std::net::SocketAddr::V4(from) = from else { continue };
+                let std::net::SocketAddr::V4(from) = from else {
+                    continue;
+                };
                 if let Some(packet) = Packet::decode(&buffer[..size]) {
                     self.receive(node, &packet, from, now, record);
                 }
@@ -172,7 +180,9 @@
         record: &mut Record,
     ) {
         let port = packet.to.port();
-        let Some(held) = self.nodes[node].flows.get_mut(&port) else { return };
+        let Some(held) = self.nodes[node].flows.get_mut(&port) else {
+            return;
+        };
         if held.flow.vip != packet.from {
             return;
         }
@@ -181,7 +191,10 @@
             return;
         }
         if packet.sum != packet.true_sum() {
-            record.broken("MIXED", &format!("{} got a packet that nobody wrote", held.flow.client));
+            record.broken(
+                "MIXED",
+                &format!("{} got a packet that nobody wrote", held.flow.client),
+            );
             return;
         }
         let answer = match &mut held.state {
@@ -226,7 +239,10 @@
         let held = &self.nodes[node].flows[&port];
         let opened = matches!(held.state, State::Open(_)).then_some(held.opened);
         let by_host = packet.sum == 0;
-        let user = self.users.iter().position(|user| user.node == node && user.port == Some(port));
+        let user = self
+            .users
+            .iter()
+            .position(|user| user.node == node && user.port == Some(port));
         let asked = user.and_then(|user| self.users[user].ask.as_ref());
         let asked = asked.filter(|ask| ask.written).map(|ask| ask.id.clone());
         record.line(&format!(
@@ -239,7 +255,13 @@
         ));
         if by_host {
             let (flow, host) = (held.flow, *from.ip());
-            self.resets.push(HostReset { flow, host, opened, at: now, asked });
+            self.resets.push(HostReset {
+                flow,
+                host,
+                opened,
+                at: now,
+                asked,
+            });
         }
         self.nodes[node].flows.remove(&port);
         if let Some(user) = user {
@@ -279,7 +301,13 @@
             let user = &mut self.users[index];
             user.asked += 1;
             let id = format!("{}-{}-0", user.name, user.asked);
-            user.ask = Some(Ask { id, first_sent: now, attempts: 0, work, written: false });
+            user.ask = Some(Ask {
+                id,
+                first_sent: now,
+                attempts: 0,
+                work,
+                written: false,
+            });
         }
         let node = self.users[index].node;
         let Some(port) = self.users[index].port else {
@@ -329,14 +357,32 @@
         let node = &mut self.nodes[node];
         let port = node.next_port;
         node.next_port += 1;
-        let flow = Flow { client: SocketAddrV4::new(node.ip, port), vip };
-        let state = State::Opening { since: now, copies: 0 };
-        node.flows.insert(port, ClientFlow { flow, state, seq, echo: 0, opened: now });
+        let flow = Flow {
+            client: SocketAddrV4::new(node.ip, port),
+            vip,
+        };
+        let state = State::Opening {
+            since: now,
+            copies: 0,
+        };
+        node.flows.insert(
+            port,
+            ClientFlow {
+                flow,
+                state,
+                seq,
+                echo: 0,
+                opened: now,
+            },
+        );
         port
     }
 
     fn close(&mut self, node: usize, port: u16) {
-        if let Some(ClientFlow { state: State::Open(stream), .. }) = self.nodes[node].flows.get(&port)
+        if let Some(ClientFlow {
+            state: State::Open(stream),
+            ..
+        }) = self.nodes[node].flows.get(&port)
         {
             let (seq, ack) = (stream.send_next, stream.recv_next);
             self.send(node, port, ACK | FIN, seq, ack, Vec::new());
@@ -350,11 +396,20 @@
     }
 
     fn take_answer(&mut self, node: usize, port: u16, now: Instant, record: &mut Record) {
-        let index = self.users.iter().position(|user| user.node == node && user.port == Some(port));
+        let index = self
+            .users
+            .iter()
+            .position(|user| user.node == node && user.port == Some(port));
         let Some(index) = index else { return };
-        let Some(held) = self.nodes[node].flows.get_mut(&port) else { return };
-        let State::Open(stream) = &mut held.state else { return };
-        let Some((status, id, body, sign)) = parse_answer(&mut stream.received) else { return };
+        let Some(held) = self.nodes[node].flows.get_mut(&port) else {
+            return;
+        };
+        let State::Open(stream) = &mut held.state else {
+            return;
+        };
+        let Some((status, id, body, sign)) = parse_answer(&mut stream.received) else {
+            return;
+        };
         let pause = self.between(self.users[index].habit.pause_ms);
         let user = &mut self.users[index];
         let Some(ask) = user.ask.take().filter(|ask| ask.written && ask.id == id) else {
@@ -396,7 +451,11 @@
                     // A client gives up at its deadline and not after a number of copies.
                     let segments = stream.due(now, u32::MAX).unwrap_or_default();
                     let ack = stream.recv_next;
-                    out.extend(segments.into_iter().map(|(seq, data)| (*port, ACK, seq, ack, data)));
+                    out.extend(
+                        segments
+                            .into_iter()
+                            .map(|(seq, data)| (*port, ACK, seq, ack, data)),
+                    );
                 }
             }
         }
@@ -407,10 +466,21 @@
 
     fn send(&self, node: usize, port: u16, flags: u8, seq: u32, ack: u32, data: Vec<u8>) {
         let node = &self.nodes[node];
-        let Some(held) = node.flows.get(&port) else { return };
+        let Some(held) = node.flows.get(&port) else {
+            return;
+        };
         let (from, to) = (held.flow.client, held.flow.vip);
         let echo = if flags == SYN { 0 } else { held.echo };
-        let packet = Packet { seq, ack, echo, flags, from, to, data, sum: 0 };
+        let packet = Packet {
+            seq,
+            ack,
+            echo,
+            flags,
+            from,
+            to,
+            data,
+            sum: 0,
+        };
         if let Some(host) = self.router.pick(&held.flow, node.zone) {
             let _ = node.socket.send_to(&packet.encode(), host);
         }
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use crate::hosts::LANE_PORT;
-use crate::packet::{Flow, Packet, ACK, FIN, RST, SYN};
+use crate::packet::{ACK, FIN, Flow, Packet, RST, SYN};
 use crate::record::Record;
 use crate::store::Store;
 use crate::stream::Stream;
@@ -120,7 +120,9 @@
             if self.crashed.is_some() {
                 continue;
             }
-            let std::net::SocketAddr::V4(from) = from else { continue };
+            let std::net::SocketAddr::V4(from) = from else {
+                continue;
+            };
             self.receive(&buffer[..size], from, record);
         }
         if self.crashed.is_some() {
@@ -147,10 +149,16 @@
             return;
         };
         if packet.sum != packet.true_sum() || packet.has(SYN) && packet.has(ACK) {
-            record.broken("UNASKED", &format!("{} got a packet that no client wrote", self.id));
+            record.broken(
+                "UNASKED",
+                &format!("{} got a packet that no client wrote", self.id),
+            );
             return;
         }
-        let flow = Flow { client: packet.from, vip: packet.to };
+        let flow = Flow {
+            client: packet.from,
+            vip: packet.to,
+        };
         if packet.has(RST) {
             self.flows.remove(&flow);
             return;
@@ -171,7 +179,12 @@
                 return;
             }
             held.open = true;
-            record.line(&format!("open {} at {} through {}", flow.client, self.id, from.ip()));
+            record.line(&format!(
+                "open {} at {} through {}",
+                flow.client,
+                self.id,
+                from.ip()
+            ));
         }
         held.echo = packet.echo;
         held.host = from;
@@ -199,7 +212,10 @@
 
     fn accept(&mut self, flow: Flow, packet: &Packet, from: SocketAddrV4, record: &mut Record) {
         if !self.flows.contains_key(&flow) {
-            self.next_seq = self.next_seq.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            self.next_seq = self
+                .next_seq
+                .wrapping_mul(1_664_525)
+                .wrapping_add(1_013_904_223);
             let own_seq = self.next_seq;
             let stream = Stream::new(own_seq.wrapping_add(1), packet.seq.wrapping_add(1));
             let held = Held {
@@ -219,7 +235,10 @@
 
     /// Answers a packet of a flow that this endpoint does not hold.
     fn reset(&mut self, flow: &Flow, packet: &Packet, record: &mut Record) {
-        record.line(&format!("{} does not hold {} and resets it", self.id, flow.client));
+        record.line(&format!(
+            "{} does not hold {} and resets it",
+            self.id, flow.client
+        ));
         self.send_with(flow, RST, packet.ack, packet.seq, packet.echo, Vec::new());
     }
 
@@ -235,8 +254,15 @@
             }
         }
         while self.running.len() < self.slots {
-            let Some(job) = self.queue.pop_front() else { break };
-            record.line(&format!("works {} {} ms at {}", job.id, job.work.as_millis(), self.id));
+            let Some(job) = self.queue.pop_front() else {
+                break;
+            };
+            record.line(&format!(
+                "works {} {} ms at {}",
+                job.id,
+                job.work.as_millis(),
+                self.id
+            ));
             self.running.push((now + job.work, job));
         }
     }
@@ -268,7 +294,11 @@
                 continue;
             };
             let ack = held.stream.recv_next;
-            out.extend(segments.into_iter().map(|(seq, data)| (*flow, ACK, seq, ack, data)));
+            out.extend(
+                segments
+                    .into_iter()
+                    .map(|(seq, data)| (*flow, ACK, seq, ack, data)),
+            );
             if held.close_next && held.stream.is_sent() {
                 out.push((*flow, ACK | FIN, held.stream.send_next, ack, Vec::new()));
                 ended.push(*flow);
@@ -289,7 +319,16 @@
 
     fn send_with(&self, flow: &Flow, flags: u8, seq: u32, ack: u32, echo: u32, data: Vec<u8>) {
         let (from, to) = (flow.vip, flow.client);
-        let packet = Packet { seq, ack, echo, flags, from, to, data, sum: 0 };
+        let packet = Packet {
+            seq,
+            ack,
+            echo,
+            flags,
+            from,
+            to,
+            data,
+            sum: 0,
+        };
         let addr = SocketAddrV4::new(*flow.client.ip(), LANE_PORT);
         let _ = self.socket.send_to(&packet.encode(), addr);
     }
@@ -298,7 +337,9 @@
 /// Signature of an answer, by which a client knows the endpoint's whole body.
 pub fn signature(id: &str, body: &str) -> u64 {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
-    id.bytes().chain(body.bytes()).fold(0x5bd1_e995_aaaa_5555, mix)
+    id.bytes()
+        .chain(body.bytes())
+        .fold(0x5bd1_e995_aaaa_5555, mix)
 }
 
 /// Takes the complete requests from what was received: their ids and their work.
@@ -311,7 +352,10 @@
             let line = text.lines().find_map(|line| line.strip_prefix(name));
             line.unwrap_or_default().trim().to_owned()
         };
-        let work = text.split("work=").nth(1).and_then(|rest| rest.split(' ').next());
+        let work = text
+            .split("work=")
+            .nth(1)
+            .and_then(|rest| rest.split(' ').next());
         let work = work.and_then(|text| text.parse().ok()).unwrap_or(0);
         found.push((value("X-Request-Id:"), Duration::from_millis(work)));
     }
--- a/review/standin/hosts.rs
+++ b/review/standin/hosts.rs
@@ -58,10 +58,16 @@
     /// Writes the settings file, under another name first, as the platform replaces it.
     pub fn write_settings(&self, bootstrap: bool) -> std::io::Result<()> {
         let ip = self.ip;
-        let seeds: Vec<String> =
-            self.seeds.iter().map(|seed| format!("\"{seed}:{CONTROL_PORT}\"")).collect();
-        let zones: Vec<String> =
-            self.zones.iter().map(|zone| format!("\"{zone}\":\"is-sudvestur\"")).collect();
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}:{CONTROL_PORT}\""))
+            .collect();
+        let zones: Vec<String> = self
+            .zones
+            .iter()
+            .map(|zone| format!("\"{zone}\":\"is-sudvestur\""))
+            .collect();
         let text = format!(
             "{{\"NodeName\":\"{}\",\"Role\":\"relay\",\"MachineClass\":\"edge\",\
              \"Serves\":[\"edge\",\"control_plane\"],\"Ip\":\"{ip}\",\"Zone\":\"{}\",\
@@ -163,17 +169,29 @@
         let misses = MAX_MISSES;
         self.0.lock().unwrap().push(Probed { ip, zone, misses });
         let router = self.clone();
-        std::thread::spawn(move || loop {
-            let ready = is_ready(ip).unwrap_or(false);
-            if let Some(probed) = router.0.lock().unwrap().iter_mut().find(|host| host.ip == ip) {
-                probed.misses = if ready { 0 } else { probed.misses + 1 };
+        std::thread::spawn(move || {
+            loop {
+                let ready = is_ready(ip).unwrap_or(false);
+                if let Some(probed) = router
+                    .0
+                    .lock()
+                    .unwrap()
+                    .iter_mut()
+                    .find(|host| host.ip == ip)
+                {
+                    probed.misses = if ready { 0 } else { probed.misses + 1 };
+                }
+                std::thread::sleep(PROBE_PERIOD);
             }
-            std::thread::sleep(PROBE_PERIOD);
         });
     }
 
     pub fn all_ready(&self) -> bool {
-        self.0.lock().unwrap().iter().all(|host| host.misses < MAX_MISSES)
+        self.0
+            .lock()
+            .unwrap()
+            .iter()
+            .all(|host| host.misses < MAX_MISSES)
     }
 
     /// Returns the host that gets a flow's packets. All hosts of a zone are used while fewer
--- a/review/standin/leaving.rs
+++ b/review/standin/leaving.rs
@@ -7,7 +7,7 @@
 
 use crate::client::Habit;
 use crate::neighbour::judge;
-use crate::world::{config, route, World};
+use crate::world::{World, config, route};
 
 const VIP: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
 
@@ -22,7 +22,10 @@
         route("confirm", vips[2], "booking", "unsafe", 300),
     ];
     let services = ["adserve", "proofing", "booking"];
-    let mut world = World::start(&["sv-a", "sv-a", "sv-b", "sv-c"], &config(1, &routes, &services))?;
+    let mut world = World::start(
+        &["sv-a", "sv-a", "sv-b", "sv-c"],
+        &config(1, &routes, &services),
+    )?;
     let leaving = world.add_endpoint("adserve", "sv-c", 3)?;
     for (service, zone, count) in [
         ("proofing", "sv-c", 2),
--- a/review/standin/moved.rs
+++ b/review/standin/moved.rs
@@ -7,7 +7,7 @@
 
 use crate::client::Habit;
 use crate::hosts::Signal;
-use crate::world::{config, route, World, STORE_PORT};
+use crate::world::{STORE_PORT, World, config, route};
 
 const VIP: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
 
@@ -30,7 +30,10 @@
         route("confirm", vips[1], "adserve", "unsafe", 300),
     ];
     let services = ["adserve"];
-    let mut world = World::start(&["sv-a", "sv-a", "sv-b", "sv-c"], &config(3, &routes, &services))?;
+    let mut world = World::start(
+        &["sv-a", "sv-a", "sv-b", "sv-c"],
+        &config(3, &routes, &services),
+    )?;
     for zone in ["sv-a", "sv-a", "sv-b", "sv-b", "sv-c", "sv-c"] {
         world.add_endpoint("adserve", zone, 3)?;
     }
@@ -53,7 +56,12 @@
         keeps_flow: false,
         ..streams.clone()
     };
-    let added = Habit { name: "added", vip: vips[2], pause_ms: (200, 400), ..confirms.clone() };
+    let added = Habit {
+        name: "added",
+        vip: vips[2],
+        pause_ms: (200, 400),
+        ..confirms.clone()
+    };
     let now = Instant::now();
     let mut nodes = Vec::new();
     for (index, zone) in ["sv-a", "sv-b", "sv-c"].into_iter().enumerate() {
@@ -67,7 +75,9 @@
     if trouble {
         let moved = SocketAddrV4::new(world.at(0, 2), STORE_PORT);
         let listener = world.store.listen(moved)?;
-        world.record.line(&format!("the store also serves at {moved}; the settings files change"));
+        world.record.line(&format!(
+            "the store also serves at {moved}; the settings files change"
+        ));
         for index in 0..world.hosts.len() {
             world.hosts[index].move_store(moved)?;
         }
@@ -76,7 +86,9 @@
             world.run_for(SIGNAL_GAP)?;
         }
         world.run_for(OVERLAP)?;
-        world.record.line("the store no longer serves at its old address");
+        world
+            .record
+            .line("the store no longer serves at its old address");
         if let Some(old) = world.listener.replace(listener) {
             old.close();
         }
@@ -86,7 +98,9 @@
     }
 
     routes.push(route("added", vips[2], "adserve", "unsafe", 300));
-    world.store.put("op/config", Some(&config(7, &routes, &services)));
+    world
+        .store
+        .put("op/config", Some(&config(7, &routes, &services)));
     let changed_at = Instant::now();
     world.record.line("ack of version 7, which adds a route");
     let leaving = 2;
@@ -106,7 +120,10 @@
     for reset in std::mem::take(&mut world.clients.resets) {
         if reset.opened.is_none() && reset.flow.vip == vips[2] && reset.at > probes_from {
             let late = probes_from.duration_since(changed_at).as_millis();
-            let text = format!("host {} reset an opening to a route that was added {late} ms before the first client used it", reset.host);
+            let text = format!(
+                "host {} reset an opening to a route that was added {late} ms before the first client used it",
+                reset.host
+            );
             world.record.broken("CONFIG", &text);
         }
     }
@@ -117,12 +134,21 @@
         .filter(|opening| opening.endpoint == leaver && opening.at > drained_at + DRAIN)
         .map(|opening| {
             let late = opening.at.duration_since(drained_at).as_millis();
-            format!("opening {} reached {leaver} through {} {late} ms after its report as draining", opening.flow.client, opening.host.ip())
+            format!(
+                "opening {} reached {leaver} through {} {late} ms after its report as draining",
+                opening.flow.client,
+                opening.host.ip()
+            )
         })
         .collect();
     for text in late {
         world.record.broken("DRAIN", &text);
     }
-    world.finish(&["settings_in_force", "settings_unchanged", "store_lost", "desired_in_force"]);
+    world.finish(&[
+        "settings_in_force",
+        "settings_unchanged",
+        "store_lost",
+        "desired_in_force",
+    ]);
     Ok(!world.record.broken.is_empty())
 }
--- a/review/standin/neighbour.rs
+++ b/review/standin/neighbour.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Habit;
-use crate::world::{config, route, World};
+use crate::world::{World, config, route};
 
 const VIP: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
 
@@ -21,7 +21,10 @@
         route("confirm", vips[2], "booking", "unsafe", 300),
     ];
     let services = ["adserve", "proofing", "booking"];
-    let mut world = World::start(&["sv-a", "sv-a", "sv-b", "sv-c"], &config(1, &routes, &services))?;
+    let mut world = World::start(
+        &["sv-a", "sv-a", "sv-b", "sv-c"],
+        &config(1, &routes, &services),
+    )?;
     let crashing = world.add_endpoint("adserve", "sv-c", 3)?;
     world.add_endpoint("proofing", "sv-c", 3)?;
     for (service, zone, count) in [
@@ -101,7 +104,10 @@
 pub fn judge(world: &mut World) {
     for reset in std::mem::take(&mut world.clients.resets) {
         let Some(opened) = reset.opened else { continue };
-        let holder = world.endpoints.iter().find(|endpoint| endpoint.holds_open(&reset.flow));
+        let holder = world
+            .endpoints
+            .iter()
+            .find(|endpoint| endpoint.holds_open(&reset.flow));
         let Some(holder) = holder else { continue };
         let is_calm = holder.crashed.is_none() && !holder.draining;
         if is_calm && reset.at.duration_since(opened) < MAX_FLOW {
--- a/review/standin/packet.rs
+++ b/review/standin/packet.rs
@@ -41,7 +41,12 @@
     pub fn true_sum(&self) -> u32 {
         let mut hash = KEY;
         let mut mix = |byte: u8| hash = (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
-        for word in [self.seq, self.ack, self.from.ip().to_bits(), self.to.ip().to_bits()] {
+        for word in [
+            self.seq,
+            self.ack,
+            self.from.ip().to_bits(),
+            self.to.ip().to_bits(),
+        ] {
             word.to_le_bytes().into_iter().for_each(&mut mix);
         }
         for port in [self.from.port(), self.to.port(), self.data.len() as u16] {
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -33,7 +33,11 @@
     }
 
     pub fn line(&mut self, text: &str) {
-        let _ = writeln!(self.out, "{:9.4} {text}", self.start.elapsed().as_secs_f64());
+        let _ = writeln!(
+            self.out,
+            "{:9.4} {text}",
+            self.start.elapsed().as_secs_f64()
+        );
     }
 
     pub fn broken(&mut self, rule: &str, text: &str) {
@@ -42,9 +46,19 @@
     }
 
     pub fn opening(&mut self, flow: &Flow, endpoint: &str, host: SocketAddrV4) {
-        self.line(&format!("opening {} to {} taken by {endpoint} through {}", flow.client, flow.vip, host.ip()));
+        self.line(&format!(
+            "opening {} to {} taken by {endpoint} through {}",
+            flow.client,
+            flow.vip,
+            host.ip()
+        ));
         let endpoint = endpoint.to_owned();
-        self.openings.push(Opening { flow: *flow, endpoint, at: Instant::now(), host });
+        self.openings.push(Opening {
+            flow: *flow,
+            endpoint,
+            at: Instant::now(),
+            host,
+        });
     }
 
     pub fn finish(&mut self) {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -38,7 +38,7 @@
 impl Store {
     /// Writes or removes an item and returns the revision.
     pub fn put(&self, key: &str, value: Option<&str>) -> u64 {
-        let mut data = self.0 .0.lock().unwrap();
+        let mut data = self.0.0.lock().unwrap();
         data.revision += 1;
         let revision = data.revision;
         let created = data.items.get(key).map_or(revision, |item| item.created);
@@ -54,7 +54,7 @@
             data.items.remove(key);
         }
         data.history.push(item);
-        self.0 .1.notify_all();
+        self.0.1.notify_all();
         revision
     }
 
@@ -113,7 +113,10 @@
         let field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             let mut found = pairs.filter(|(key, _)| *key == name);
-            found.next().map(|(_, value)| unescape(value)).unwrap_or_default()
+            found
+                .next()
+                .map(|(_, value)| unescape(value))
+                .unwrap_or_default()
         };
         match path {
             "/-/kv-range" => ("200 OK", self.range(&field("Prefix"), &field("after"))),
@@ -128,19 +131,22 @@
     }
 
     fn key(&self, key: &str) -> (&'static str, String) {
-        let data = self.0 .0.lock().unwrap();
+        let data = self.0.0.lock().unwrap();
         match data.items.get(key) {
             None => ("404 Not Found", "{}".to_owned()),
             Some(item) => {
                 let text = item.json();
                 let fields = text.trim_end_matches('}');
-                ("200 OK", format!("{fields},\"StoreRevision\":{}}}", data.revision))
+                (
+                    "200 OK",
+                    format!("{fields},\"StoreRevision\":{}}}", data.revision),
+                )
             }
         }
     }
 
     fn range(&self, prefix: &str, after: &str) -> String {
-        let data = self.0 .0.lock().unwrap();
+        let data = self.0.0.lock().unwrap();
         let items = data.items.values();
         let mut found: Vec<String> = items
             .filter(|item| item.key.starts_with(prefix) && item.key.as_str() > after)
@@ -149,23 +155,28 @@
         let more = found.len() > 500;
         found.truncate(500);
         let items = found.join(",");
-        format!("{{\"items\":[{items}],\"HasMore\":{more},\"StoreRevision\":{}}}", data.revision)
+        format!(
+            "{{\"items\":[{items}],\"HasMore\":{more},\"StoreRevision\":{}}}",
+            data.revision
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
         let end = Instant::now() + wait;
-        let mut data = self.0 .0.lock().unwrap();
+        let mut data = self.0.0.lock().unwrap();
         loop {
             let news = data.history.iter().filter(|item| item.revision > after);
-            let news: Vec<String> =
-                news.filter(|item| item.key.starts_with(prefix)).map(Item::json).collect();
+            let news: Vec<String> = news
+                .filter(|item| item.key.starts_with(prefix))
+                .map(Item::json)
+                .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
                 let events = news.join(",");
                 let revision = data.revision;
                 return format!("{{\"events\":[{events}],\"StoreRevision\":{revision}}}");
             }
-            data = self.0 .1.wait_timeout(data, left).unwrap().0;
+            data = self.0.1.wait_timeout(data, left).unwrap().0;
         }
     }
 }
--- a/review/standin/stream.rs
+++ b/review/standin/stream.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use crate::packet::{after, MAX_DATA};
+use crate::packet::{MAX_DATA, after};
 
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1600);
@@ -44,7 +44,8 @@
     }
 
     pub fn write(&mut self, data: &[u8]) {
-        self.waiting.extend(data.chunks(MAX_DATA).map(<[u8]>::to_vec));
+        self.waiting
+            .extend(data.chunks(MAX_DATA).map(<[u8]>::to_vec));
     }
 
     /// Takes in the acknowledgement and the data of a packet; true if an acknowledgement is due.
@@ -89,7 +90,9 @@
             }
         }
         while self.in_flight.len() < MAX_IN_FLIGHT {
-            let Some(data) = self.waiting.pop_front() else { break };
+            let Some(data) = self.waiting.pop_front() else {
+                break;
+            };
             out.push((self.send_next, data.clone()));
             let seq = self.send_next;
             self.send_next = seq.wrapping_add(data.len() as u32);
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -86,7 +86,10 @@
         self.next_number = self.next_number.wrapping_mul(48_271) % 0x7fff_ffff;
         let mut endpoint = Endpoint::start(self.next_number, service, zone, addr, slots)?;
         endpoint.report(&self.store);
-        self.record.line(&format!("endpoint {} of {service} in {zone} at {addr}", endpoint.id));
+        self.record.line(&format!(
+            "endpoint {} of {service} in {zone} at {addr}",
+            endpoint.id
+        ));
         self.endpoints.push(endpoint);
         Ok(self.endpoints.len() - 1)
     }
@@ -99,7 +102,10 @@
         self.next_number = self.next_number.wrapping_mul(48_271) % 0x7fff_ffff;
         let mut endpoint = Endpoint::start(self.next_number, service, zone, addr, slots)?;
         endpoint.report(&self.store);
-        self.record.line(&format!("endpoint {} of {service} in {zone} at {addr}", endpoint.id));
+        self.record.line(&format!(
+            "endpoint {} of {service} in {zone} at {addr}",
+            endpoint.id
+        ));
         self.endpoints.push(endpoint);
         Ok(())
     }
@@ -154,9 +160,13 @@
     pub fn finish(&mut self, events: &[&str]) {
         for host in &mut self.hosts {
             let ended = host.has_ended();
-            self.record.line(&format!("{} has ended by itself: {ended}", host.name));
+            self.record
+                .line(&format!("{} has ended by itself: {ended}", host.name));
             for line in host.log().lines() {
-                if events.iter().any(|event| line.contains(&format!("\"event\":\"{event}\""))) {
+                if events
+                    .iter()
+                    .any(|event| line.contains(&format!("\"event\":\"{event}\"")))
+                {
                     self.record.line(&format!("log {line}"));
                 }
             }
