Set down reports between hosts, and the design of shared health and capacity

Nothing fills a report yet. The events of a control tick are handled in order, and the actions of each are carried out; those of `Drained` were dropped before.

--- a/examples/path_cost.rs
+++ b/examples/path_cost.rs
@@ -378,6 +378,7 @@
 fn new_host(index: usize) -> Host {
     let name: Name = format!("host-{index}").into();
     Host {
+        availability_zone: "".into(),
         id: Id::of(&name),
         name,
         incarnation: 1,
@@ -393,6 +394,7 @@
         service_time: Duration::from_millis(10),
     };
     Service {
+        warmup_limit: None,
         id: Id::of("adserve"),
         name: "adserve".into(),
         endpoints: (0..endpoints).map(new_endpoint).collect(),
--- a/examples/swing/simulation.rs
+++ b/examples/swing/simulation.rs
@@ -389,6 +389,7 @@
     let name: Name = format!("host-{index}").into();
     let last = u8::try_from(index).unwrap_or(u8::MAX);
     jacinthhinge::snapshot::Host {
+        availability_zone: "".into(),
         id: Id::of(&name),
         name,
         incarnation: (index as u64 + 1) << 40,
@@ -400,6 +401,7 @@
 fn build_service(service: usize, has_reserve: bool) -> Service {
     let spec = SERVICES[service];
     Service {
+        warmup_limit: None,
         id: Id::of(spec.name),
         name: spec.name.into(),
         endpoints: (0..spec.endpoints)
--- a/src/config/resolve.rs
+++ b/src/config/resolve.rs
@@ -142,6 +142,7 @@
             .map(|endpoint| self.endpoint(row, endpoint, host, zone))
             .collect();
         Service {
+            warmup_limit: None,
             id: Id::of(&row.name),
             name: row.name.clone(),
             endpoints,
--- a/src/control/apply.rs
+++ b/src/control/apply.rs
@@ -42,6 +42,7 @@
     snapshot.revision = tables.values.revision;
     snapshot.keys = keys;
     snapshot.routes = Arc::new(built.routes);
+    snapshot.evacuated_zones = Arc::new(built.evacuated_zones);
     tables.snapshot = snapshot;
     tables.output.snapshot_changed = true;
     let Revision { era, number } = tables.values.revision;
--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -11,7 +11,7 @@
 
 use super::message::{Heartbeat, MemberUpdate, Status, Timestamp};
 use super::tables::{Member, Tables};
-use super::{Action, Outbox, lease, members};
+use super::{Action, Outbox, lease, members, reports};
 use crate::id::Id;
 
 /// Period of heartbeat rounds in zones whose members fit into one round.
@@ -110,6 +110,7 @@
         for update in &heartbeat.updates {
             members::apply_update(tables, now, update);
         }
+        reports::receive(tables, now, heartbeat);
     }
     if needs_answer(tables, heartbeat) {
         send(tables, now, heartbeat.from, false, outbox);
@@ -226,6 +227,8 @@
         ping: false,
         vote: lease::vote(tables, now),
         updates,
+        report: reports::for_member(tables, to),
+        report_age: now.saturating_sub(tables.reports.own.taken_at),
     }
 }
 
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -1,18 +1,20 @@
 //! Typed messages between hosts, and the platform's responses.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Serialize, Serializer};
 use smallvec::SmallVec;
 
 use crate::id::{Id, Incarnation, Name};
+use crate::report::LaneReport;
 use crate::revision::Revision;
 
 /// Heartbeat of a host.
 ///
 /// It acknowledges the receiver's last heartbeat and carries gossip about other hosts.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Heartbeat {
     /// Id of the sender.
     pub from: Id,
@@ -42,6 +44,10 @@
     pub vote: Vote,
     /// Gossiped updates about members.
     pub updates: SmallVec<[MemberUpdate; 2]>,
+    /// What the lanes of the sender observe, if the receiver should know it.
+    pub report: Option<Arc<LaneReport>>,
+    /// Time since `report` was made.
+    pub report_age: Duration,
 }
 
 /// Send time of a heartbeat: the sender's incarnation plus microseconds since its start.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod publish;
 mod readers;
 mod removals;
+mod reports;
 mod settings;
 mod tables;
 mod values;
@@ -27,6 +28,7 @@
 use std::time::Duration;
 
 use crate::error::Result;
+use crate::report::LaneReport;
 use crate::revision::Revision;
 use crate::snapshot::Snapshot;
 
@@ -52,6 +54,8 @@
     Values(Result<ValueUpdate>),
     /// A read of the platform's host list completed or failed.
     Hosts(Result<HostList>),
+    /// The lanes of this host have published reports.
+    LaneReports(Vec<Arc<LaneReport>>),
     /// A message could not be decoded or authenticated.
     Rejected,
     /// The seed hosts in the settings have changed.
@@ -127,6 +131,7 @@
             Event::Fetched(result) => fetch::receive(tables, now, result),
             Event::Values(result) => platform_reads::receive_values(tables, now, result),
             Event::Hosts(result) => platform_reads::receive_hosts(tables, now, result),
+            Event::LaneReports(lanes) => reports::update_own(tables, &lanes),
             Event::Rejected => tables.counters.rejected += 1,
             Event::Seeds(seeds) => tables.settings.seeds = seeds,
             Event::Leave => leave::start(tables, now, &mut outbox),
@@ -157,6 +162,7 @@
     platform_reads::run(tables, now, outbox);
     fetch::run(tables, now, outbox);
     leave::run(tables, now, outbox);
+    reports::run(tables, now, outbox);
 }
 
 /// Runs the systems that derive state from changed tables.
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -15,6 +15,7 @@
 use super::settings::Settings;
 use super::values::ValueTable;
 use crate::id::{Id, Incarnation};
+use crate::report::{HostReport, LaneReport};
 use crate::revision::{Revision, serialize_number};
 use crate::snapshot::{Host, Snapshot};
 
@@ -40,6 +41,8 @@
     #[serde(rename = "watch")]
     pub(super) platform_reads: PlatformReads,
     pub(super) fetch: FetchProgress,
+    /// What this host and others report about endpoints and load.
+    pub reports: ReportTable,
     #[serde(skip)]
     pub(super) snapshot: Snapshot,
     #[serde(skip)]
@@ -278,6 +281,21 @@
     pub(super) request: FetchRequest,
 }
 
+/// Reports of this host's lanes and of other hosts.
+#[derive(Debug, Default, Serialize)]
+pub struct ReportTable {
+    /// Sum of the reports of this host's lanes.
+    pub own: Arc<LaneReport>,
+    /// Newest report of each other host.
+    pub others: BTreeMap<Id, HostReport>,
+    /// True if `own` has changed since it was last sent.
+    #[serde(skip)]
+    pub(super) own_changed: bool,
+    /// True if `others` has changed since the snapshot was last updated.
+    #[serde(skip)]
+    pub(super) others_changed: bool,
+}
+
 /// Whether the snapshot must be published and whether the traffic lanes have drained.
 #[derive(Debug, Default)]
 pub(super) struct PendingOutput {
@@ -366,6 +384,7 @@
             heartbeats,
             platform_reads: PlatformReads::default(),
             fetch: FetchProgress::default(),
+            reports: ReportTable::default(),
             snapshot: Snapshot::empty(settings.keys.clone()),
             output: PendingOutput {
                 snapshot_changed: true,
@@ -387,6 +406,7 @@
             id: self.me.id,
             name: Arc::clone(&self.me.info.name),
             incarnation: self.me.incarnation,
+            availability_zone: Arc::clone(&self.me.info.availability_zone),
             lanes: self.me.info.lanes.clone(),
             leaving: self.me.leaving_since.is_some()
                 || self.voter_sets.is_listed_leaving(&self.me.info),
@@ -405,6 +425,7 @@
             id: member.id,
             name: Arc::clone(&member.info.name),
             incarnation: member.incarnation,
+            availability_zone: Arc::clone(&member.info.availability_zone),
             lanes: member.info.lanes.clone(),
             leaving: member.leaving || self.voter_sets.is_listed_leaving(&member.info),
         }
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -1,6 +1,6 @@
 //! Configuration values: the active ones and refused changes.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -25,6 +25,8 @@
     pub services: Vec<Service>,
     /// Routes of TCP segments by the address to which callers send.
     pub routes: HashMap<SocketAddr, Route>,
+    /// Availability zones whose endpoints get no new flows.
+    pub evacuated_zones: BTreeSet<Name>,
     /// Ticket keys, if the values contain any.
     pub keys: Option<TicketKeys>,
     /// Number of values that were refused on their own since the last build, while the others
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -12,6 +12,7 @@
 use bytes::BytesMut;
 use futures_util::future::{BoxFuture, ready};
 use futures_util::{FutureExt, SinkExt, StreamExt};
+use smallvec::SmallVec;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
@@ -28,6 +29,7 @@
 };
 use crate::error::{Error, Result};
 use crate::platform::store::Store;
+use crate::report::LaneReport;
 use crate::revision::Revision;
 use crate::snapshot::Snapshot;
 use crate::wire::{self, MAX_FETCH_BYTES, PeerKey};
@@ -120,6 +122,8 @@
     pub count_in_flight: Arc<dyn Fn() -> usize + Send + Sync>,
     /// Becomes true when this host shall drain and leave.
     pub leave: watch::Receiver<bool>,
+    /// Returns the newest reports of all lanes.
+    pub lane_reports: Arc<dyn Fn() -> Vec<Arc<LaneReport>> + Send + Sync>,
     /// Requests for a dump of the control tables.
     pub dump_requests: mpsc::Receiver<oneshot::Sender<serde_json::Value>>,
     /// Control addresses of the seed hosts, updated when they change.
@@ -225,16 +229,22 @@
         }
     }
 
-    /// Handles an event. Returns true once this host has left.
+    /// Handles an event, a tick after what the lanes have published. Returns true once this host
+    /// has left.
     async fn handle(&mut self, event: Event) -> bool {
-        let is_tick = matches!(event, Event::Tick);
-        if is_tick && self.is_drained() {
+        let mut events: SmallVec<[Event; 3]> = SmallVec::new();
+        if matches!(event, Event::Tick) {
+            events.extend(self.is_drained().then_some(Event::Drained));
+            events.push(Event::LaneReports((self.channels.lane_reports)()));
+        }
+        events.push(event);
+        let mut left = false;
+        for event in events {
             let now = self.clock.now();
-            self.control.handle(now, Event::Drained);
+            let outbox = self.control.handle(now, event);
+            left |= self.run_actions(outbox).await;
         }
-        let now = self.clock.now();
-        let outbox = self.control.handle(now, event);
-        self.run_actions(outbox).await
+        left
     }
 
     fn is_drained(&self) -> bool {
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -23,6 +23,7 @@
 use crate::error::{Error, Result};
 use crate::id::Name;
 use crate::packet::{Body, MAX_PACKET_BYTES};
+use crate::report::LaneReport;
 use crate::segment::RelayAction;
 use crate::snapshot::Snapshot;
 use crate::systems::{self, BATCH_SIZE, TICK_INTERVAL};
@@ -50,6 +51,8 @@
     pub down_endpoints: AtomicUsize,
     /// Counters since the start, updated every second.
     pub counters: ArcSwap<Counters>,
+    /// What the lane observes of endpoints and load.
+    pub report: ArcSwap<LaneReport>,
 }
 
 /// Decodes a datagram and adds it to the matching inbox of the tables.
@@ -329,6 +332,10 @@
     }
 
     fn update_stats(&mut self, now: Duration) {
+        let report = &self.tables.report;
+        if !Arc::ptr_eq(&self.stats.report.load(), report) {
+            self.stats.report.store(Arc::clone(report));
+        }
         let in_flight = self.tables.in_flight(now);
         self.stats.in_flight.store(in_flight, Ordering::Relaxed);
         if now < self.last_stats + STATS_INTERVAL {
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -31,6 +31,7 @@
 use crate::error::{Error, Result};
 use crate::id::{Id, Incarnation, Name};
 use crate::platform::store::Store;
+use crate::report::LaneReport;
 use crate::snapshot::Snapshot;
 use crate::ticket::Home;
 
@@ -82,6 +83,7 @@
         publish_snapshot: snapshot_publisher(&shared),
         count_in_flight: in_flight_counter(&lanes),
         leave: leaving.clone(),
+        lane_reports: lane_reports(&lanes),
         dump_requests,
         seeds: front_end.seeds,
     };
@@ -166,6 +168,14 @@
     })
 }
 
+fn lane_reports(lanes: &Arc<[Lane]>) -> Arc<dyn Fn() -> Vec<Arc<LaneReport>> + Send + Sync> {
+    let lanes = Arc::clone(lanes);
+    Arc::new(move || {
+        let reports = lanes.iter().map(|lane| lane.stats.report.load_full());
+        reports.collect()
+    })
+}
+
 /// Parts of the daemon that depend on its front end.
 pub struct FrontEnd {
     /// Datagram format of the lanes.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! | module | contents |
 //! | --- | --- |
 //! | [`packet`], [`ticket`], [`segment`], [`snapshot`] | input of the decision code: decoded packets, sealed tickets, segments that are relayed without reading their payload, the state that the control thread publishes |
+//! | [`report`] | what a host tells others about endpoints and load |
 //! | [`tables`], [`systems`] | decisions on traffic: routing, flows, requests, dispatch, retries, expiry, probes |
 //! | [`control`] | decisions on membership of a zone, propagation of configuration, the lease |
 //! | [`config`] | the operators' configuration file: defaults, exceptions, validation |
@@ -164,6 +165,7 @@
 pub mod packet;
 pub mod platform;
 pub mod prelude;
+pub mod report;
 pub mod revision;
 pub mod segment;
 pub mod snapshot;
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -127,6 +127,7 @@
         },
         target_latency: wire.target_latency_ms,
         shed_rank: wire.priority,
+        allowed_regions: SmallVec::new(),
     };
     Ok((SocketAddr::new(wire.host, port), route))
 }
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -4,7 +4,7 @@
 //! names no endpoint for new flows, but its last endpoint may still run, so its open flows stay
 //! there as if it were draining.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use super::desired::{self, DesiredState};
@@ -74,6 +74,7 @@
         BuiltConfig {
             services: services.into_values().collect(),
             routes: self.desired.routes.clone(),
+            evacuated_zones: BTreeSet::new(),
             keys: None,
             refused_values: std::mem::take(&mut self.refused),
         }
--- a/src/segment.rs
+++ b/src/segment.rs
@@ -126,4 +126,6 @@
     /// Order in which overload is shed; the route of highest rank is refused first.
     #[serde(rename = "rank")]
     pub shed_rank: u32,
+    /// Regions whose endpoints its flows may reach; all if empty.
+    pub allowed_regions: SmallVec<[Name; 2]>,
 }
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -3,7 +3,7 @@
 //! A [`Snapshot`] is immutable. The control thread builds and publishes a new one
 //! on each change; unchanged parts are shared between snapshots.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +13,7 @@
 
 use crate::id::{FlowKey, Id, Incarnation, Name, rendezvous_weight};
 use crate::packet::Class;
+use crate::report::HostReport;
 use crate::revision::Revision;
 use crate::segment::Route;
 use crate::ticket::{Home, TicketKeys};
@@ -49,6 +50,12 @@
     pub earlier_views: Arc<[Arc<[Host]>]>,
     /// True while this host is shutting down.
     pub leaving: bool,
+    /// Availability zones whose endpoints get no new flows, by order of the operators.
+    pub evacuated_zones: Arc<BTreeSet<Name>>,
+    /// Newest reports of the other live hosts.
+    pub reports: Arc<[HostReport]>,
+    /// True while this host sees more than half of the hosts that it has seen lately.
+    pub has_majority: bool,
     /// Time at which this host last read a large configuration change, which keeps its
     /// link and its processor busy.
     pub large_update: Option<Duration>,
@@ -63,6 +70,9 @@
     pub name: Name,
     /// Its incarnation.
     pub incarnation: Incarnation,
+    /// Its availability zone.
+    #[serde(rename = "place")]
+    pub availability_zone: Name,
     /// Addresses of its traffic lanes.
     pub lanes: SmallVec<[SocketAddr; 4]>,
     /// True when it has announced that it shuts down; it becomes home to no new flow.
@@ -123,6 +133,28 @@
     /// Slots of each endpoint that long-running work may not use.
     #[serde(rename = "reserve")]
     pub reserved_slots: u32,
+    /// Limit on the new flows of an endpoint that warms up, if there is one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub warmup_limit: Option<WarmupLimit>,
+}
+
+/// Limit on the new flows that all hosts together send to an endpoint while it warms up.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct WarmupLimit {
+    /// Requests a second that the endpoint bears.
+    pub rate: f64,
+    /// Multiple of `rate` that is tolerated.
+    pub excess: f64,
+    /// Number of flows a second that is tolerated beyond that.
+    pub slack: f64,
+}
+
+impl WarmupLimit {
+    /// Returns the largest number of new flows in any span of one second.
+    #[must_use]
+    pub fn flows_per_second(&self) -> f64 {
+        self.rate * self.excess + self.slack
+    }
 }
 
 /// Policy of one class of work.
@@ -147,6 +179,8 @@
     pub addr: SocketAddr,
     /// Its zone.
     pub zone: Name,
+    /// Region of its zone, empty if it is not known.
+    pub region: Name,
     /// Maximum number of requests executed at once.
     pub slots: u32,
     /// Maximum number of open flows.
@@ -184,6 +218,7 @@
             idle_limit: Duration::from_mins(5),
             retry_share: 0.1,
             reserved_slots: 1,
+            warmup_limit: None,
         }
     }
 
@@ -223,6 +258,7 @@
             name: name.into(),
             addr,
             zone: "".into(),
+            region: "".into(),
             slots: 3,
             max_conns: 2_000,
             weight: 1.0,
@@ -253,6 +289,9 @@
             partial_lease: Lease::default(),
             earlier_views: Arc::from([]),
             leaving: false,
+            evacuated_zones: Arc::default(),
+            reports: Arc::from([]),
+            has_majority: true,
             large_update: None,
         }
     }
--- a/src/systems/relay/failure_detector.rs
+++ b/src/systems/relay/failure_detector.rs
@@ -215,6 +215,7 @@
         row.down = Some(DownState {
             since: now,
             whole_zone: true,
+            confirmed: true,
         });
         down_ids.push(row.spec.id);
     }
@@ -244,6 +245,7 @@
         row.down = Some(DownState {
             since: now,
             whole_zone: false,
+            confirmed: true,
         });
         tables.counters.failed_endpoints += 1;
         down_ids.push(row.spec.id);
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -120,6 +120,8 @@
     /// True if the endpoints of its zone stopped answering together.
     #[serde(rename = "zone")]
     pub whole_zone: bool,
+    /// True if the evidence suffices to reset open flows; otherwise new flows are steered away.
+    pub confirmed: bool,
 }
 
 /// A flow whose data is not answered.
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -38,6 +38,7 @@
 pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
 
 use crate::packet::{Body, Packet};
+use crate::report::LaneReport;
 use crate::segment::{RelayAction, Segment};
 use crate::snapshot::Snapshot;
 use crate::systems::Policies;
@@ -64,6 +65,8 @@
     pub held_requests: HeldRequests,
     /// Recent answers and retransmissions of those flows.
     pub recent_counts: RecentCounts,
+    /// What this lane last reported about endpoints and load.
+    pub report: Arc<LaneReport>,
     /// Flows that this lane is the home of.
     pub flows: Flows,
     /// Requests that this lane is the home of.
@@ -108,6 +111,7 @@
             tracked_flows: TrackedFlows::default(),
             held_requests: HeldRequests::default(),
             recent_counts: RecentCounts::default(),
+            report: Arc::default(),
             flows: Flows::default(),
             requests: Requests::new(&home),
             retry_budgets: RetryBudgets::default(),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,6 +7,7 @@
 mod addr;
 mod packet;
 mod peer;
+mod report;
 mod ticket;
 
 pub use packet::{decode_packet, encode_packet};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -7,7 +7,8 @@
 use prost::Message;
 use smallvec::SmallVec;
 
-use super::addr;
+use super::report::WireReport;
+use super::{addr, report};
 use crate::control::lease::MAX_VIEWS;
 use crate::control::message::{
     FetchRequest, FetchResponse, Heartbeat, HostInfo, ListedHost, MemberUpdate, Status, Timestamp,
@@ -116,6 +117,12 @@
     /// Milliseconds since the platform last answered the sender, absent if that is long ago.
     #[prost(uint32, optional, tag = "18")]
     read_age_ms: Option<u32>,
+    /// What the lanes of the sender observe.
+    #[prost(message, optional, tag = "19")]
+    report: Option<WireReport>,
+    /// Milliseconds since `report` was made.
+    #[prost(uint32, tag = "20")]
+    report_age_ms: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -254,6 +261,11 @@
         era: heartbeat.revision.era,
         roster_era: heartbeat.list_revision.era,
         read_age_ms: heartbeat.read_age.map(encode_millis),
+        report: heartbeat.report.as_deref().map(report::encode),
+        report_age_ms: match heartbeat.report {
+            Some(_) => encode_millis(heartbeat.report_age),
+            None => 0,
+        },
     };
     key.sign(wire.encode_to_vec())
 }
@@ -297,6 +309,8 @@
             .into_iter()
             .map(decode_member_update)
             .collect::<Result<_>>()?,
+        report: wire.report.as_ref().map(report::decode).transpose()?,
+        report_age: Duration::from_millis(wire.report_age_ms.into()),
     })
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -188,6 +188,7 @@
             .iter()
             .filter(|endpoint| endpoint.configured_service == *name);
         Service {
+            warmup_limit: None,
             id: Id::of(name),
             name: name.clone(),
             endpoints: endpoints
@@ -206,6 +207,7 @@
     pub fn host_entry(&self, host: usize) -> Host {
         let row = &self.hosts[host];
         Host {
+            availability_zone: "".into(),
             id: row.tables.home.host,
             name: format!("host-{host}").into(),
             incarnation: row.tables.home.incarnation,
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -44,6 +44,7 @@
         let (dump_sender, dump_requests) = ControlChannels::dump_channel();
         let sink = Arc::clone(&published);
         let channels = ControlChannels {
+            lane_reports: Arc::new(Vec::new),
             publish_snapshot: Arc::new(move |snapshot| sink.lock().expect("lock").push(snapshot)),
             count_in_flight: Arc::new(|| 0),
             leave: leaving,
@@ -189,6 +190,8 @@
 
 fn heartbeat() -> Heartbeat {
     Heartbeat {
+        report: None,
+        report_age: Duration::ZERO,
         from: zone::host_id(3),
         incarnation: 5,
         version: 2,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -844,6 +844,8 @@
 fn heartbeat(at: u64, revision: u64) -> Heartbeat {
     let name = "edge-sv-b-1";
     Heartbeat {
+        report: None,
+        report_age: Duration::ZERO,
         from: Id::of(name),
         incarnation: 1,
         version: 0,
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -62,6 +62,7 @@
         kind: RequestKind::Idempotent,
         target_latency: ms(250),
         shed_rank: 2,
+        allowed_regions: smallvec![],
     };
     snapshot.routes = Arc::new(HashMap::from([(vip(), route)]));
     Arc::new(snapshot)
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -236,6 +236,7 @@
     #[test]
     fn endpoint_packet_with_an_invalid_ticket_changes_no_table(packet in packet(endpoint_body())) {
         let service = Service {
+            warmup_limit: None,
             id: Id::of("adserve"),
             name: "adserve".into(),
             endpoints: Vec::new(),
