Reset flows of a silent zone early only on strong evidence

A host that used two or three endpoints of a zone took the zone to be partitioned when one of them drained or crashed while the others ran requests of 400 to 500 ms, and reset flows of endpoints that were alive. The answers of a draining endpoint also counted as expected.

Zone evidence moves to zone_evidence.rs and gives two results. New flows are steered away as before. Flows are reset after one retransmission only if at least four endpoints are stalled, which alone would have answered six times (DownState::confirmed); otherwise a flow is reset after two retransmissions of its own. Draining, replaced and evacuated endpoints count neither as stalled nor in the expected answers. Evidence against a single endpoint confirms one of an unconfirmed zone.

zone_whose_endpoints_all_stall_is_marked_down had two endpoints in the zone and expected resets after one retransmission, which is the fault itself. It is replaced by the same test with four endpoints and by one with two, which checks that new flows go elsewhere, that nothing is reset after one retransmission and that everything is after the second.

--- a/src/systems/relay/failure_detector.rs
+++ b/src/systems/relay/failure_detector.rs
@@ -3,10 +3,14 @@
 //! A flow is stalled when its caller has retransmitted data at least once and the endpoint
 //! has not answered. One stalled flow proves little: its packets may be lost or its request
 //! may take long. Several stalled flows, each with two retransmissions, at an endpoint that
-//! answers no other flow show that the endpoint is down or unreachable. When the endpoints
-//! of a zone go silent together, the zone is partitioned; this is detected sooner, because
-//! one retransmission per flow is enough. When all or most endpoints are silent, the cause
-//! is this host, and no endpoint is marked down.
+//! answers no other flow show that the endpoint is down or unreachable. Endpoints of a zone
+//! that go silent together are judged in [`zone_evidence`]. When all or most endpoints are
+//! silent, the cause is this host, and no endpoint is marked down.
+//!
+//! An endpoint that is down gets no new flows except trials. Its waiting flows are reset
+//! after one retransmission if the evidence is strong ([`DownState::confirmed`]). Otherwise
+//! the endpoint may be alive with long requests, and a flow is reset only after
+//! [`MIN_ENDPOINT_RETRANSMISSIONS`] of its own.
 //!
 //! After a pause of this process, what it reads first waited for it and not for the endpoints.
 //! Nothing is marked down and no flow is reset until new observations have replaced the old ones.
@@ -14,13 +18,12 @@
 //! Each lane, a traffic thread with its own tables, detects failures from the flows that
 //! pass through it.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{is_idempotent, reset_down_flow, uncount_flow};
+use super::{is_idempotent, reset_down_flow, uncount_flow, zone_evidence};
 use crate::clock::millis;
-use crate::id::{Id, Name};
-use crate::tables::{DownState, EndpointRow, Outbox, Tables};
+use crate::id::Id;
+use crate::tables::{DownState, EndpointRow, Outbox, Tables, TrackedFlow};
 
 /// Retransmissions of a stalled flow after which it counts towards its endpoint being down.
 /// A long request causes only one, because the endpoint acknowledges the first
@@ -38,26 +41,6 @@
 /// retransmissions is routed through another host, or its caller has given up.
 const MAX_STALL_AGE: Duration = Duration::from_secs(1);
 
-/// Minimum number of stalled flows at the endpoints of a silent zone.
-const MIN_ZONE_FLOWS: usize = 3;
-
-/// Minimum time since the last answer from a silent zone: slightly longer than
-/// [`INITIAL_RETRANSMIT_TIMEOUT`], after which callers have retransmitted once.
-const MIN_ZONE_SILENCE: Duration = Duration::from_millis(250);
-
-/// Minimum number of endpoints with stalled flows in a silent zone.
-const MIN_ZONE_ENDPOINTS: usize = 2;
-
-/// Minimum share of endpoints with stalled flows among the endpoints of a silent zone that
-/// have flows of this lane. The deployment of a new software release also stops several
-/// endpoints together, but only a part of those in a zone.
-const MIN_ZONE_SHARE: f64 = 0.75;
-
-/// Minimum number of answers that a silent zone would have sent since its last answer at
-/// its earlier rate. A healthy zone for which this many answers are expected sends none by
-/// chance once in 400 times; with a lower limit, a few long requests look like silence.
-const MIN_MISSED_ANSWERS: f64 = 6.0;
-
 /// Time after a large configuration change was read during which detection is paused.
 const SNAPSHOT_GRACE: Duration = Duration::from_secs(2);
 
@@ -86,28 +69,13 @@
     if !any_stalled || is_host_impaired(tables, now) {
         return;
     }
-    let mut down_ids = detect_down_zones(tables, now);
+    let mut down_ids = zone_evidence::detect_down_zones(tables, now);
     down_ids.extend(detect_down_endpoints(tables, now));
     if !down_ids.is_empty() {
         reset_waiting_flows(tables, &down_ids, now, out);
     }
 }
 
-/// Marks the endpoints of a partitioned zone as up, after one of them has answered.
-pub(super) fn mark_zone_up(tables: &mut Tables, zone: &Name, now: Duration) {
-    log::info!(zone:%; "zone_up");
-    for row in tables.endpoints.iter_mut() {
-        if row.spec.zone == *zone && row.down.is_some_and(|down| down.whole_zone) {
-            row.down = None;
-            row.unanswered_since = None;
-            row.stalled_flows.clear();
-            // An endpoint that still does not answer gets no opening segment as a trial
-            // before a full trial interval has passed.
-            row.last_trial = now;
-        }
-    }
-}
-
 /// Returns true shortly after a pause of this process.
 pub(super) fn has_just_resumed(tables: &Tables, now: Duration) -> bool {
     !tables.last_resume.is_zero() && now < tables.last_resume + RESUME_GRACE
@@ -137,99 +105,6 @@
     stalled >= MIN_LOCAL_ENDPOINTS && ratio(stalled, total) >= MIN_LOCAL_SHARE
 }
 
-/// Traffic statistics of the endpoints of a zone.
-#[derive(Default)]
-struct ZoneStats {
-    /// Number of stalled flows, with at least one retransmission each.
-    stalled_flows: usize,
-    /// Number of endpoints with stalled flows.
-    stalled_endpoints: usize,
-    /// Number of endpoints with flows that pass through this lane.
-    used_endpoints: usize,
-    /// Time of the last answer of one of the endpoints.
-    last_heard: Duration,
-    /// Decayed count of answers during the second before `last_heard`.
-    recent_answers: f64,
-}
-
-impl ZoneStats {
-    /// Returns true when most of the endpoints have stalled flows and no endpoint answers.
-    fn is_silent(&self, now: Duration) -> bool {
-        self.stalled_flows >= MIN_ZONE_FLOWS
-            && self.stalled_endpoints >= MIN_ZONE_ENDPOINTS
-            && ratio(self.stalled_endpoints, self.used_endpoints) >= MIN_ZONE_SHARE
-            && now >= self.last_heard + MIN_ZONE_SILENCE
-            && self.missed_answers(now) >= MIN_MISSED_ANSWERS
-    }
-
-    /// Returns the number of answers expected since `last_heard` at the earlier rate.
-    fn missed_answers(&self, now: Duration) -> f64 {
-        self.recent_answers * now.saturating_sub(self.last_heard).as_secs_f64()
-    }
-}
-
-/// Marks partitioned zones as down and returns their endpoints.
-fn detect_down_zones(tables: &mut Tables, now: Duration) -> Vec<Id> {
-    let zones = collect_zone_stats(tables, now);
-    let others_answer = |name: &Name| {
-        let mut others = zones.iter().filter(|(other, _)| *other != name);
-        others.any(|(_, zone)| answered_recently(zone.last_heard, now))
-    };
-    let mut down_ids = Vec::new();
-    for (name, stats) in &zones {
-        if stats.is_silent(now) && others_answer(name) {
-            down_ids.extend(mark_zone_down(tables, name, stats, now));
-        }
-    }
-    down_ids
-}
-
-/// Collects the statistics of each zone; draining endpoints count only as answering.
-fn collect_zone_stats(tables: &Tables, now: Duration) -> BTreeMap<Name, ZoneStats> {
-    let mut zones: BTreeMap<Name, ZoneStats> = BTreeMap::new();
-    for row in tables.endpoints.iter() {
-        let zone = zones.entry(row.spec.zone.clone()).or_default();
-        zone.last_heard = zone.last_heard.max(row.last_heard);
-        if row.draining_since.is_some() {
-            continue;
-        }
-        let flows = count_stalled(row, 1, now);
-        zone.stalled_flows += flows;
-        zone.stalled_endpoints += usize::from(flows > 0);
-        zone.used_endpoints += usize::from(row.flow_count > 0);
-    }
-    for row in tables.endpoints.iter() {
-        if let Some(zone) = zones.get_mut(&row.spec.zone) {
-            zone.recent_answers += row.recent_answers_at(zone.last_heard);
-        }
-    }
-    zones
-}
-
-/// Marks the endpoints of a zone as down; returns those that were up.
-fn mark_zone_down(tables: &mut Tables, zone: &Name, stats: &ZoneStats, now: Duration) -> Vec<Id> {
-    let rows = tables.endpoints.iter_mut();
-    let up = rows.filter(|row| row.spec.zone == *zone && row.down.is_none());
-    let mut down_ids = Vec::new();
-    for row in up {
-        row.down = Some(DownState {
-            since: now,
-            whole_zone: true,
-            confirmed: true,
-        });
-        down_ids.push(row.spec.id);
-    }
-    if !down_ids.is_empty() {
-        log::warn!(
-            zone:%, stalled_flows = stats.stalled_flows, stalled_endpoints = stats.stalled_endpoints,
-            used_endpoints = stats.used_endpoints,
-            heard_ms = millis(now.saturating_sub(stats.last_heard)), missed = stats.missed_answers(now);
-            "zone_down"
-        );
-    }
-    down_ids
-}
-
 /// Marks single endpoints as down and returns them.
 fn detect_down_endpoints(tables: &mut Tables, now: Duration) -> Vec<Id> {
     let answers = last_two_answering(tables);
@@ -239,11 +114,13 @@
         let others_answer = others
             .map(|(_, time)| *time)
             .any(|time| answered_recently(time, now));
-        if row.down.is_some() || !others_answer || !has_enough_stalled_flows(row, now) {
+        let is_confirmed = row.down.is_some_and(|down| down.confirmed);
+        if is_confirmed || !others_answer || !has_enough_stalled_flows(row, now) {
             continue;
         }
         row.down = Some(DownState {
-            since: now,
+            since: row.down.map_or(now, |down| down.since),
+            // An answer of another endpoint of its zone does not refute this evidence.
             whole_zone: false,
             confirmed: true,
         });
@@ -270,13 +147,13 @@
     answers
 }
 
-fn ratio(part: usize, whole: usize) -> f64 {
+pub(super) fn ratio(part: usize, whole: usize) -> f64 {
     let count = |number| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
     count(part) / count(whole.max(1))
 }
 
 /// Returns true for an answer within [`MAX_ANSWER_AGE`]; zero means no answer so far.
-fn answered_recently(last_answer: Duration, now: Duration) -> bool {
+pub(super) fn answered_recently(last_answer: Duration, now: Duration) -> bool {
     !last_answer.is_zero() && now < last_answer + MAX_ANSWER_AGE
 }
 
@@ -294,7 +171,7 @@
 /// A flow does not count if the endpoint has answered any flow after the first
 /// retransmission of this one was due. An earlier answer does not exclude the flow, since
 /// the endpoint may have failed after it.
-fn count_stalled(row: &EndpointRow, min_retransmissions: u32, now: Duration) -> usize {
+pub(super) fn count_stalled(row: &EndpointRow, min_retransmissions: u32, now: Duration) -> usize {
     let stalls = row.stalled_flows.iter();
     stalls
         .filter(|stall| {
@@ -305,6 +182,19 @@
         .count()
 }
 
+/// Returns true when a flow that waits for this endpoint may be reset: the endpoint is down,
+/// and the flow has been retransmitted as often as the strength of that evidence requires.
+pub(super) fn may_reset(row: &EndpointRow, flow: &TrackedFlow) -> bool {
+    row.down.is_some_and(|down| {
+        let required = if down.confirmed {
+            1
+        } else {
+            MIN_ENDPOINT_RETRANSMISSIONS
+        };
+        flow.unanswered_since.is_some() && flow.retransmissions >= required
+    })
+}
+
 /// Resets the flows that wait for down endpoints, so that their callers have time left
 /// to retry idempotent requests.
 fn reset_waiting_flows(tables: &mut Tables, down_ids: &[Id], now: Duration, out: &mut Outbox) {
@@ -312,7 +202,10 @@
         .tracked_flows
         .iter()
         .filter(|flow| down_ids.contains(&flow.endpoint))
-        .filter(|flow| flow.unanswered_since.is_some() && flow.retransmissions > 0)
+        .filter(|flow| {
+            let row = tables.endpoints.get(flow.endpoint);
+            row.is_some_and(|row| may_reset(row, flow))
+        })
         .filter(|flow| now < flow.last_retransmission + MAX_STALL_AGE)
         .filter(|flow| is_idempotent(tables, flow))
         .map(|flow| flow.addrs)
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -8,7 +8,9 @@
 
 use std::time::Duration;
 
-use super::{add_load, failure_detector, is_idempotent, remove_load, timeouts, uncount_flow};
+use super::{
+    add_load, failure_detector, is_idempotent, remove_load, timeouts, uncount_flow, zone_evidence,
+};
 use crate::clock::millis;
 use crate::segment::{Segment, SegmentKind, is_seq_after};
 use crate::tables::{EndpointRow, StalledFlow, Tables, TrackedFlow, TrackedState, observe};
@@ -21,8 +23,8 @@
 /// Number of segments that a caller sends before it waits for an acknowledgement.
 const MAX_UNANSWERED_SEGMENTS: u32 = 16;
 
-/// Time after a retransmission during which other waiting flows of a down endpoint are
-/// reset without a retransmission of their own. Later flows are forwarded, so that the
+/// Time after a retransmission during which other waiting flows of an endpoint that is
+/// confirmed to be down are reset without a retransmission of their own. Later flows are forwarded, so that the
 /// lane notices when the endpoint answers again.
 const SUSPICION_PERIOD: Duration = Duration::from_secs(2);
 
@@ -76,7 +78,9 @@
 /// Returns true when a flow waits for an answer from an endpoint that is down.
 fn awaits_down_endpoint(row: &EndpointRow, flow: &TrackedFlow, now: Duration) -> bool {
     let suspected = now < row.last_suspected + SUSPICION_PERIOD;
-    row.down.is_some() && flow.unanswered_since.is_some() && (flow.retransmissions > 0 || suspected)
+    let is_confirmed = row.down.is_some_and(|down| down.confirmed);
+    let waits = flow.unanswered_since.is_some();
+    (waits && is_confirmed && suspected) || failure_detector::may_reset(row, flow)
 }
 
 /// Returns true when a segment shows that the endpoint has answered the flow.
@@ -128,7 +132,7 @@
             "endpoint_up"
         );
         if let Some(zone) = zone {
-            failure_detector::mark_zone_up(tables, &zone, now);
+            zone_evidence::mark_zone_up(tables, &zone, now);
         }
     }
 }
