Stop counting retransmitted requests whose callers have ended

A request that had been retransmitted was never checked again. If its caller then ended without a packet, the request counted as in progress for 20 s and used up the service's limit at the host, so that requests of other callers waited.

Such a request stops counting as load and as in progress when no segment of its flow has arrived for 1.9 s: the longest interval between two retransmissions of a caller, 1.6 s, and 300 ms for a busy host.

--- a/src/systems/relay/timeouts.rs
+++ b/src/systems/relay/timeouts.rs
@@ -2,7 +2,9 @@
 //!
 //! A caller does not acknowledge a single-packet answer at once, but it retransmits a
 //! request that was not answered. A request that is not retransmitted in time counts
-//! as answered.
+//! as answered. One that has been retransmitted counts as in progress until its caller has
+//! been silent for longer than it would be between two retransmissions: the caller has
+//! ended without a packet, or the flow passes through another host now.
 
 use std::time::Duration;
 
@@ -13,6 +15,10 @@
 /// retransmit after 200 ms, and a busy host may read the retransmission late.
 const ASSUMED_DONE_AFTER: Duration = Duration::from_millis(300);
 
+/// Time without a segment after which a retransmitted request counts as abandoned: the longest
+/// interval between a caller's retransmissions, 1.6 s, and 300 ms for a busy host.
+const ABANDONED_AFTER: Duration = Duration::from_millis(1_900);
+
 /// Time after which a caller abandons a flow that does not open.
 const MAX_OPENING_TIME: Duration = Duration::from_millis(1_400);
 
@@ -44,7 +50,10 @@
                 expire_request(tables, &mut flow, now);
                 tables.tracked_flows.insert(flow);
             }
-            _ => {}
+            _ => {
+                expire_retransmitted(tables, &mut flow, now);
+                tables.tracked_flows.insert(flow);
+            }
         }
     }
 }
@@ -68,6 +77,24 @@
     }
 }
 
+/// Stops counting a retransmitted request as load and as in progress when its caller has
+/// abandoned it, or schedules the next check.
+fn expire_retransmitted(tables: &mut Tables, flow: &mut TrackedFlow, now: Duration) {
+    if flow.unanswered_since.is_none() {
+        remove_load(tables, flow);
+        return;
+    }
+    let abandoned_at = flow.last_heard + ABANDONED_AFTER;
+    if abandoned_at <= now {
+        remove_load(tables, flow);
+        flow.unanswered_since = None;
+    } else {
+        tables
+            .tracked_flows
+            .schedule_check(flow.addrs, abandoned_at);
+    }
+}
+
 /// Removes a flow whose opening its caller has abandoned, or schedules the next check.
 fn expire_opening(tables: &mut Tables, flow: &TrackedFlow, now: Duration) {
     let deadline = flow.first_seen + MAX_OPENING_TIME;
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -9,6 +9,7 @@
 #[path = "../zone/mod.rs"]
 mod zone;
 
+mod abandoned_requests;
 mod answers_of_left_hosts;
 mod answers_to_unlisted_home;
 mod boot_without_endpoints;
