--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -9,6 +9,7 @@
 #[path = "../zone/mod.rs"]
 mod zone;
 
+mod abandoned_requests;
 mod answers_of_left_hosts;
 mod answers_to_unlisted_home;
 mod boot_without_endpoints;
@@ -20,6 +21,7 @@
 mod held_removal;
 mod ignored_readers;
 mod late_response_copy;
+mod long_requests_beside_failed_endpoint;
 mod lost_probes;
 mod mixed_answer_parts;
 mod odd_entry;
