Decode evacuation orders, downloads, and the regions of routes and zones

Cause: operators order evacuations under `op/evacuate/ZONE`, mark routes as downloads and limit them to regions. Hosts ignored the keys and the list of regions, and took downloads for at-most-once requests.

`Type` `download` is idempotent. `AllowedRegions` goes into the route, and an endpoint gets the region of its zone from the settings' `Zones` (`ZoneRegions`); an unknown zone has an empty region, which no list contains.

--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -24,7 +24,7 @@
 use crate::error::{Error, Result};
 use crate::platform::settings::{self, HostSettings};
 use crate::platform::store::Store;
-use crate::platform::{self, header, readiness};
+use crate::platform::{self, ZoneRegions, header, readiness};
 use crate::ticket::TicketKeys;
 use crate::wire::PeerKey;
 
@@ -127,13 +127,21 @@
             ..defaults.info
         },
         drain_limit: host_settings.grace_period.saturating_sub(STOP_MARGIN),
-        config_builder: platform::service_builder(host_settings.zone.clone())
+        config_builder: platform::service_builder(zone_regions(host_settings))
             .and_then(control_plane::cap_slots),
         read_pacing: ReadPacing::frequent(),
         ..defaults
     }
 }
 
+fn zone_regions(host_settings: &HostSettings) -> ZoneRegions {
+    ZoneRegions {
+        zone: host_settings.zone.clone(),
+        region: host_settings.region.clone(),
+        table: host_settings.zone_regions.clone(),
+    }
+}
+
 /// Reads the settings file again on SIGHUP and every [`RELOAD_PERIOD`].
 async fn reload(
     path: PathBuf,
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -42,6 +42,9 @@
     /// Services with their weights; replaces `service` unless empty.
     #[serde(default)]
     backends: Vec<WireBackend>,
+    /// Regions whose endpoints its flows may reach; all if absent, null or empty.
+    #[serde(default)]
+    allowed_regions: Option<SmallVec<[Name; 2]>>,
 }
 
 #[derive(Deserialize)]
@@ -55,6 +58,7 @@
 #[serde(rename_all = "lowercase")]
 enum WireRequestKind {
     Safe,
+    Download,
     #[serde(other)]
     Once,
 }
@@ -122,12 +126,12 @@
         name: wire.name.clone(),
         targets,
         kind: match wire.r#type {
-            WireRequestKind::Safe => RequestKind::Idempotent,
+            WireRequestKind::Safe | WireRequestKind::Download => RequestKind::Idempotent,
             WireRequestKind::Once => RequestKind::Once,
         },
         target_latency: wire.target_latency_ms,
         shed_rank: wire.priority,
-        allowed_regions: SmallVec::new(),
+        allowed_regions: wire.allowed_regions.clone().unwrap_or_default(),
     };
     Ok((SocketAddr::new(wire.host, port), route))
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,8 +6,10 @@
 
 mod desired;
 mod entry;
+mod evacuation;
 pub mod header;
 pub mod readiness;
+mod regions;
 mod services;
 pub mod settings;
 pub mod store;
@@ -15,6 +17,7 @@
 
 use crate::error::Error;
 
+pub use self::regions::ZoneRegions;
 pub use self::services::service_builder;
 pub use self::version::writer_version;
 
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -4,11 +4,12 @@
 //! names no endpoint for new flows, but its last endpoint may still run, so its open flows stay
 //! there as if it were draining.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use super::desired::{self, DesiredState};
 use super::entry::{self, Entry};
+use super::{ZoneRegions, evacuation};
 use crate::control::{BuiltConfig, ConfigBuilder, Value, Values};
 use crate::id::Name;
 use crate::revision::Revision;
@@ -30,21 +31,21 @@
     entry: Option<Entry>,
 }
 
-/// Returns the function that builds services and routes for a host in `zone`.
+/// Returns the function that builds services and routes for a host in the zone of `regions`.
 ///
 /// An entry that cannot be decoded takes no new flows. A desired state that cannot be decoded,
 /// or has a lower version than the current one, is ignored.
 #[must_use]
-pub fn service_builder(zone: Name) -> ConfigBuilder {
+pub fn service_builder(regions: ZoneRegions) -> ConfigBuilder {
     let cache = Mutex::new(Cache::default());
     ConfigBuilder::new(move |values: &Values| {
         let mut cache = cache.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(cache.build(values, &zone))
+        Ok(cache.build(values, &regions))
     })
 }
 
 impl Cache {
-    fn build(&mut self, values: &Values, zone: &str) -> BuiltConfig {
+    fn build(&mut self, values: &Values, regions: &ZoneRegions) -> BuiltConfig {
         if let Some(value) = values.get(desired::KEY) {
             self.apply_desired(value);
         }
@@ -59,7 +60,7 @@
             .iter()
             .filter(|(key, _)| key.starts_with(entry::PREFIX));
         for (key, value) in entries {
-            self.update_entry(key, value, zone);
+            self.update_entry(key, value, &regions.zone);
             let cached = self.entries.get(key);
             let Some(entry) = cached.and_then(|cached| cached.entry.as_ref()) else {
                 continue;
@@ -69,12 +70,13 @@
             };
             let mut endpoint = entry.endpoint.clone();
             endpoint.max_conns = self.desired.max_conns[&entry.service];
+            endpoint.region = regions.region_of(&endpoint.zone);
             service.endpoints.push(endpoint);
         }
         BuiltConfig {
             services: services.into_values().collect(),
             routes: self.desired.routes.clone(),
-            evacuated_zones: BTreeSet::new(),
+            evacuated_zones: evacuation::zones(values),
             keys: None,
             refused_values: std::mem::take(&mut self.refused),
         }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,5 +1,6 @@
 //! Settings file that the platform writes for each process.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
@@ -20,6 +21,9 @@
     ip: IpAddr,
     zone: Name,
     region: Name,
+    /// Region of each zone, by the names of the zones.
+    #[serde(default)]
+    zones: Option<BTreeMap<Name, Name>>,
     listen: WireListen,
     /// First and last port for messages between hosts.
     internal_ports: (u16, u16),
@@ -61,6 +65,8 @@
     pub zone: Name,
     /// Region of the zone.
     pub region: Name,
+    /// Region of each zone that the platform names.
+    pub zone_regions: BTreeMap<Name, Name>,
     /// Address to which routers send the packets of callers.
     pub datagram_addr: SocketAddr,
     /// Address of the readiness probe.
@@ -114,6 +120,7 @@
         name: wire.node_name,
         zone: wire.zone,
         region: wire.region,
+        zone_regions: wire.zones.unwrap_or_default(),
         datagram_addr: wire.listen.datagram_addr,
         ready_addr: wire.listen.ready_addr,
         peer_addr,
--- a/src/segment.rs
+++ b/src/segment.rs
@@ -129,3 +129,13 @@
     /// Regions whose endpoints its flows may reach; all if empty.
     pub allowed_regions: SmallVec<[Name; 2]>,
 }
+
+impl Route {
+    /// Returns true if its flows may reach endpoints of a region. The region of an endpoint
+    /// is empty if it is not known; only a route without a list may use such an endpoint.
+    #[must_use]
+    pub fn allows_region(&self, region: &Name) -> bool {
+        self.allowed_regions.is_empty()
+            || (!region.is_empty() && self.allowed_regions.contains(region))
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -155,7 +155,10 @@
         keys: TicketKeys::new("one", "two"),
         lease_timing: LeaseTiming::default(),
         drain_limit: Duration::from_secs(5),
-        config_builder: platform::service_builder("sv-a".into()),
+        config_builder: platform::service_builder(platform::ZoneRegions::new(
+            "sv-a",
+            "is-sudvestur",
+        )),
         read_pacing: ReadPacing {
             removal_hold: Duration::from_secs(2),
             fetch_delay,
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -83,7 +83,11 @@
         keys: TicketKeys::new("one", "two"),
         lease_timing: LeaseTiming::default(),
         drain_limit: Duration::from_secs(5),
-        config_builder: platform::service_builder("sv-a".into()).and_then(cap_slots),
+        config_builder: platform::service_builder(platform::ZoneRegions::new(
+            "sv-a",
+            "is-sudvestur",
+        ))
+        .and_then(cap_slots),
         read_pacing: ReadPacing::frequent(),
         rng_seed: 1,
     };
