Keep new flows out of evacuated zones and within allowed regions

Change: an endpoint of an evacuated zone accepts no work, whoever places it, and a change of the zones alone reaches the rows. An opening without any endpoint left is refused at once, also when its service is at its limit; cause `evacuated`. Totals of a service leave out evacuated endpoints, and requests on their open flows do not wait for the capacity of the others. The random start of a choice is drawn again if it falls on an excluded endpoint: otherwise the first endpoint after the evacuated ones gets their share. An open packet that its endpoint has not answered is not resent into an evacuated zone.

--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -50,6 +50,10 @@
 /// Largest window, as a multiple of the endpoint's slots.
 const MAX_WINDOW: f64 = 2.0;
 
+/// Largest number of random positions drawn for one choice. With two of three endpoints
+/// excluded, 4% of the choices still begin at one of them.
+const MAX_START_DRAWS: usize = 8;
+
 /// Largest number of endpoints asked for their load at once.
 const MAX_LOAD_REQUESTS: usize = 16;
 
@@ -127,7 +131,7 @@
     tables: &mut Tables,
     tuning: &Tuning,
     service: Id,
-    target_latency: Duration,
+    route: &Route,
     tried: &[Id],
     now: Duration,
 ) -> Option<Id> {
@@ -136,8 +140,9 @@
         ..*tuning
     };
     let mean_time = mean_answer_time(tables, service);
-    let limit = tuning.latency_share * target_latency.as_secs_f64();
-    pick_best(tables, &tuning, service, now, |row| {
+    let limit = tuning.latency_share * route.target_latency.as_secs_f64();
+    let is_allowed = |row: &EndpointRow| route.allows_region(&row.spec.region);
+    pick_allowed(tables, &tuning, service, now, is_allowed, |row| {
         if tried.contains(&row.spec.id) || row.flow_count >= row.spec.max_conns {
             return None;
         }
@@ -322,12 +327,25 @@
     now: Duration,
     usage_of: impl Fn(&EndpointRow) -> Option<Usage>,
 ) -> Option<Id> {
-    let start = random_start(tables, service);
+    pick_allowed(tables, tuning, service, now, |_| true, usage_of)
+}
+
+/// Returns what [`pick_best`] does, but only of the endpoints that `is_allowed` accepts.
+fn pick_allowed(
+    tables: &mut Tables,
+    tuning: &Tuning,
+    service: Id,
+    now: Duration,
+    is_allowed: impl Fn(&EndpointRow) -> bool,
+    usage_of: impl Fn(&EndpointRow) -> Option<Usage>,
+) -> Option<Id> {
+    let is_excluded = |row: &EndpointRow| row.evacuated || !is_allowed(row);
+    let start = random_start(tables, service, is_excluded);
     let candidates = || {
         tables
             .endpoints
             .of_service_from(service, start)
-            .filter(|row| row.accepts_work(now))
+            .filter(|row| row.accepts_work(now) && is_allowed(row))
             .take(tuning.sample_size)
     };
     let any_healthy = candidates().any(|row| !is_unhealthy(row, tuning, now));
@@ -349,10 +367,26 @@
         .map(|candidate| candidate.id)
 }
 
-/// Returns a random start position among the endpoints of a service.
-fn random_start(tables: &mut Tables, service: Id) -> usize {
-    let count = tables.endpoints.count(service);
-    tables.rng.random_range(0..count.max(1))
+/// Returns a random start position among the endpoints of a service, if possible at one that
+/// is not excluded.
+///
+/// Otherwise the first endpoint after a group of excluded ones, which is often of the same
+/// zone each time, would get their share.
+fn random_start(
+    tables: &mut Tables,
+    service: Id,
+    is_excluded: impl Fn(&EndpointRow) -> bool,
+) -> usize {
+    let count = tables.endpoints.count(service).max(1);
+    let mut start = tables.rng.random_range(0..count);
+    for _ in 1..MAX_START_DRAWS {
+        let first = tables.endpoints.of_service_from(service, start).next();
+        if !first.is_some_and(&is_excluded) {
+            break;
+        }
+        start = tables.rng.random_range(0..count);
+    }
+    start
 }
 
 /// Returns the score of an endpoint, which is lower the more load it should get.
@@ -421,7 +455,7 @@
 
 /// Requests new load reports from some endpoints of a service whose reports are old.
 pub(super) fn refresh_loads(tables: &mut Tables, service: Id, now: Duration, out: &mut Outbox) {
-    let start = random_start(tables, service);
+    let start = random_start(tables, service, |_| false);
     let old: SmallVec<[Id; 16]> = tables
         .endpoints
         .of_service_from(service, start)
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -9,6 +9,7 @@
 use super::{admit, dispatch, placement, retry};
 use crate::id::Id;
 use crate::packet::Class;
+use crate::segment::Route;
 use crate::tables::Tables;
 
 /// Chooses the endpoint of a new flow among those that have not refused it.
@@ -19,10 +20,10 @@
 /// Chooses the endpoint of a relayed flow so that its requests are answered within a
 /// target latency.
 ///
-/// The arguments are the service, the target latency, the endpoints that have not
-/// answered the flow and are excluded, and the time.
+/// The arguments are the service, the route, the endpoints that have not answered the flow and
+/// are excluded, and the time.
 pub type PlaceRelayed =
-    Box<dyn Fn(&mut Tables, Id, Duration, &[Id], Duration) -> Option<Id> + Send + Sync>;
+    Box<dyn Fn(&mut Tables, Id, &Route, &[Id], Duration) -> Option<Id> + Send + Sync>;
 
 /// Returns how many requests of relayed flows this lane may have in progress at a
 /// service.
@@ -127,8 +128,8 @@
             place_flow: Box::new(move |tables, service, refused, now| {
                 placement::place_flow(tables, &tuning, service, refused, now)
             }),
-            place_relayed: Box::new(move |tables, service, target_latency, tried, now| {
-                placement::place_relayed(tables, &tuning, service, target_latency, tried, now)
+            place_relayed: Box::new(move |tables, service, route, tried, now| {
+                placement::place_relayed(tables, &tuning, service, route, tried, now)
             }),
             relay_limit: Box::new(move |tables, service, now| {
                 placement::relay_limit(tables, &tuning, service, now)
--- a/src/systems/recover.rs
+++ b/src/systems/recover.rs
@@ -126,11 +126,25 @@
         FlowState::Recovering if age >= limit => give_up(tables, key, now, out),
         FlowState::Recovering if due => send_probes(tables, key, now, out),
         FlowState::Opening if age >= OPEN_TIMEOUT => try_next_endpoint(tables, key, now, out),
+        FlowState::Opening if due && is_evacuated(tables, flow) => {
+            if let Some(target) = flow.target {
+                open::handle_refusal(tables, key, target, out, now);
+            }
+        }
         FlowState::Opening if due => open::send_open(tables, key, now, out),
         _ => {}
     }
 }
 
+/// Returns true if the endpoint to which a flow is being opened gets no new flows any more,
+/// because its zone is evacuated.
+fn is_evacuated(tables: &Tables, flow: &Flow) -> bool {
+    let row = flow
+        .target
+        .and_then(|target| tables.endpoints.get(target.endpoint));
+    row.is_some_and(|row| row.evacuated)
+}
+
 fn send_probes(tables: &mut Tables, key: &FlowKey, now: Duration, out: &mut Outbox) {
     let Some(flow) = tables.flows.get_mut(key) else {
         return;
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -4,6 +4,7 @@
 //! segments are routed by their cookie, even if this lane has no state of the flow. The
 //! retransmissions and acknowledgements of callers show which endpoints answer.
 
+mod eligibility;
 mod established;
 mod failure_detector;
 mod liveness;
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 
 use super::super::placement::is_unresponsive;
+use super::eligibility::{is_excluded, refusal_cause};
 use super::{add_load, count_flow, forward, reset_flow, uncount_flow};
 use crate::id::Id;
 use crate::segment::{Route, Segment};
@@ -85,7 +86,7 @@
     else {
         tables.counters.refused_opens += 1;
         tables.tracked_flows.remove(&segment.addrs);
-        reset_flow(segment, "no_endpoint", out);
+        reset_flow(segment, refusal_cause(tables, route, now), out);
         return;
     };
     tables.counters.forwarded_opens += 1;
@@ -132,17 +133,15 @@
     let service = choose_service(tables, route)?;
     if tried.is_empty()
         && is_least_urgent(tables, route, service)
-        && let Some(id) = choose_trial(tables, service, now)
+        && let Some(id) = choose_trial(tables, route, service, now)
     {
         return claim_cookie(tables, id);
     }
     let policies = Arc::clone(&tables.policies);
     let mut skipped: SmallVec<[Id; 4]> = tried.into();
     for _ in 0..MAX_COOKIE_COLLISIONS {
-        let id = (policies.place_relayed)(tables, service, route.target_latency, &skipped, now)
-            .or_else(|| {
-                (policies.place_relayed)(tables, service, route.target_latency, &[], now)
-            })?;
+        let id = (policies.place_relayed)(tables, service, route, &skipped, now)
+            .or_else(|| (policies.place_relayed)(tables, service, route, &[], now))?;
         match claim_cookie(tables, id) {
             Some(found) => return Some(found),
             None => skipped.push(id),
@@ -158,12 +157,16 @@
     Some((endpoint, cookie))
 }
 
-/// Chooses one of the route's services that have endpoints, at random by weight.
+/// Chooses one of the route's services that have endpoints for it, at random by weight.
 fn choose_service(tables: &mut Tables, route: &Route) -> Option<Id> {
+    let has_endpoints = |service| {
+        let mut rows = tables.endpoints.of_service(service);
+        rows.any(|row| !is_excluded(row, route))
+    };
     let usable: SmallVec<[(Id, u32); 2]> = route
         .targets
         .iter()
-        .filter(|(id, weight)| *weight > 0 && tables.endpoints.count(*id) > 0)
+        .filter(|(id, weight)| *weight > 0 && has_endpoints(*id))
         .copied()
         .collect();
     let total: u64 = usable.iter().map(|(_, weight)| u64::from(*weight)).sum();
@@ -192,7 +195,7 @@
 ///
 /// The endpoints of a partitioned zone share one trial interval, and endpoints of other
 /// zones are tried less often.
-fn choose_trial(tables: &mut Tables, service: Id, now: Duration) -> Option<Id> {
+fn choose_trial(tables: &mut Tables, route: &Route, service: Id, now: Duration) -> Option<Id> {
     let row = tables.endpoints.of_service(service).find(|row| {
         let unresponsive = row.down.is_some() || is_unresponsive(row, now);
         let period = if row.spec.local {
@@ -200,7 +203,8 @@
         } else {
             REMOTE_TRIAL_PERIOD
         };
-        unresponsive && row.accepts_work(now) && now >= row.last_trial + period
+        let may_use = row.accepts_work(now) && !is_excluded(row, route);
+        unresponsive && may_use && now >= row.last_trial + period
     })?;
     let (id, zone) = (row.spec.id, row.spec.zone.clone());
     let whole_zone = row.down.is_some_and(|down| down.whole_zone);
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::eligibility::is_exempt_from_limit;
 use super::process_segment;
 use crate::clock::millis;
 use crate::id::Id;
@@ -50,7 +51,7 @@
     let Some(service) = requested_service(tables, segment) else {
         return false;
     };
-    if !is_at_limit(tables, service) {
+    if !is_at_limit(tables, service) || is_exempt_from_limit(tables, segment, now) {
         return false;
     }
     tables.counters.held_requests += 1;
@@ -66,7 +67,7 @@
 
 /// Processes queued segments whose service is below its limit, the newest first.
 pub(super) fn release_queued(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    while let Some(next) = next_startable(tables) {
+    while let Some(next) = next_startable(tables, now) {
         let Some((since, waiting)) = tables.held_requests.remove(&next.segment.addrs) else {
             return;
         };
@@ -116,11 +117,15 @@
         .put(HeldRequest { segment, service }, now);
 }
 
-/// Returns the newest queued segment whose service is below its limit.
-fn next_startable(tables: &Tables) -> Option<HeldRequest> {
+/// Returns the newest queued segment that need not wait: its service is below its limit, or the
+/// limit has ceased to apply to it.
+fn next_startable(tables: &Tables, now: Duration) -> Option<HeldRequest> {
     let mut newest = tables.held_requests.newest_first();
     newest
-        .find(|waiting| !is_at_limit(tables, waiting.service))
+        .find(|waiting| {
+            !is_at_limit(tables, waiting.service)
+                || is_exempt_from_limit(tables, &waiting.segment, now)
+        })
         .cloned()
 }
 
--- a/src/systems/sync.rs
+++ b/src/systems/sync.rs
@@ -9,8 +9,13 @@
 
 pub(super) fn run(tables: &mut Tables, snapshot: Arc<Snapshot>, now: Duration, out: &mut Outbox) {
     let services_unchanged = Arc::ptr_eq(&tables.snapshot.services, &snapshot.services);
+    let zones_unchanged = tables.snapshot.evacuated_zones == snapshot.evacuated_zones;
     tables.snapshot = snapshot;
     if services_unchanged {
+        if !zones_unchanged {
+            let zones = &tables.snapshot.evacuated_zones;
+            tables.endpoints.mark_evacuated(zones);
+        }
         return;
     }
     tables.endpoints.sync(&tables.snapshot, now);
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -1,12 +1,12 @@
 //! Endpoints and a lane's own observations of them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Serialize, Serializer};
 
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::packet::Load;
 use crate::segment::FlowAddrs;
 use crate::snapshot::{Endpoint, Snapshot};
@@ -93,6 +93,8 @@
     pub blocked_until: Duration,
     /// True while an endpoint that started later is listed with the same address.
     pub replaced: bool,
+    /// True while its zone is evacuated: it keeps its open flows and gets no new ones.
+    pub evacuated: bool,
     /// Moving average of its time to answer a request, in seconds.
     #[serde(rename = "answer")]
     pub answer_time: f64,
@@ -145,6 +147,12 @@
     /// True if it may take new flows and requests.
     #[must_use]
     pub fn accepts_work(&self, now: Duration) -> bool {
+        !self.evacuated && self.is_usable(now)
+    }
+
+    /// True if it may take new flows and requests unless its zone is evacuated.
+    #[must_use]
+    pub fn is_usable(&self, now: Duration) -> bool {
         self.draining_since.is_none() && !self.replaced && now >= self.blocked_until
     }
 
@@ -205,7 +213,10 @@
     }
 }
 
-/// Endpoints of one service, with totals over them.
+/// Endpoints of one service, with totals over those that are not evacuated.
+///
+/// Requests on open flows of evacuated endpoints go on there, so they use up nothing of what
+/// the others can process.
 #[derive(Debug, Default)]
 struct ServiceEndpoints {
     rows: Vec<usize>,
@@ -215,6 +226,16 @@
     last_shortage: Option<Duration>,
 }
 
+impl ServiceEndpoints {
+    /// Adds an endpoint to the totals.
+    fn add(&mut self, row: &EndpointRow) {
+        if !row.evacuated {
+            self.own_requests += row.own_requests;
+            self.total_slots = self.total_slots.saturating_add(row.spec.slots);
+        }
+    }
+}
+
 /// Endpoints by id and by service.
 #[derive(Debug, Default)]
 pub struct Endpoints {
@@ -242,11 +263,25 @@
                 if spec.relay_number == 0 && owner.is_some_and(|owner| *owner != service.id) {
                     row.blocked_until = now + ADDRESS_QUARANTINE;
                 }
+                row.evacuated = snapshot.evacuated_zones.contains(&spec.zone);
                 self.push(row);
             }
         }
     }
 
+    /// Marks the endpoints of the evacuated zones, after a change of these alone.
+    pub fn mark_evacuated(&mut self, zones: &BTreeSet<Name>) {
+        for group in self.services.values_mut() {
+            (group.own_requests, group.total_slots) = (0, 0);
+        }
+        for row in &mut self.rows {
+            row.evacuated = zones.contains(&row.spec.zone);
+            if let Some(group) = self.services.get_mut(&row.service) {
+                group.add(row);
+            }
+        }
+    }
+
     /// Marks endpoints whose address is also listed for one that started later, since only
     /// the latest can be running there; returns those that were not marked before.
     pub fn mark_replaced(&mut self) -> Vec<Endpoint> {
@@ -305,7 +340,7 @@
             .map_or(0, |group| group.rows.len())
     }
 
-    /// Returns the number of slots of a service's endpoints.
+    /// Returns the number of slots of a service's endpoints that are not evacuated.
     #[must_use]
     pub fn total_slots(&self, service: Id) -> u32 {
         self.services
@@ -313,7 +348,8 @@
             .map_or(0, |group| group.total_slots)
     }
 
-    /// Returns the number of requests of this lane that a service is running.
+    /// Returns the number of requests of this lane that a service is running on endpoints that
+    /// are not evacuated.
     #[must_use]
     pub fn own_requests(&self, service: Id) -> u32 {
         self.services
@@ -374,9 +410,11 @@
             return;
         };
         row.own_requests += 1;
-        let service = row.service;
+        let (service, evacuated) = (row.service, row.evacuated);
         self.add_slot_time(id, time, now);
-        if let Some(group) = self.services.get_mut(&service) {
+        if let Some(group) = self.services.get_mut(&service)
+            && !evacuated
+        {
             group.own_requests += 1;
         }
     }
@@ -397,8 +435,10 @@
         };
         row.own_requests = row.own_requests.saturating_sub(1);
         row.acked_requests = row.acked_requests.saturating_sub(u32::from(acked));
-        let service = row.service;
-        if let Some(group) = self.services.get_mut(&service) {
+        let (service, evacuated) = (row.service, row.evacuated);
+        if let Some(group) = self.services.get_mut(&service)
+            && !evacuated
+        {
             group.own_requests = group.own_requests.saturating_sub(1);
         }
     }
@@ -425,8 +465,7 @@
         self.index.insert(row.spec.id, slot);
         let group = self.services.entry(row.service).or_default();
         group.rows.push(slot);
-        group.own_requests += row.own_requests;
-        group.total_slots = group.total_slots.saturating_add(row.spec.slots);
+        group.add(&row);
         self.rows.push(row);
     }
 }
@@ -458,6 +497,7 @@
             draining_since: None,
             blocked_until: Duration::ZERO,
             replaced: false,
+            evacuated: false,
             answer_time: 0.0,
             recent_answers: 0.0,
             stalled_flows: Vec::new(),
