Log evacuations and returns of zones, and measure the age of orders

Cause: operators could not see from when on a host follows an order, nor find orders that were forgotten.

Change: `control::evacuations` keeps the time at which each order came into force, and logs `zone_evacuated` and `zone_returned` with the zone, the age of the order at this host and the revision. Gauges `evacuated_zones` and `oldest_evacuation_seconds`. `trace` shows both events, and explains resets with cause `evacuated`.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod apply;
 mod claims;
+mod evacuations;
 pub mod failure_detector;
 mod fetch;
 pub mod heartbeat;
@@ -33,6 +34,7 @@
 use crate::snapshot::Snapshot;
 
 pub use self::claims::cap_slots;
+pub use self::evacuations::EvacuationTable;
 pub use self::message::{
     FetchRequest, FetchResponse, Heartbeat, HostList, Value, ValueChange, ValueUpdate,
     WriterVersion,
@@ -169,5 +171,6 @@
 fn run_dependents(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     voters::run(tables);
     lease::run(tables, now);
+    evacuations::run(tables, now);
     publish::run(tables, now, outbox);
 }
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 
+use super::evacuations::EvacuationTable;
 use super::message::{
     FetchRequest, HostInfo, MemberUpdate, Status, Timestamp, ValueChange, Vote, VoterSet,
 };
@@ -43,6 +44,8 @@
     pub(super) fetch: FetchProgress,
     /// What this host and others report about endpoints and load.
     pub reports: ReportTable,
+    /// Evacuation orders in force.
+    pub evacuations: EvacuationTable,
     #[serde(skip)]
     pub(super) snapshot: Snapshot,
     #[serde(skip)]
@@ -385,6 +388,7 @@
             platform_reads: PlatformReads::default(),
             fetch: FetchProgress::default(),
             reports: ReportTable::default(),
+            evacuations: EvacuationTable::default(),
             snapshot: Snapshot::empty(settings.keys.clone()),
             output: PendingOutput {
                 snapshot_changed: true,
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -13,6 +13,7 @@
 use error_stack::Report;
 use futures_util::FutureExt;
 use futures_util::future::{BoxFuture, pending};
+use serde::Deserialize;
 use serde_json::{Map, Value, json};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -269,14 +270,14 @@
             .map(|lane| lane.stats.flows.load(Ordering::Relaxed));
         reporter.report_gauge("flows", flows.sum());
         let mut counters = sum_counters(lanes);
-        counters.extend(control_counters(dump_sender).await);
+        let tables = dump_control(dump_sender).await.unwrap_or_default();
+        counters.extend(control_counters(&tables));
         reporter.report_counters(Value::Object(counters));
     }
 }
 
-/// Returns the counters of the control thread, named `control.NAME`.
-async fn control_counters(dump_sender: &DumpSender) -> Map<String, Value> {
-    let tables = dump_control(dump_sender).await.unwrap_or_default();
+/// Returns the counters among the control tables, named `control.NAME`.
+fn control_counters(tables: &Value) -> Map<String, Value> {
     let counters = tables["counters"].as_object().cloned().unwrap_or_default();
     counters
         .into_iter()
@@ -354,7 +355,8 @@
     snapshot: &Snapshot,
 ) -> Option<String> {
     let mut counters = sum_counters(lanes);
-    counters.extend(control_counters(dump_sender).await);
+    let control = dump_control(dump_sender).await.unwrap_or_default();
+    counters.extend(control_counters(&control));
     let sum = |gauge: fn(&Lane) -> &AtomicUsize| {
         let values = lanes.iter().map(|lane| gauge(lane).load(Ordering::Relaxed));
         gauge_value(values.sum())
@@ -371,6 +373,14 @@
         ("routes", gauge_value(snapshot.routes.len())),
         ("hosts", gauge_value(snapshot.hosts.len())),
         ("leaving", gauge_value(usize::from(snapshot.leaving))),
+        (
+            "evacuated_zones",
+            gauge_value(snapshot.evacuated_zones.len()),
+        ),
+        (
+            "oldest_evacuation_seconds",
+            oldest_evacuation_seconds(&control),
+        ),
     ];
     let histograms = lanes
         .iter()
@@ -389,6 +399,12 @@
     }
 }
 
+/// Returns the age of the oldest evacuation order among the control tables.
+fn oldest_evacuation_seconds(tables: &Value) -> f64 {
+    let oldest = Duration::deserialize(&tables["evacuations"]["oldest"]);
+    oldest.unwrap_or_default().as_secs_f64()
+}
+
 fn gauge_value(count: usize) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/src/front/trace.rs
+++ b/src/front/trace.rs
@@ -91,14 +91,14 @@
     }
 }
 
-/// Returns true for an event that reports one of the endpoints or a whole zone as up, down
-/// or removed.
+/// Returns true for an event that reports one of the endpoints or a whole zone as up, down,
+/// removed, evacuated or returned.
 fn is_health_event(line: &LogLine, endpoints: &BTreeSet<&str>) -> bool {
     match text_field(line, "event") {
         "endpoint_down" | "endpoint_up" | "endpoint_gone" => {
             endpoints.contains(text_field(line, "endpoint"))
         }
-        "zone_down" | "zone_up" => true,
+        "zone_down" | "zone_up" | "zone_evacuated" | "zone_returned" => true,
         _ => false,
     }
 }
@@ -116,6 +116,9 @@
         ("reset", "no_endpoint") => {
             format!("The flow was refused by {host}: no endpoint of {vip} could accept it.")
         }
+        ("reset", "evacuated") => {
+            format!("The flow was refused by {host}: all endpoints of {vip} are evacuated.")
+        }
         ("reset", "route_removed") => {
             format!("The flow was reset by {host}: the route of {vip} was removed.")
         }
