Evacuate zones in the project's own configuration

Cause: hosts without the users' platform had no way to evacuate a zone.

Change: tables `[evacuate.ZONE]` with `reason`, `author` and `date` are read, checked, explained and compared, and published under `evacuate/ZONE`. Hosts take the key for the order whatever its value. A zone that no service names is accepted.

--- a/src/config/explain.rs
+++ b/src/config/explain.rs
@@ -11,6 +11,7 @@
 use super::resolve::{Layer, Origin, Resolver};
 use super::{Config, check, read, to_json};
 use crate::error::Result;
+use crate::id::Name;
 use crate::packet::Class;
 
 /// Stands for the file name in faults of a scope.
@@ -46,7 +47,9 @@
     let endpoint = check::endpoints(config)
         .find(|(_, endpoint)| Some(&endpoint.name) == scope.endpoint.as_ref());
     if let Some((row, endpoint)) = endpoint {
-        return explain_endpoint(&resolver, scope, row, endpoint);
+        let mut explained = explain_endpoint(&resolver, scope, row, endpoint);
+        explained.extend(explain_evacuation(config, &endpoint.zone));
+        return explained;
     }
     let row = config
         .services
@@ -59,9 +62,24 @@
     for class in Class::ALL {
         explained.extend(explain_class(&resolver, scope, row, class));
     }
+    let zone = scope.zone.as_ref();
+    explained.extend(zone.and_then(|zone| explain_evacuation(config, zone)));
     explained
 }
 
+/// Returns the order that evacuates a zone, if there is one.
+fn explain_evacuation(config: &Config, zone: &Name) -> Option<ExplainedValue> {
+    let row = config.evacuations.iter().find(|row| row.zone == *zone)?;
+    Some(ExplainedValue {
+        field: "evacuated".to_owned(),
+        value: "true".to_owned(),
+        from: format!(
+            "evacuate {} by {}, {}: {}",
+            row.zone, row.author, row.date, row.reason
+        ),
+    })
+}
+
 fn explain_endpoint<'a>(
     resolver: &Resolver<'a>,
     scope: &Scope,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,4 +1,4 @@
-//! The operators' configuration: fleet defaults, services and exceptions.
+//! The operators' configuration: fleet defaults, services, exceptions and evacuations.
 //!
 //! Operators write one TOML file per region. The platform serves it as JSON
 //! values, each under its own key: [`Config::values`] produces them, and
@@ -23,7 +23,7 @@
 mod source;
 mod units;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
 use serde_json::{Map, Value};
@@ -31,7 +31,7 @@
 pub use self::change::Difference;
 pub use self::explain::ExplainedValue;
 use self::fault::{Faults, suggest};
-use self::model::{ExceptionRow, Secrets, ServiceRow, Values};
+use self::model::{EvacuationRow, ExceptionRow, Secrets, ServiceRow, Values};
 use crate::error::{Error, Result};
 use crate::id::Name;
 use crate::snapshot::Service;
@@ -40,13 +40,21 @@
 const FLEET: &str = "fleet";
 const SERVICE: &str = "service";
 const EXCEPTION: &str = "exception";
+const EVACUATE: &str = "evacuate";
 pub(crate) const KEYS: &str = "keys";
 
 /// Maximum length of a name, in bytes.
 const MAX_NAME_LENGTH: usize = 64;
 
 /// Keys under which the platform stores values.
-const VALUE_KEYS: [&str; 5] = ["fleet", "service/NAME", "exceptions", "keys", "health/NAME"];
+const VALUE_KEYS: [&str; 6] = [
+    "fleet",
+    "service/NAME",
+    "exceptions",
+    "evacuate/ZONE",
+    "keys",
+    "health/NAME",
+];
 
 /// Stands for the file name in faults of the platform's values.
 const PLATFORM: &str = "platform";
@@ -57,6 +65,7 @@
     fleet: Values,
     services: Vec<ServiceRow>,
     exceptions: Vec<ExceptionRow>,
+    evacuations: Vec<EvacuationRow>,
     secrets: Option<Secrets>,
     health: BTreeMap<Name, Vec<Name>>,
 }
@@ -94,7 +103,8 @@
     /// Reads the platform's values, given as pairs of a key and JSON text.
     ///
     /// Values under `health/NAME` only mark endpoints as unhealthy. Since a health
-    /// report may be wrong, malformed reports and unknown names are ignored.
+    /// report may be wrong, malformed reports and unknown names are ignored. A key
+    /// `evacuate/ZONE` evacuates the zone whatever its value.
     ///
     /// ```
     /// # use jacinthhinge::config::Config;
@@ -112,6 +122,7 @@
         let mut root = Map::new();
         let mut services = Map::new();
         let mut health = BTreeMap::new();
+        let mut evacuations = Vec::new();
         for (key, text) in values {
             let value = serde_json::from_str(text);
             if let Some(name) = key.strip_prefix("health/") {
@@ -119,6 +130,10 @@
                 health.insert(Name::from(name), read::read_health(&report));
                 continue;
             }
+            if let Some(zone) = evacuated_zone(key) {
+                evacuations.push(read::read_order(zone, &value.unwrap_or_default()));
+                continue;
+            }
             let Ok(value) = value else {
                 let remedy = "publish values that `jacinthhinge check` accepts";
                 faults.add(key, "the value is not JSON", remedy);
@@ -133,17 +148,22 @@
         root.insert(SERVICE.to_owned(), Value::Object(services));
         let mut config = Self::from_root(&Value::Object(root), faults)?;
         config.health = health;
+        config.evacuations = evacuations;
         Ok(config)
     }
 
     /// Checks one of the platform's values on its own.
     ///
-    /// Exceptions refer to services, so of these only the JSON syntax is checked.
+    /// Exceptions refer to services, so of these only the JSON syntax is checked. An evacuation
+    /// is valid whatever its value, because the key is the order.
     ///
     /// # Errors
     ///
     /// Fails as [`Config::from_values`] does.
     pub fn check_value(key: &str, text: &str) -> Result<()> {
+        if evacuated_zone(key).is_some() {
+            return Ok(());
+        }
         if matches!(parse_key(key), Some(Section::TopLevel(EXCEPTION))) {
             let syntax = serde_json::from_str::<serde::de::IgnoredAny>(text);
             return syntax.map(drop).map_err(|err| {
@@ -164,6 +184,9 @@
             values.push((format!("{SERVICE}/{}", row.name), to_json(row)));
         }
         values.push(("exceptions".to_owned(), to_json(&self.exceptions)));
+        for row in &self.evacuations {
+            values.push((format!("{EVACUATE}/{}", row.zone), to_json(row)));
+        }
         if let Some(secrets) = &self.secrets {
             values.push((KEYS.to_owned(), to_json(secrets)));
         }
@@ -186,6 +209,13 @@
         Some(TicketKeys::new(&secrets.current, &secrets.other))
     }
 
+    /// Returns the zones that are evacuated.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> BTreeSet<Name> {
+        let zones = self.evacuations.iter().map(|row| row.zone.clone());
+        zones.collect()
+    }
+
     /// Iterates over the zones of all services; a zone may appear more than once.
     pub fn zones(&self) -> impl Iterator<Item = &Name> {
         self.services.iter().flat_map(|row| &row.zones)
@@ -253,7 +283,11 @@
             "{} services, {endpoints} endpoints, {} exceptions",
             self.services.len(),
             self.exceptions.len()
-        )
+        )?;
+        match self.evacuations.len() {
+            0 => Ok(()),
+            count => write!(f, ", {count} evacuated zones"),
+        }
     }
 }
 
@@ -272,6 +306,12 @@
     }
 }
 
+/// Returns the zone that a key of the platform orders to evacuate.
+fn evacuated_zone(key: &str) -> Option<&str> {
+    let zone = key.strip_prefix("evacuate/")?;
+    (!zone.is_empty()).then_some(zone)
+}
+
 /// Converts a table row to JSON; every row can be represented.
 fn to_json(row: &impl serde::Serialize) -> Value {
     serde_json::to_value(row).unwrap_or_default()
--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -144,6 +144,20 @@
     date: &'a str,
 }
 
+/// A row of the evacuation table: an order that keeps new flows out of a zone.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(super) struct EvacuationRow {
+    #[serde(skip)]
+    pub zone: Name,
+    pub reason: String,
+    pub author: String,
+    pub date: String,
+}
+
+impl EvacuationRow {
+    pub const FIELDS: [&'static str; 3] = ["reason", "author", "date"];
+}
+
 /// Scope of an exception or of a lookup; parts that are not set match everything.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(super) struct Scope {
--- a/src/config/read.rs
+++ b/src/config/read.rs
@@ -14,16 +14,16 @@
     read_required, read_table, read_text,
 };
 use super::model::{
-    ClassValues, EndpointRow, ExceptionRow, Scope, Secrets, ServiceRow, State, Values,
-    class_by_name, class_name,
+    ClassValues, EndpointRow, EvacuationRow, ExceptionRow, Scope, Secrets, ServiceRow, State,
+    Values, class_by_name, class_name,
 };
 use super::source::field_path;
-use super::{Config, EXCEPTION, FLEET, KEYS, MAX_NAME_LENGTH, SERVICE, is_name};
+use super::{Config, EVACUATE, EXCEPTION, FLEET, KEYS, MAX_NAME_LENGTH, SERVICE, is_name};
 use crate::id::Name;
 use crate::packet::Class;
 use crate::snapshot::MAX_SLOTS;
 
-const SECTIONS: [&str; 4] = [FLEET, SERVICE, EXCEPTION, KEYS];
+const SECTIONS: [&str; 5] = [FLEET, SERVICE, EXCEPTION, EVACUATE, KEYS];
 
 const MIN_SECRET_LENGTH: usize = 16;
 const MIN_REASON_WORDS: usize = 3;
@@ -53,6 +53,9 @@
     if let Some(exceptions) = root.get(EXCEPTION) {
         config.exceptions = read_list(exceptions, EXCEPTION, faults, read_exception);
     }
+    if let Some(evacuations) = root.get(EVACUATE) {
+        config.evacuations = read_evacuations(evacuations, faults);
+    }
     if let Some(keys) = root.get(KEYS) {
         config.secrets = read_secrets(keys, faults);
     }
@@ -70,6 +73,21 @@
         .collect()
 }
 
+/// Reads an evacuation order of the platform. The key alone is the order, so what cannot be
+/// read of its value stays empty.
+pub(super) fn read_order(zone: &str, value: &Value) -> EvacuationRow {
+    let text = |name| {
+        let text = value.get(name).and_then(Value::as_str);
+        text.unwrap_or_default().to_owned()
+    };
+    EvacuationRow {
+        zone: zone.into(),
+        reason: text("reason"),
+        author: text("author"),
+        date: text("date"),
+    }
+}
+
 /// Reads a scope such as `service/kleurmatch class/photo`.
 pub(super) fn read_scope(text: &str, path: &str, faults: &mut Faults<'_>) -> Option<Scope> {
     let mut scope = Scope::default();
@@ -322,6 +340,31 @@
     })
 }
 
+fn read_evacuations(value: &Value, faults: &mut Faults<'_>) -> Vec<EvacuationRow> {
+    let Some(zones) = read_any_table(value, EVACUATE, faults) else {
+        return Vec::new();
+    };
+    zones
+        .iter()
+        .filter_map(|(zone, value)| read_evacuation(zone, value, faults))
+        .collect()
+}
+
+fn read_evacuation(zone: &str, value: &Value, faults: &mut Faults<'_>) -> Option<EvacuationRow> {
+    let path = field_path(EVACUATE, zone);
+    let zone = check_name(zone, &path, faults)?;
+    let fields = read_table(value, &path, &EvacuationRow::FIELDS, faults)?;
+    let reason = read_required(fields, &path, "reason", faults, read_reason);
+    let author = read_required(fields, &path, "author", faults, read_author);
+    let date = read_required(fields, &path, "date", faults, read_date);
+    Some(EvacuationRow {
+        zone,
+        reason: reason?,
+        author: author?,
+        date: date?,
+    })
+}
+
 /// Reads the values that an exception sets, limited to the fields of its scope.
 fn read_set(value: &Value, scope: &Scope, path: &str, faults: &mut Faults<'_>) -> Values {
     if value.as_object().is_some_and(Map::is_empty) {
@@ -348,7 +391,12 @@
 fn read_reason(value: &Value, path: &str, faults: &mut Faults<'_>) -> Option<String> {
     let text = read_text(value, path, faults)?.trim();
     if text.split_whitespace().count() < MIN_REASON_WORDS {
-        let remedy = "explain in a few words why the exception is needed";
+        let why = if path.starts_with(EVACUATE) {
+            "the zone is evacuated"
+        } else {
+            "the exception is needed"
+        };
+        let remedy = format!("explain in a few words why {why}");
         faults.add(path, "the reason is too short", remedy);
         return None;
     }
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -254,6 +254,7 @@
         let config = Config::from_values(texts)?;
         Ok(BuiltConfig {
             services: config.services(&host, &zone),
+            evacuated_zones: config.evacuated_zones(),
             keys: config.keys(),
             ..BuiltConfig::default()
         })
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -117,6 +117,36 @@
     assert!(output.stderr.contains("live endpoint `a-14` is removed"));
 }
 
+/// Guards against an evacuation that operators cannot check, explain, compare or publish.
+#[test]
+fn check_shows_evacuations() {
+    let order = "[evacuate.sv-b]\nreason = \"the power is switched over\"\nauthor = \"eva\"\n\
+                 date = 2026-11-03\n\n[fleet]";
+    let file = write_config("evacuated.toml", "[fleet]", order);
+    let output = run_program(&["check", &file, "--explain", "zone/sv-b", "--values"]);
+    assert_eq!(output.code, 0, "{}", output.stderr);
+    assert!(output.stderr.contains("1 evacuated zones"));
+    assert!(output.stdout.contains(
+        "evacuated = true  (evacuate sv-b by eva, 2026-11-03: the power is switched over)"
+    ));
+    assert!(output.stdout.contains("\"evacuate/sv-b\": {"));
+    let output = run_program(&["check", &file, "--diff", "config/hraunvik.toml"]);
+    assert_eq!(output.code, 0, "{}", output.stderr);
+    assert!(
+        output
+            .stdout
+            .contains("evacuate/sv-b.author: (none) -> eva")
+    );
+    let file = write_config("unexplained.toml", "[fleet]", "[evacuate.sv-b]\n\n[fleet]");
+    let output = run_program(&["check", &file]);
+    assert_eq!(output.code, 2);
+    assert!(
+        output
+            .stderr
+            .contains("evacuate.sv-b: `reason` is missing; add `reason`")
+    );
+}
+
 #[test]
 fn invalid_arguments_exit_with_status_two() {
     let cases: [(&[&str], &str); 7] = [
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -715,3 +715,129 @@
         let _ = Config::from_values([(key.as_str(), text.as_str())]);
     }
 }
+
+/// An evacuation of the zone sv-b, as operators write it.
+const EVACUATION: &str = r#"
+[evacuate.sv-b]
+reason = "the power is switched over"
+author = "eva"
+date = 2026-11-03
+"#;
+
+/// Guards against an order that is lost between the file, the platform and the hosts.
+#[test]
+fn evacuation_is_published_and_read_back() {
+    let text = with_appended(EVACUATION).replace("= 2026-11-03", "= \"2026-11-03\"");
+    let config = parse(&text);
+    assert_eq!(config, parse(&with_appended(EVACUATION)));
+    let zones: Vec<Name> = config.evacuated_zones().into_iter().collect();
+    assert_eq!(zones, ["sv-b".into()]);
+    let values: Vec<(String, String)> = config
+        .values()
+        .into_iter()
+        .map(|(key, value)| (key, value.to_string()))
+        .collect();
+    assert!(values.iter().any(|(key, _)| key == "evacuate/sv-b"));
+    let pairs = values.iter().map(|(key, text)| (&**key, &**text));
+    let read = Config::from_values(pairs).unwrap();
+    assert_eq!(read.evacuated_zones(), config.evacuated_zones());
+    assert!(read.diff(&config).is_empty());
+    assert_eq!(
+        config.to_string(),
+        "2 services, 3 endpoints, 0 exceptions, 1 evacuated zones"
+    );
+}
+
+/// Guards against an order that is refused because of its body: the key is the order.
+#[test]
+fn evacuation_of_the_platform_is_valid_whatever_its_body() {
+    for text in ["{}", "", "{", "[1]", r#"{"reason":5,"more":1}"#] {
+        Config::check_value("evacuate/sv-b", text).unwrap();
+        let values = [
+            ("service/bestel", r#"{"zones":["gent"]}"#),
+            ("evacuate/sv-b", text),
+            ("evacuate/not a name", text),
+        ];
+        let zones = Config::from_values(values).unwrap().evacuated_zones();
+        assert_eq!(zones.len(), 2, "{text}");
+    }
+    assert!(Config::check_value("evacuate/", "{}").is_err());
+}
+
+/// Guards against an evacuation that operators do not see where they look up a zone or an
+/// endpoint, or before they publish it.
+#[test]
+fn evacuation_is_explained_and_shown_as_a_difference() {
+    let config = parse(&with_appended(EVACUATION));
+    for scope in ["zone/sv-b", "endpoint/a-2"] {
+        let explained = config.explain(scope).unwrap();
+        let order = explained.last().unwrap();
+        assert_eq!((&*order.field, &*order.value), ("evacuated", "true"));
+        assert_eq!(
+            order.from,
+            "evacuate sv-b by eva, 2026-11-03: the power is switched over"
+        );
+    }
+    for scope in ["zone/sv-a", "endpoint/a-1", "service/adserve"] {
+        let explained = config.explain(scope).unwrap();
+        assert!(
+            explained.iter().all(|value| value.field != "evacuated"),
+            "{scope}"
+        );
+    }
+    let changes = parse(BASE_CONFIG).diff(&config);
+    let paths: Vec<&str> = changes.iter().map(|change| &*change.path).collect();
+    assert_eq!(
+        paths,
+        [
+            "evacuate/sv-b.author",
+            "evacuate/sv-b.date",
+            "evacuate/sv-b.reason"
+        ]
+    );
+    Config::check_change(&parse(BASE_CONFIG), &config).unwrap();
+    Config::check_change(&config, &parse(BASE_CONFIG)).unwrap();
+}
+
+/// Guards against a zone without endpoints, which is not known yet, that makes the file invalid.
+#[test]
+fn evacuation_of_an_unknown_zone_is_accepted() {
+    let config = parse(&with_appended(&EVACUATION.replace("sv-b", "nowhere")));
+    assert_eq!(config.evacuated_zones().len(), 1);
+}
+
+#[test]
+fn invalid_evacuations_are_reported_with_line_and_remedy() {
+    let cases = [
+        ("reason = \"the power is switched over\"\n", ""),
+        ("the power is switched over", "power"),
+        ("reason", "reasn"),
+        ("author = \"eva\"\n", ""),
+        ("2026-11-03", "\"soon\""),
+        ("[evacuate.sv-b]", "[evacuate.\"sv b\"]"),
+        ("[evacuate.sv-b]", "[evacuat.sv-b]"),
+        ("author", "until = 5\nauthor"),
+    ];
+    let errors: Vec<String> = cases
+        .iter()
+        .map(|(from, to)| parse_error(&with_appended(&EVACUATION.replace(from, to))))
+        .collect();
+    insta::assert_snapshot!(errors.join("\n---\n"), @r#"
+    t.toml:28: evacuate.sv-b: `reason` is missing; add `reason`
+    ---
+    t.toml:29: evacuate.sv-b.reason: the reason is too short; explain in a few words why the zone is evacuated
+    ---
+    t.toml:28: evacuate.sv-b: `reason` is missing; add `reason`
+    t.toml:29: evacuate.sv-b.reasn: unknown field `reasn`; did you mean `reason`?
+    ---
+    t.toml:28: evacuate.sv-b: `author` is missing; add `author`
+    ---
+    t.toml:31: evacuate.sv-b.date: "soon" is not a date; write YEAR-MONTH-DAY, as in 2026-11-03
+    ---
+    t.toml:28: evacuate.sv b: `sv b` is not a valid name; use 1 to 64 letters, digits, `-` and `_`
+    ---
+    t.toml:28: evacuat: unknown field `evacuat`; did you mean `evacuate`?
+    ---
+    t.toml:30: evacuate.sv-b.until: unknown field `until`; expected one of reason, author, date
+    "#);
+}
