Test evacuations of the configuration and of flows that are being opened

Cause: no test covered the way of an order through the daemon's own values, and an open packet that waits for its answer when the zone is evacuated.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -8,7 +8,9 @@
 use std::thread;
 
 use futures_util::FutureExt;
+use jacinthhinge::control::{self, Action, Control, Event, ValueChange, ValueUpdate};
 use jacinthhinge::front::ops::{self, OpsHandlers};
+use jacinthhinge::front::serve;
 use jacinthhinge::front::settings::{Flags, Settings};
 use jacinthhinge::prelude::*;
 use jacinthhinge::wire::PeerKey;
@@ -482,3 +484,36 @@
     let error = block_on(ops::run(addr, ops_handlers(true), std::future::pending())).unwrap_err();
     assert_eq!(error.classify(), Category::Io);
 }
+
+/// Guards against an order of the project's own configuration that does not reach the lanes, and
+/// against one that is refused together with its body.
+#[test]
+fn evacuation_of_the_configuration_reaches_the_snapshot() {
+    let settings = serve::control_settings(&bindable_settings());
+    let mut host = Control::new(settings, Duration::ZERO);
+    let value = |key: &str, json: &str| ValueChange {
+        key: key.into(),
+        value: control::Value {
+            revision: 1.into(),
+            json: Some(json.into()),
+            ..control::Value::default()
+        },
+    };
+    let update = ValueUpdate {
+        revision: 1.into(),
+        values: vec![
+            value("service/bestel", r#"{"zones":["sv-a"]}"#),
+            value("evacuate/sv-b", "not JSON"),
+        ],
+        is_full: true,
+    };
+    let actions = host.handle(Duration::from_secs(1), Event::Values(Ok(update)));
+    let snapshots = actions.into_iter().filter_map(|action| match action {
+        Action::Publish(snapshot) => Some(snapshot),
+        _ => None,
+    });
+    let snapshot = snapshots.last().unwrap();
+    assert_eq!(snapshot.evacuated_zones.len(), 1);
+    assert!(snapshot.evacuated_zones.contains("sv-b"));
+    assert_eq!(snapshot.services.len(), 1);
+}
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -4,9 +4,11 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use jacinthhinge::packet::{Class, Load};
+use jacinthhinge::packet::{Body, Class, Load, Packet};
 use jacinthhinge::prelude::*;
-use jacinthhinge::segment::RelayAction;
+use jacinthhinge::segment::{RelayAction, SegmentKind};
+use jacinthhinge::systems;
+use jacinthhinge::tables::{Arrival, Outbox, cookie_of};
 
 use relaying::{
     LaneHarness, data_segment, endpoint, is_forwarded_to, is_reset, ms, opening_segment, snapshot,
@@ -250,10 +252,10 @@
         *counts.entry(number).or_default() += 1;
         let reset = relaying::segment(
             port,
-            jacinthhinge::segment::SegmentKind::Reset,
+            SegmentKind::Reset,
             2,
             0,
-            jacinthhinge::tables::cookie_of(Id::of(&format!("i-{number:02x}"))),
+            cookie_of(Id::of(&format!("i-{number:02x}"))),
             0,
         );
         harness.receive(reset);
@@ -347,3 +349,58 @@
     evacuate(&mut harness, &["a", "b"]);
     assert_eq!(place(&mut harness), (None, None));
 }
+
+/// Returns where the open packets among these actions of a lane went.
+fn opened_at(out: &Outbox) -> Vec<SocketAddr> {
+    let opens = out.datagrams.iter();
+    let opens = opens.filter(|datagram| datagram.packet.body == Body::Open);
+    opens.map(|datagram| datagram.to).collect()
+}
+
+/// Guards against an open packet that is sent again, until its time is over, to an endpoint that
+/// has been evacuated meanwhile.
+#[test]
+fn open_packet_is_not_resent_into_an_evacuated_zone() {
+    let mut endpoints = endpoints_in(&["a", "b"], 1);
+    for endpoint in &mut endpoints {
+        endpoint.relay_number = 0;
+    }
+    let addrs = [endpoints[0].addr, endpoints[1].addr];
+    let mut harness = LaneHarness::new(&endpoints);
+    let mut alone = (*harness.tables.snapshot).clone();
+    alone.hosts = Arc::from([Host {
+        id: Id::of("sv-a-1"),
+        name: "sv-a-1".into(),
+        incarnation: 1,
+        availability_zone: "a".into(),
+        lanes: std::iter::once(harness.tables.home.addr).collect(),
+        leaving: false,
+    }]);
+    harness.publish(&Arc::new(alone));
+    for row in harness.tables.endpoints.iter_mut() {
+        row.load.incarnation = 1;
+    }
+    let packet = Packet {
+        service: service(),
+        caller: relaying::caller_addr(1),
+        flow: 1,
+        hops: 0,
+        ticket: Bytes::new(),
+        body: Body::Open,
+    };
+    let mut out = Outbox::default();
+    harness
+        .tables
+        .inbox
+        .push(Arrival::new(packet.caller, packet));
+    systems::run(&mut harness.tables, harness.now, &mut out);
+    assert_eq!(opened_at(&out), [addrs[0]]);
+    evacuate(&mut harness, &["a"]);
+    let mut out = Outbox::default();
+    for _ in 0..10 {
+        harness.now += ms(50);
+        systems::run_timers(&mut harness.tables, harness.now, &mut out);
+    }
+    let sent = opened_at(&out);
+    assert!(!sent.is_empty() && !sent.contains(&addrs[0]), "{sent:?}");
+}
