Evacuate zones in the soak

Cause: the soak did not order evacuations, and wrote settings without the regions of the zones.

Change: one zone after the other is evacuated for 7 to 26 s. Rule `evacuated`: no new flow reaches an endpoint of the zone from 5 s after the order on, 20 s if the store was unstable. The evacuations have random numbers of their own, so the other faults of a seed are as before; `--no-evacuations` leaves them out. The settings of the hosts have `Zones`.

The soak was not run.

--- a/examples/soak/endpoint.rs
+++ b/examples/soak/endpoint.rs
@@ -243,7 +243,7 @@
         }
         if packet.has_flag(SYN) {
             let start = self.rng.lock().ok()?.random();
-            let (seq, ack) = self.accept_open(&packet, start);
+            let (seq, ack) = self.accept_open(&packet, start, host);
             self.send(&flow, SYN | ACK, seq, ack, Vec::new()).await;
             return None;
         }
@@ -312,8 +312,14 @@
 
     /// Accepts an opening segment and returns the sequence and acknowledgement numbers of
     /// the reply.
-    fn accept_open(&self, packet: &Packet, start: u32) -> (u32, u32) {
+    fn accept_open(&self, packet: &Packet, start: u32, host: Ipv4Addr) -> (u32, u32) {
         let mut state = self.lock_state();
+        if !state.flows.contains_key(&packet.flow) {
+            let (number, zone) = (self.spec.number, self.spec.zone);
+            self.checker
+                .lock()
+                .record_new_flow(&packet.flow, number, zone, host);
+        }
         let held = state.flows.entry(packet.flow).or_insert(HeldFlow {
             recv_next: packet.seq.wrapping_add(1),
             send_next: start,
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -1,14 +1,26 @@
 //! A random schedule of overlapping faults, determined by the seed.
 
+use std::ops::Range;
 use std::time::Duration;
 
-use rand::RngExt;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
 
+use crate::ZONES;
 use crate::hosts::GRACE_PERIOD;
 use crate::store::StoreMode;
 
+/// Longest duration of a fault other than an evacuation, in milliseconds.
+const MAX_FAULT_MS: u64 = 3_000;
+
+/// Durations of evacuations in milliseconds: long enough for the check, which begins 5 s after
+/// the order, and 20 s after it if the store was unstable.
+const EVACUATION_RANGE: Range<u64> = 7_000..26_000;
+
+/// Distinguishes the random numbers of evacuations from those of other faults.
+const EVACUATION_SEED: u64 = 0x6576_6163_7561_7465;
+
 /// A fault that is injected into the system.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -38,6 +50,8 @@
     StoreMode(StoreMode),
     /// The store is down and then comes back from a copy of this age.
     RestoreStore(Duration),
+    /// The operators evacuate a zone.
+    EvacuateZone(&'static str),
 }
 
 /// A fault with its start, counted from the start of the traffic, and its duration.
@@ -59,6 +73,28 @@
     }
 }
 
+/// Adds evacuations of one zone at a time to the faults that start before `end`.
+///
+/// They have random numbers of their own, so that each seed has the same other faults as without
+/// them.
+pub fn add_evacuations(planned: &mut Vec<PlannedFault>, seed: u64, end: Duration) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ EVACUATION_SEED);
+    let mut start_time = Duration::from_millis(rng.random_range(500..3_000));
+    while start_time < end {
+        let duration = Duration::from_millis(rng.random_range(EVACUATION_RANGE));
+        let duration =
+            duration.min((end + Duration::from_millis(MAX_FAULT_MS)).saturating_sub(start_time));
+        let zone = ZONES.choose(&mut rng).copied().unwrap_or(ZONES[0]);
+        planned.push(PlannedFault {
+            start_time,
+            duration,
+            fault: Fault::EvacuateZone(zone),
+        });
+        start_time += duration + Duration::from_millis(rng.random_range(500..4_000));
+    }
+    planned.sort_by_key(|fault| fault.start_time);
+}
+
 /// Draws the faults that start before `end`, up to three of them at the same time.
 pub fn plan_faults(rng: &mut SmallRng, end: Duration) -> Vec<PlannedFault> {
     let mut planned = Vec::new();
@@ -67,7 +103,7 @@
         for _ in 0..rng.random_range(1..=3) {
             planned.push(PlannedFault {
                 start_time,
-                duration: Duration::from_millis(rng.random_range(300..3_000)),
+                duration: Duration::from_millis(rng.random_range(300..MAX_FAULT_MS)),
                 fault: draw_fault(rng),
             });
         }
--- a/examples/soak/hosts.rs
+++ b/examples/soak/hosts.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::ZONES;
 use crate::ledger::{Checker, FaultTarget};
 use crate::packet::Flow;
 
@@ -33,6 +34,9 @@
 /// Age from which a process has its signal handlers installed, even on a busy machine.
 const SIGNAL_HANDLING_AGE: Duration = Duration::from_secs(1);
 
+/// Region of all zones.
+const REGION: &str = "loop";
+
 /// Time within which a host must exit after SIGTERM.
 pub const GRACE_PERIOD: Duration = Duration::from_secs(6);
 
@@ -88,9 +92,11 @@
             .iter()
             .map(|ip| SocketAddr::from((*ip, CONTROL_PORT)))
             .collect();
+        let zones = ZONES.map(|zone| (zone.to_owned(), Value::from(REGION)));
+        let zones = Value::Object(zones.into_iter().collect());
         let settings: Value = json!({
             "NodeName": self.spec.name, "Ip": self.spec.ip, "Zone": self.spec.zone,
-            "Region": "loop", "Seeds": seeds, "InternalPorts": [PEER_PORTS.0, PEER_PORTS.1],
+            "Region": REGION, "Zones": zones, "Seeds": seeds, "InternalPorts": [PEER_PORTS.0, PEER_PORTS.1],
             "Listen": {"DatagramAddr": at(LANE_PORT), "ReadyAddr": at(READY_PORT), "Control": at(CONTROL_PORT)},
             "Bounds": {"GraceS": GRACE_PERIOD.as_secs()}, "platform": {"Address": store},
         });
--- a/examples/soak/ledger.rs
+++ b/examples/soak/ledger.rs
@@ -16,6 +16,11 @@
 /// count as reachable.
 pub const RECOVERY_TIME: Duration = Duration::from_secs(4);
 
+/// Time after an order to evacuate a zone from which on no new flow may reach it, and the time
+/// that is added if the store was unstable: the users' limits.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
+const UNSTABLE_STORE_TIME: Duration = Duration::from_secs(15);
+
 /// Exceeds the length of every run; a fault that is still active gets this end.
 const MAX_RUN_TIME: Duration = Duration::from_hours(24);
 
@@ -37,6 +42,8 @@
     executions: HashMap<u64, u32>,
     /// Consecutive packets of each flow at endpoints other than its own.
     misrouted_packets: HashMap<Flow, u32>,
+    /// Time of the order to evacuate each zone.
+    evacuations: HashMap<&'static str, Instant>,
     /// Requests whose callers were told that they have not run.
     not_run: HashSet<u64>,
     pub total_requests: u64,
@@ -50,11 +57,12 @@
     pub violations: Vec<String>,
 }
 
-/// A host or an endpoint that faults are injected into.
+/// Part of the system that faults are injected into.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum FaultTarget {
     Host(Ipv4Addr),
     Endpoint(u64),
+    Store,
 }
 
 impl Checker {
@@ -72,6 +80,16 @@
     pub fn end_fault(&self, target: FaultTarget) {
         self.lock().fault_ends.insert(target, Instant::now());
     }
+
+    /// Records an order to evacuate a zone, or that it was given again.
+    pub fn begin_evacuation(&self, zone: &'static str) {
+        self.lock().evacuations.insert(zone, Instant::now());
+    }
+
+    /// Records the end of an order to evacuate a zone.
+    pub fn end_evacuation(&self, zone: &str) {
+        self.lock().evacuations.remove(zone);
+    }
 }
 
 impl Observations {
@@ -105,6 +123,28 @@
         }
     }
 
+    /// Records that an endpoint of a zone accepted a new flow through a host.
+    pub fn record_new_flow(&mut self, flow: &Flow, endpoint: u64, zone: &str, host: Ipv4Addr) {
+        let Some(ordered_at) = self.evacuations.get(zone) else {
+            return;
+        };
+        let store_fault = self.fault_ends.get(&FaultTarget::Store);
+        let was_unstable = store_fault.is_some_and(|end| *end + RECOVERY_TIME > *ordered_at);
+        let limit = if was_unstable {
+            EVACUATION_TIME + UNSTABLE_STORE_TIME
+        } else {
+            EVACUATION_TIME
+        };
+        let age = ordered_at.elapsed();
+        if age >= limit && self.is_recovered(FaultTarget::Host(host)) {
+            let details = format!(
+                "{flow:?} opened at endpoint {endpoint:x} of {zone} through {host}, {} ms after the order",
+                age.as_millis()
+            );
+            self.report_violation("evacuated", &details);
+        }
+    }
+
     /// Records that a caller was told that a request has not run.
     pub fn record_not_run(&mut self, request: u64) {
         self.not_run.insert(request);
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -40,7 +40,11 @@
 use ledger::{Checker, FaultTarget};
 use store::{Store, StoreMode};
 
-const ZONES: [&str; 3] = ["za", "zb", "zc"];
+/// Availability zones of hosts and endpoints.
+pub const ZONES: [&str; 3] = ["za", "zb", "zc"];
+
+/// Key prefix of orders to evacuate a zone.
+const EVACUATION_PREFIX: &str = "op/evacuate/";
 
 /// Time for hosts to start and enter rotation.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
@@ -94,6 +98,8 @@
     bin: PathBuf,
     /// Keep the settings and logs of the hosts
     keep: bool,
+    /// Leave out evacuations, as for seeds that failed before these were added
+    no_evacuations: bool,
 }
 
 /// State of a run.
@@ -111,6 +117,7 @@
     /// The newest configuration.
     config: serde_json::Value,
     next_endpoint: u64,
+    evacuated_zone: Option<&'static str>,
     work_dir: PathBuf,
 }
 
@@ -126,6 +133,7 @@
     RestoreCopy(Duration),
     RewriteStore,
     ExpireEntries,
+    ReturnZone(&'static str),
 }
 
 #[tokio::main(flavor = "current_thread")]
@@ -187,6 +195,7 @@
             config_version: 0,
             config: serde_json::Value::Null,
             next_endpoint: 1,
+            evacuated_zone: None,
             work_dir,
             options,
         };
@@ -291,11 +300,26 @@
     /// Writes again what the operator and the endpoints have written.
     fn rewrite_store(&self) {
         self.store.set("op/config", &self.config);
+        self.publish_evacuation();
         for running in &self.endpoints {
             running.endpoint.publish();
         }
     }
 
+    /// Publishes the evacuation that stands, if there is one, and removes all others.
+    fn publish_evacuation(&self) {
+        let keys: Vec<String> = self
+            .evacuated_zone
+            .map(evacuation_key)
+            .into_iter()
+            .collect();
+        self.store.retain(EVACUATION_PREFIX, &keys);
+        if let Some(zone) = self.evacuated_zone {
+            self.store.set(&evacuation_key(zone), &json!({}));
+            self.checker.begin_evacuation(zone);
+        }
+    }
+
     /// Publishes a change after the last fault and checks that all hosts apply it in time.
     async fn check_config(&mut self, faults_ended: Instant) -> std::io::Result<()> {
         sleep_until(faults_ended + SETTLING_TIME).await;
@@ -324,6 +348,9 @@
         let end = started_at + fault_time + FAULT_FREE_TIME;
         let callers = self.start_callers(end).await?;
         let mut plan = faults::plan_faults(&mut self.rng, fault_time);
+        if !self.options.no_evacuations {
+            faults::add_evacuations(&mut plan, self.options.seed, fault_time);
+        }
         plan.reverse();
         let mut recoveries: Vec<(Instant, Recovery)> = Vec::new();
         while !plan.is_empty() || !recoveries.is_empty() {
@@ -413,10 +440,12 @@
                 Vec::new()
             }
             Fault::StoreMode(mode) => {
+                self.checker.begin_fault(FaultTarget::Store);
                 self.store.mode.send_replace(mode);
                 vec![Recovery::RestoreStore]
             }
             Fault::RestoreStore(copy_age) => {
+                self.checker.begin_fault(FaultTarget::Store);
                 self.store.mode.send_replace(StoreMode::Reset);
                 vec![Recovery::RestoreCopy(copy_age)]
             }
@@ -424,6 +453,13 @@
                 self.publish_config();
                 Vec::new()
             }
+            Fault::EvacuateZone(zone) => {
+                if let Some(earlier) = self.evacuated_zone.replace(zone) {
+                    self.checker.end_evacuation(earlier);
+                }
+                self.publish_evacuation();
+                vec![Recovery::ReturnZone(zone)]
+            }
             fault => self.inject_endpoint_fault(fault),
         }
     }
@@ -515,10 +551,12 @@
                 }
             }
             Recovery::RestoreStore => {
+                self.checker.end_fault(FaultTarget::Store);
                 self.store.mode.send_replace(StoreMode::Up);
             }
             Recovery::RestoreCopy(copy_age) => {
                 self.store.restore(copy_age);
+                self.checker.end_fault(FaultTarget::Store);
                 self.store.mode.send_replace(StoreMode::Up);
                 return Ok(Some((REWRITE_TIME, Recovery::RewriteStore)));
             }
@@ -533,6 +571,13 @@
                 self.store.retain("servers/", &keys);
             }
             Recovery::ReplaceEndpoint(number) => self.replace_endpoint(number).await?,
+            Recovery::ReturnZone(zone) => {
+                if self.evacuated_zone == Some(zone) {
+                    self.evacuated_zone = None;
+                    self.checker.end_evacuation(zone);
+                    self.store.remove(&evacuation_key(zone));
+                }
+            }
         }
         Ok(None)
     }
@@ -631,6 +676,11 @@
     }
 }
 
+/// Returns the key of the order to evacuate a zone.
+fn evacuation_key(zone: &str) -> String {
+    format!("{EVACUATION_PREFIX}{zone}")
+}
+
 /// Returns the address of the route that only this version of the configuration has.
 fn version_vip(version: u64) -> SocketAddrV4 {
     let last = u8::try_from(version % 250).unwrap_or(0);
