Test the log line and the gauges of an evacuation at a running host

Cause: the gauge of the oldest order is read from the dump of the control tables by name, which no test covered.

--- a/tests/host.rs
+++ b/tests/host.rs
@@ -2,10 +2,14 @@
 
 mod process;
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
+use axum::routing::get;
+use axum::{Json, Router};
 use process::{Host, settings_path, settings_text, write_file};
 use rustix::process::Signal;
+use serde_json::{Value, json};
 
 #[test]
 fn settings_are_reloaded_and_invalid_ones_refused() {
@@ -47,3 +51,53 @@
     drop(pipe);
     host.wait_for_event("started");
 }
+
+/// Returns all items of a store with an empty desired state and an evacuation of one zone.
+async fn evacuated_items() -> Json<Value> {
+    let state = "eyJWZXJzaW9uIjoxLCJSb3V0ZXMiOltdLCJTZXJ2aWNlcyI6W10sIkxpbWl0cyI6eyJJZGxlVGltZW91dE1zIjoxNTAwMH19";
+    let items = json!([
+        {"Key": "op/config", "Value": state, "Revision": 1},
+        {"Key": "op/evacuate/zb", "Value": "e30=", "Revision": 2},
+    ]);
+    Json(json!({"items": items, "HasMore": false, "StoreRevision": 2}))
+}
+
+/// Guards against a log line or a metric of an evacuation that has another name or unit than
+/// the tables of a host.
+#[tokio::test]
+async fn evacuation_is_logged_and_measured() {
+    let ip = "127.90.30.1";
+    let listener = tokio::net::TcpListener::bind((ip, 7100)).await;
+    let listener = listener.expect("a free address");
+    let routes = Router::new().route("/-/kv-range", get(evacuated_items));
+    tokio::spawn(async move { axum::serve(listener, routes).await });
+    let file = settings_path("evacuated");
+    write_file(&file, &settings_text(ip, &[]));
+    let metrics = tokio::task::spawn_blocking(move || {
+        let mut host = Host::start(ip, file);
+        let line = host.wait_for_event("zone_evacuated");
+        assert_eq!(
+            (&line["zone"], &line["revision"]),
+            (&json!("zb"), &json!(2))
+        );
+        assert_eq!(line["age_ms"], 0);
+        std::thread::sleep(std::time::Duration::from_millis(1_200));
+        let mut stream = TcpStream::connect((ip, 7030)).expect("the operators' server");
+        let request = "GET /metrics HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).expect("a request");
+        let mut response = String::new();
+        stream.read_to_string(&mut response).expect("a response");
+        response
+    });
+    let metrics = metrics.await.expect("no panic");
+    let gauge = |name: &str| {
+        let name = format!("jacinthhinge_{name} ");
+        let value = metrics.lines().find_map(|line| line.strip_prefix(&name));
+        value
+            .and_then(|value| value.parse::<f64>().ok())
+            .expect("a gauge")
+    };
+    assert!((gauge("evacuated_zones") - 1.0).abs() < 0.1);
+    let age = gauge("oldest_evacuation_seconds");
+    assert!((1.0..5.0).contains(&age), "{age} s");
+}
