Apply every changed setting that can change while a host runs

Cause: the reload passed on only the seeds of a changed settings file, and logged the whole file as in force. A host whose store had moved went on reading at the old address.

Change: ReloadedSettings compares the file with the settings in force, one line a field, and names what changed: fields in force (settings_in_force) and fields that need a restart (settings_need_restart, once a change). One event, Event::Settings, carries the settings of the control thread that can change. A new address of the store replaces the watch in flight at once.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -37,7 +37,7 @@
     FetchRequest, FetchResponse, Heartbeat, HostList, Value, ValueChange, ValueUpdate,
     WriterVersion,
 };
-pub use self::settings::{LeaseTiming, ReadPacing, Settings};
+pub use self::settings::{LeaseTiming, LiveSettings, ReadPacing, Settings};
 pub use self::tables::{Counters, LocalHost, Tables};
 pub use self::values::{BuiltConfig, ConfigBuilder, Values};
 
@@ -58,8 +58,8 @@
     LaneReports(Vec<Arc<LaneReport>>),
     /// A message could not be decoded or authenticated.
     Rejected,
-    /// The seed hosts in the settings have changed.
-    Seeds(Vec<SocketAddr>),
+    /// Settings at the start, or settings of which some have changed.
+    Settings(LiveSettings),
     /// The operator requested the shutdown of this host.
     Leave,
     /// No work is in flight on the traffic lanes.
@@ -133,7 +133,7 @@
             Event::Hosts(result) => platform_reads::receive_hosts(tables, now, result),
             Event::LaneReports(lanes) => reports::update_own(tables, &lanes),
             Event::Rejected => tables.counters.rejected += 1,
-            Event::Seeds(seeds) => tables.settings.seeds = seeds,
+            Event::Settings(settings) => apply_settings(tables, now, settings, &mut outbox),
             Event::Leave => leave::start(tables, now, &mut outbox),
             Event::Drained => leave::record_drained(tables),
         }
@@ -154,6 +154,19 @@
     }
 }
 
+/// Puts changed settings into force.
+fn apply_settings(tables: &mut Tables, now: Duration, settings: LiveSettings, outbox: &mut Outbox) {
+    // Without `..`, so that a new setting does not compile until it is used here.
+    let LiveSettings {
+        store_addr,
+        seeds,
+        drain_limit,
+    } = settings;
+    tables.settings.seeds = seeds;
+    tables.settings.drain_limit = drain_limit;
+    platform_reads::set_store(tables, now, store_addr, outbox);
+}
+
 /// Runs the systems that depend on time.
 fn tick(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     failure_detector::run(tables, now, outbox);
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -3,6 +3,7 @@
 //! Pauses have jitter and failures back off, so that the whole fleet stays within the
 //! platform's read budget, also after an outage.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::message::{HostList, ValueUpdate, VoterSet};
@@ -67,6 +68,33 @@
     }
 }
 
+/// Reads from the store at `store_addr` from now on.
+///
+/// A watch at the earlier address is replaced at once, since that one may never answer it. It
+/// is the same store, so known revisions remain comparable. Failures remain counted: if the
+/// last reads at the earlier address failed, the first answer ends an outage.
+pub(super) fn set_store(
+    tables: &mut Tables,
+    now: Duration,
+    store_addr: SocketAddr,
+    outbox: &mut Outbox,
+) {
+    let reads = &mut tables.platform_reads;
+    let earlier = reads.store_addr.replace(store_addr);
+    if earlier.is_none_or(|earlier| earlier == store_addr) {
+        return;
+    }
+    if reads.values.in_flight {
+        reads.values.in_flight = false;
+        tables.counters.replaced_watches += 1;
+    }
+    reads.values.next_read = now;
+    if reads.hosts.failures > 0 {
+        reads.hosts.next_read = now;
+    }
+    run(tables, now, outbox);
+}
+
 /// Processes the result of a watch of the values.
 pub(super) fn receive_values(tables: &mut Tables, now: Duration, result: Result<ValueUpdate>) {
     tables.platform_reads.values.in_flight = false;
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -34,6 +34,29 @@
     pub rng_seed: u64,
 }
 
+/// Settings that can change while a host runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LiveSettings {
+    /// Address of the platform's store.
+    pub store_addr: SocketAddr,
+    /// As in [`Settings::seeds`].
+    pub seeds: Vec<SocketAddr>,
+    /// As in [`Settings::drain_limit`].
+    pub drain_limit: Duration,
+}
+
+impl Settings {
+    /// Returns the settings that can change while the host runs, with the store at `store_addr`.
+    #[must_use]
+    pub fn live(&self, store_addr: SocketAddr) -> LiveSettings {
+        LiveSettings {
+            store_addr,
+            seeds: self.seeds.clone(),
+            drain_limit: self.drain_limit,
+        }
+    }
+}
+
 /// Durations of the lease protocol, which must be the same on all hosts.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct LeaseTiming {
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -223,6 +223,9 @@
 /// State of the reads of the platform.
 #[derive(Debug, Default, Serialize)]
 pub(super) struct PlatformReads {
+    /// Address of the store, once the front end has named it.
+    #[serde(rename = "store")]
+    pub(super) store_addr: Option<SocketAddr>,
     pub(super) values: ReadState,
     pub(super) hosts: ReadState,
     /// Newest revision of the platform for which a watch was replaced.
@@ -329,7 +332,7 @@
     /// Failed reads of the platform.
     pub read_failures: u64,
     /// Watches of the platform's values that were abandoned because another read showed that
-    /// they are not answered.
+    /// they are not answered, or because the store has another address.
     pub replaced_watches: u64,
     /// Responses of a stale platform replica.
     pub stale_reads: u64,
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::BytesMut;
 use futures_util::future::{BoxFuture, ready};
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -24,8 +25,8 @@
 use crate::clock::Clock;
 use crate::control::failure_detector::TICK_INTERVAL;
 use crate::control::{
-    Action, Control, Event, FetchRequest, FetchResponse, Heartbeat, HostList, Outbox, Settings,
-    ValueUpdate,
+    Action, Control, Event, FetchRequest, FetchResponse, Heartbeat, HostList, LiveSettings, Outbox,
+    Settings, ValueUpdate,
 };
 use crate::error::{Error, Result};
 use crate::platform::store::Store;
@@ -69,6 +70,8 @@
     >,
     /// Reads the host list.
     pub read_hosts: Arc<dyn Fn() -> BoxFuture<'static, Result<HostList>> + Send + Sync>,
+    /// Sets the address of the store for all reads that begin later.
+    pub set_store: Arc<dyn Fn(SocketAddr) + Send + Sync>,
 }
 
 impl PlatformSource {
@@ -78,22 +81,25 @@
         Self {
             watch_values: Arc::new(|_, _, _| ready(Err(missing_platform())).boxed()),
             read_hosts: Arc::new(|| ready(Err(missing_platform())).boxed()),
+            set_store: Arc::new(|_| {}),
         }
     }
 
     /// Returns a source that reads the values and the host list from `store`.
     #[must_use]
     pub fn from_store(store: &Store) -> Self {
-        let (value_store, list_store) = (store.clone(), store.clone());
+        let store = Arc::new(ArcSwap::from_pointee(store.clone()));
+        let (value_store, list_store) = (Arc::clone(&store), Arc::clone(&store));
         Self {
             watch_values: Arc::new(move |known_revision, max_wait, response_time| {
-                let store = value_store.clone();
+                let store = value_store.load_full();
                 async move { store.watch(known_revision, max_wait, response_time).await }.boxed()
             }),
             read_hosts: Arc::new(move || {
-                let store = list_store.clone();
+                let store = list_store.load_full();
                 async move { read_hosts(&store).await }.boxed()
             }),
+            set_store: Arc::new(move |addr| store.store(Arc::new(store.load().at(addr)))),
         }
     }
 }
@@ -126,8 +132,8 @@
     pub lane_reports: Arc<dyn Fn() -> Vec<Arc<LaneReport>> + Send + Sync>,
     /// Requests for a dump of the control tables.
     pub dump_requests: mpsc::Receiver<oneshot::Sender<serde_json::Value>>,
-    /// Control addresses of the seed hosts, updated when they change.
-    pub seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// Settings that can change while the host runs.
+    pub settings: watch::Receiver<LiveSettings>,
 }
 
 impl ControlChannels {
@@ -198,6 +204,8 @@
         let (requests, mut pending_fetches) = mpsc::channel::<PendingFetch>(MAX_CONNECTIONS);
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let initial_settings = self.settings_event();
+        self.handle(initial_settings).await;
         loop {
             let event = tokio::select! {
                 Some(Ok((heartbeat, _))) = inbox.next() => heartbeat_event(heartbeat),
@@ -218,9 +226,7 @@
                     continue;
                 }
                 Ok(()) = self.channels.leave.changed() => Event::Leave,
-                Ok(()) = self.channels.seeds.changed() => {
-                    Event::Seeds(self.channels.seeds.borrow_and_update().clone())
-                }
+                Ok(()) = self.channels.settings.changed() => self.settings_event(),
                 _ = ticks.tick() => Event::Tick,
             };
             if self.handle(event).await {
@@ -247,6 +253,13 @@
         left
     }
 
+    /// Directs reads to the store in the current settings and returns these settings.
+    fn settings_event(&mut self) -> Event {
+        let settings = self.channels.settings.borrow_and_update().clone();
+        (self.settings.source.set_store)(settings.store_addr);
+        Event::Settings(settings)
+    }
+
     fn is_drained(&self) -> bool {
         *self.channels.leave.borrow() && (self.channels.count_in_flight)() == 0
     }
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -4,7 +4,7 @@
 //! values come from the platform's store, and all hosts of a region exchange them.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -19,10 +19,11 @@
 use super::logs;
 use super::serve::{self, FrontEnd};
 use super::settings::{DEFAULT_LOG_LEVEL, Settings};
+use crate::clock::millis;
 use crate::control::message::HostInfo;
-use crate::control::{self as control_plane, ReadPacing};
+use crate::control::{self as control_plane, LiveSettings, ReadPacing};
 use crate::error::{Error, Result};
-use crate::platform::settings::{self, HostSettings};
+use crate::platform::settings::{self, HostSettings, ReloadedSettings, SettingsChange};
 use crate::platform::store::Store;
 use crate::platform::{self, header, readiness};
 use crate::ticket::TicketKeys;
@@ -92,15 +93,15 @@
 }
 
 fn front_end(host_settings: &HostSettings, settings: &Settings, path: PathBuf) -> FrontEnd {
-    let (seed_updates, seeds) = watch::channel(host_settings.seeds.clone());
+    let (updates, live_settings) = watch::channel(live_settings(host_settings));
     let ready_addr = host_settings.ready_addr;
     FrontEnd {
         codec: Arc::new(codec(host_settings.datagram_addr.port())),
         source: PlatformSource::from_store(&Store::new(host_settings.store_addr, ALL_KEYS)),
         control: control_settings(host_settings, settings),
-        seeds,
+        settings: live_settings,
         serve_probes: Box::new(move |is_ready| readiness::run(ready_addr, is_ready).boxed()),
-        reload: reload(path, host_settings.clone(), seed_updates).boxed(),
+        reload: reload(path, host_settings.clone(), updates).boxed(),
     }
 }
 
@@ -126,7 +127,7 @@
             availability_zone: host_settings.zone.clone(),
             ..defaults.info
         },
-        drain_limit: host_settings.grace_period.saturating_sub(STOP_MARGIN),
+        drain_limit: drain_limit(host_settings),
         config_builder: platform::service_builder(host_settings.zone.clone())
             .and_then(control_plane::cap_slots),
         read_pacing: ReadPacing::frequent(),
@@ -134,45 +135,61 @@
     }
 }
 
+/// Returns the settings of the control thread that can change while it runs.
+fn live_settings(host_settings: &HostSettings) -> LiveSettings {
+    LiveSettings {
+        store_addr: host_settings.store_addr,
+        seeds: host_settings.seeds.clone(),
+        drain_limit: drain_limit(host_settings),
+    }
+}
+
+fn drain_limit(host_settings: &HostSettings) -> Duration {
+    host_settings.grace_period.saturating_sub(STOP_MARGIN)
+}
+
 /// Reads the settings file again on SIGHUP and every [`RELOAD_PERIOD`].
 async fn reload(
     path: PathBuf,
-    mut host_settings: HostSettings,
-    seed_updates: watch::Sender<Vec<SocketAddr>>,
+    host_settings: HostSettings,
+    updates: watch::Sender<LiveSettings>,
 ) -> Result<()> {
     let signal_error = |source| Error::io("listen for signals", source);
     let mut hangup = signal(SignalKind::hangup()).map_err(signal_error)?;
+    let mut settings = ReloadedSettings::new(host_settings);
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
             () = tokio::time::sleep(RELOAD_PERIOD) => false,
         };
-        host_settings = reload_settings(&path, host_settings, signalled, &seed_updates);
+        match settings::read(&path) {
+            Ok(read) => update_settings(&mut settings, read, signalled, &updates),
+            Err(err) => log::warn!(cause:% = err; "settings_refused"),
+        }
     }
 }
 
-fn reload_settings(
-    path: &Path,
-    host_settings: HostSettings,
+fn update_settings(
+    settings: &mut ReloadedSettings,
+    read: HostSettings,
     signalled: bool,
-    seed_updates: &watch::Sender<Vec<SocketAddr>>,
-) -> HostSettings {
-    match settings::read(path) {
-        Err(err) => {
-            log::warn!(cause:% = err; "settings_refused");
-            host_settings
-        }
-        Ok(new_settings) if new_settings == host_settings => {
-            if signalled {
-                log::info!("settings_unchanged");
-            }
-            host_settings
-        }
-        Ok(new_settings) => {
-            log::info!(seeds:? = new_settings.seeds; "settings_in_force");
-            // Sending cannot fail: the receiver lives as long as the process.
-            let _ = seed_updates.send(new_settings.seeds.clone());
-            new_settings
-        }
+    updates: &watch::Sender<LiveSettings>,
+) {
+    let change = settings.update(read);
+    if change == SettingsChange::default() && signalled {
+        log::info!("settings_unchanged");
+    }
+    if !change.need_restart.is_empty() {
+        log::warn!(fields:% = change.need_restart.join(", "); "settings_need_restart");
+    }
+    if !change.applied.is_empty() {
+        let used = &settings.in_force;
+        log::info!(
+            fields:% = change.applied.join(", "), seeds:? = used.seeds,
+            store:% = used.store_addr, grace_ms = millis(used.grace_period);
+            "settings_in_force"
+        );
+        // Sending cannot fail: the receiver lives as long as the process.
+        let _ = updates.send(live_settings(used));
     }
 }
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -3,7 +3,6 @@
 //! On SIGTERM or SIGINT the host leaves: it announces its leave, completes the work in
 //! flight and exits. A second signal ends the process immediately.
 
-use std::net::SocketAddr;
 use std::process;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -27,7 +26,9 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::control::message::HostInfo;
-use crate::control::{self as control_plane, BuiltConfig, ConfigBuilder, ReadPacing, Values};
+use crate::control::{
+    self as control_plane, BuiltConfig, ConfigBuilder, LiveSettings, ReadPacing, Values,
+};
 use crate::error::{Error, Result};
 use crate::id::{Id, Incarnation, Name};
 use crate::platform::store::Store;
@@ -85,7 +86,7 @@
         leave: leaving.clone(),
         lane_reports: lane_reports(&lanes),
         dump_requests,
-        seeds: front_end.seeds,
+        settings: front_end.settings,
     };
     let control_settings = ControlSettings {
         control: control_plane::Settings {
@@ -185,8 +186,8 @@
     /// Settings of the control thread. The daemon replaces the incarnation and the seed of
     /// the random numbers.
     pub control: control_plane::Settings,
-    /// Control addresses of the seed hosts, updated when they change.
-    pub seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// Settings of the control thread that can change while it runs.
+    pub settings: watch::Receiver<LiveSettings>,
     /// Serves readiness probes until an error occurs.
     pub serve_probes: Box<dyn FnOnce(ReadyCheck) -> BoxFuture<'static, Result<()>>>,
     /// Reloads the settings when they change, until an error occurs.
@@ -197,13 +198,14 @@
     /// Returns the front end for this project's own packets.
     #[must_use]
     pub fn for_packets(settings: &Settings) -> Self {
-        let (_, seeds) = watch::channel(settings.seeds.clone());
+        let control = control_settings(settings);
+        let (_, live_settings) = watch::channel(control.live(settings.platform_addr));
         let store = Store::new(settings.platform_addr, CONFIG_PREFIX);
         Self {
             codec: Arc::new(Codec::for_packets()),
             source: PlatformSource::from_store(&store),
-            control: control_settings(settings),
-            seeds,
+            control,
+            settings: live_settings,
             serve_probes: Box::new(|_| pending().boxed()),
             reload: pending().boxed(),
         }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,4 +1,5 @@
-//! Settings file that the platform writes for each process.
+//! Settings file that the platform writes for each process, and what its changes mean for a
+//! running host.
 
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
@@ -6,6 +7,7 @@
 
 use serde::Deserialize;
 use serde_with::{DurationSeconds, serde_as};
+use smallvec::SmallVec;
 
 use crate::error::{Error, Result};
 use crate::id::Name;
@@ -75,6 +77,118 @@
     pub grace_period: Duration,
 }
 
+/// Names of the fields that differ in a changed settings file, as they stand in it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SettingsChange {
+    /// Fields whose new values are in force.
+    pub applied: SmallVec<[&'static str; 4]>,
+    /// Fields whose old values stay in force until the host is restarted.
+    pub need_restart: SmallVec<[&'static str; 4]>,
+}
+
+/// Settings of a running host, whose file may change.
+#[derive(Clone, Debug)]
+pub struct ReloadedSettings {
+    /// Settings in force.
+    pub in_force: HostSettings,
+    /// Content of the file when it was last read.
+    last_read: HostSettings,
+}
+
+impl ReloadedSettings {
+    /// Starts with the settings that the host has at its start.
+    #[must_use]
+    pub fn new(settings: HostSettings) -> Self {
+        Self {
+            in_force: settings.clone(),
+            last_read: settings,
+        }
+    }
+
+    /// Puts the fields of `read` that can change at run time into force.
+    ///
+    /// Each field has one line here. One that needs a restart is named only when its value in
+    /// the file has changed since the last call.
+    pub fn update(&mut self, read: HostSettings) -> SettingsChange {
+        let (used, last) = (&mut self.in_force, &self.last_read);
+        // Without `..`, so that a new field does not compile until it has its line below.
+        let HostSettings {
+            name,
+            zone,
+            region,
+            datagram_addr,
+            ready_addr,
+            peer_addr,
+            seeds,
+            store_addr,
+            grace_period,
+        } = &read;
+        // A restart of this host changes the port for messages between hosts, also that of the
+        // other hosts' addresses.
+        let seeds = with_port(seeds, used.peer_addr);
+        let mut change = SettingsChange::default();
+        change.keep("NodeName", &used.name, &last.name, name);
+        change.keep(
+            "Ip",
+            &used.peer_addr.ip(),
+            &last.peer_addr.ip(),
+            &peer_addr.ip(),
+        );
+        change.keep("Zone", &used.zone, &last.zone, zone);
+        change.keep("Region", &used.region, &last.region, region);
+        change.keep(
+            "Listen.DatagramAddr",
+            &used.datagram_addr,
+            &last.datagram_addr,
+            datagram_addr,
+        );
+        change.keep(
+            "Listen.ReadyAddr",
+            &used.ready_addr,
+            &last.ready_addr,
+            ready_addr,
+        );
+        let port = |addr: &SocketAddr| addr.port();
+        change.keep(
+            "InternalPorts",
+            &port(&used.peer_addr),
+            &port(&last.peer_addr),
+            &port(peer_addr),
+        );
+        change.apply("Seeds", &mut used.seeds, &seeds);
+        change.apply("platform.Address", &mut used.store_addr, store_addr);
+        change.apply("Bounds.GraceS", &mut used.grace_period, grace_period);
+        self.last_read = read;
+        change
+    }
+}
+
+impl SettingsChange {
+    /// Puts the new value of a field into force.
+    fn apply<T: Clone + PartialEq>(&mut self, field: &'static str, used: &mut T, read: &T) {
+        if used != read {
+            used.clone_from(read);
+            self.applied.push(field);
+        }
+    }
+
+    /// Keeps the value of a field that needs a restart.
+    fn keep<T: PartialEq>(&mut self, field: &'static str, used: &T, last: &T, read: &T) {
+        if read != used && read != last {
+            self.need_restart.push(field);
+        }
+    }
+}
+
+/// Returns these addresses with the port of `own_addr`, and without `own_addr`.
+fn with_port(seeds: &[SocketAddr], own_addr: SocketAddr) -> Vec<SocketAddr> {
+    let seeds = seeds.iter();
+    seeds
+        .map(|seed| SocketAddr::new(seed.ip(), own_addr.port()))
+        .filter(|seed| *seed != own_addr)
+        .collect()
+}
+
 /// Reads the settings file.
 ///
 /// # Errors
@@ -108,8 +222,6 @@
     })?;
     let (first_port, _) = wire.internal_ports;
     let peer_addr = SocketAddr::new(wire.ip, first_port);
-    let seeds = wire.seeds.iter();
-    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), first_port));
     Ok(HostSettings {
         name: wire.node_name,
         zone: wire.zone,
@@ -117,7 +229,7 @@
         datagram_addr: wire.listen.datagram_addr,
         ready_addr: wire.listen.ready_addr,
         peer_addr,
-        seeds: seeds.filter(|seed| *seed != peer_addr).collect(),
+        seeds: with_port(&wire.seeds, peer_addr),
         store_addr: wire.store.address,
         grace_period: wire.bounds.grace_s,
     })
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -140,6 +140,15 @@
         }
     }
 
+    /// Returns a client of the same store at another address.
+    #[must_use]
+    pub fn at(&self, addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            ..self.clone()
+        }
+    }
+
     /// Waits up to `wait` for values with a revision above `after`.
     ///
     /// Reads all values when `after` is 0, or when the store no longer has the changes since
--- a/tests/host.rs
+++ b/tests/host.rs
@@ -3,7 +3,10 @@
 mod process;
 
 use std::io::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
+use process::store::Store;
 use process::{Host, settings_path, settings_text, write_file};
 use rustix::process::Signal;
 
@@ -47,3 +50,55 @@
     drop(pipe);
     host.wait_for_event("started");
 }
+
+/// Time after its acknowledgement within which a change is in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(5);
+
+/// A host whose settings name another address of the store kept reading from the old one, and
+/// followed no change once that was closed.
+#[test]
+fn store_is_read_at_its_new_address() {
+    let ip = "127.90.3.1";
+    let at = |port: u16| SocketAddr::new(ip.parse().expect("an IP address"), port);
+    let store = Store::new();
+    let old_address = store.serve(at(7100));
+    let file = settings_path("moved-store");
+    write_file(&file, &settings_text(ip, &[]));
+    let mut host = Host::start(ip, file);
+    assert_eq!(host.wait_for_event("values_in_force")["revision"], 1);
+    let _new_address = store.serve(at(7101));
+    let text = settings_text(ip, &[]).replace(":7100", ":7101");
+    write_file(&host.file, &text);
+    host.send_signal(Signal::HUP);
+    let applied = host.wait_for_event("settings_in_force");
+    assert_eq!(applied["fields"], "platform.Address");
+    old_address.close();
+    let written = Instant::now();
+    let revision = store.write();
+    assert_eq!(host.wait_for_event("values_in_force")["revision"], revision);
+    assert!(written.elapsed() < APPLY_LIMIT, "{:?}", written.elapsed());
+    host.send_signal(Signal::TERM);
+    host.wait_for_event("ended");
+}
+
+/// A changed name was logged as in force, although the host kept its old one.
+#[test]
+fn field_that_needs_a_restart_is_named_once() {
+    let file = settings_path("fixed");
+    let ip = "127.90.4.1";
+    write_file(&file, &settings_text(ip, &[]));
+    let mut host = Host::start(ip, file);
+    host.wait_for_event("started");
+    let renamed = settings_text(ip, &[]).replace("\"host\"", "\"renamed\"");
+    write_file(&host.file, &renamed);
+    host.send_signal(Signal::HUP);
+    let reported = host.wait_for_event("settings_need_restart");
+    assert_eq!(reported["fields"], "NodeName");
+    host.send_signal(Signal::HUP);
+    host.wait_for_event("settings_unchanged");
+    let with_seed = settings_text(ip, &["127.90.4.2:7002"]).replace("\"host\"", "\"renamed\"");
+    write_file(&host.file, &with_seed);
+    host.send_signal(Signal::HUP);
+    let applied = host.wait_for_event_but("settings_in_force", "settings_need_restart");
+    assert_eq!(applied["fields"], "Seeds");
+}
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -43,16 +43,18 @@
         let (leave_sender, leaving) = watch::channel(false);
         let (dump_sender, dump_requests) = ControlChannels::dump_channel();
         let sink = Arc::clone(&published);
+        let control_settings = settings(name, peer_addr, seeds);
+        let live_settings = control_settings.live(peer_addr);
         let channels = ControlChannels {
             lane_reports: Arc::new(Vec::new),
             publish_snapshot: Arc::new(move |snapshot| sink.lock().expect("lock").push(snapshot)),
             count_in_flight: Arc::new(|| 0),
             leave: leaving,
             dump_requests,
-            seeds: watch::channel(Vec::new()).1,
+            settings: watch::channel(live_settings).1,
         };
         let settings = ControlSettings {
-            control: settings(name, peer_addr, seeds),
+            control: control_settings,
             peer_key: PeerKey::new("secret"),
             source,
         };
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -2,17 +2,25 @@
 
 #![allow(dead_code, reason = "each test uses only some items")]
 
+pub mod store;
+
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
+/// Maximum time that a test waits for an event of a process.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A process of the `relay` command on its own IP address.
 pub struct Host {
     pub child: Child,
-    lines: std::io::Lines<BufReader<std::process::ChildStdout>>,
+    lines: mpsc::Receiver<String>,
     pub file: PathBuf,
     pub ip: &'static str,
 }
@@ -30,7 +38,11 @@
             .spawn()
             .expect("the program");
         let output = child.stdout.take().expect("its output");
-        let lines = BufReader::new(output).lines();
+        let (sender, lines) = mpsc::channel();
+        thread::spawn(move || {
+            let mut read_lines = BufReader::new(output).lines().map_while(Result::ok);
+            read_lines.try_for_each(|line| sender.send(line))
+        });
         Self {
             child,
             lines,
@@ -41,9 +53,18 @@
 
     /// Reads log lines up to the next one with this event.
     pub fn wait_for_event(&mut self, name: &str) -> Value {
+        self.wait_for_event_but(name, "")
+    }
+
+    /// Reads log lines up to the next one with this event; none before it may be `unwanted`.
+    pub fn wait_for_event_but(&mut self, name: &str, unwanted: &str) -> Value {
+        let deadline = Instant::now() + EVENT_TIMEOUT;
         loop {
-            let line = self.lines.next().expect("the host runs");
-            let line: Value = serde_json::from_str(&line.expect("text")).expect("JSON");
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(time_left);
+            let line = line.unwrap_or_else(|err| panic!("no line before {name}: {err}"));
+            let line: Value = serde_json::from_str(&line).expect("JSON");
+            assert_ne!(line["event"], unwanted, "{line}");
             if line["event"] == name {
                 return line;
             }
