Restart the wait of removals after a second outage

Cause: removals that wait after an outage of the store were applied at the first answer to any host after the 2.2 s, also if the store was away again in between, so that endpoints could not register again. A host learned of the second outage only from its own next answer.

Change: outages.rs finds the end of an outage from own reads and from heartbeats: a gap in the answers of all hosts, or a host whose reads have failed since the last answer, unless the answered host was answered steadily. Each end restarts the 2.2 s. A host that was refused while others were answered no longer restarts it, nor does taking over reads by itself.

Measured: of the 9 tests of regression/second_outage.rs all 9 failed on the sources before (value removed at the first answer; for the refused third, a removal after the refusals took 3.04 s) and pass now; 66 of 66 tests of regression pass.

--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -11,7 +11,7 @@
 
 use super::message::{Heartbeat, MemberUpdate, Status, Timestamp};
 use super::tables::{Member, Tables};
-use super::{Action, Outbox, lease, members, reports};
+use super::{Action, Outbox, lease, members, outages, reports};
 use crate::id::Id;
 
 /// Period of heartbeat rounds in zones whose members fit into one round.
@@ -152,10 +152,9 @@
         member.last_timestamp = Some(heartbeat.sent_at);
         member.vote = heartbeat.vote.clone();
         member.revision = heartbeat.revision;
-        member.read_failures = heartbeat.read_failures;
-        member.last_read = heartbeat.read_age.map(|age| now.saturating_sub(age));
         member.list_revision = heartbeat.list_revision;
         member.acked_timestamp = heartbeat.echo.and_then(|echo| echo.local_time(incarnation));
+        outages::record_member_reads(tables, now, heartbeat);
     }
     true
 }
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -102,6 +102,7 @@
         revision: Revision::default(),
         read_failures: 0,
         last_read: None,
+        failing_since: None,
         list_revision: Revision::default(),
         gossip_left: gossip_count,
     };
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod leave;
 mod members;
 pub mod message;
+mod outages;
 mod platform_reads;
 mod publish;
 mod readers;
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::message::{HostList, ValueUpdate, VoterSet};
+use super::outages::{self, Answer};
 use super::tables::{ReadState, Tables};
 use super::{Action, Outbox, apply, readers, removals, voters};
 use crate::clock::millis;
@@ -48,9 +49,6 @@
     }
     removals::release(tables);
     let is_reader = readers::is_reader(tables);
-    if is_reader && !tables.platform_reads.is_reader {
-        start_reading(tables, now);
-    }
     tables.platform_reads.is_reader = is_reader;
     if is_reader && is_due(&tables.platform_reads.values, now) {
         start_read(&mut tables.platform_reads.values, now);
@@ -101,7 +99,7 @@
     match result {
         Ok(update) if update.revision < tables.values.highest_revision => {
             tables.counters.stale_reads += 1;
-            let failures = count_failure(&mut tables.platform_reads.values);
+            let failures = count_failure(&mut tables.platform_reads.values, now);
             let known = tables.values.highest_revision;
             log::warn!(failures, known:%, revision:% = update.revision; "read_stale");
             tables.platform_reads.values.next_read = now + backoff(tables, failures);
@@ -117,7 +115,7 @@
             apply_update(tables, &update);
         }
         Err(err) => {
-            let failures = count_failure(&mut tables.platform_reads.values);
+            let failures = count_failure(&mut tables.platform_reads.values, now);
             tables.counters.read_failures += 1;
             if failures == 1 {
                 // The hosts that rely on this reader learn of its failure at once.
@@ -136,18 +134,19 @@
     match result {
         Ok(list) if list.revision < tables.voter_sets.latest.revision => {
             tables.counters.stale_reads += 1;
-            let failures = count_failure(&mut tables.platform_reads.hosts);
+            let failures = count_failure(&mut tables.platform_reads.hosts, now);
             tables.platform_reads.hosts.next_read = now + backoff(tables, failures);
         }
         Ok(list) => {
             check_watch(tables, now, &list);
             tables.platform_reads.hosts.failures = 0;
+            tables.platform_reads.hosts.failing_since = None;
             tables.platform_reads.hosts.next_read = now + pause;
             let voters = VoterSet::for_zone(&list, &tables.me.info.zone);
             voters::adopt_latest(&mut tables.voter_sets, voters);
         }
         Err(err) => {
-            let failures = count_failure(&mut tables.platform_reads.hosts);
+            let failures = count_failure(&mut tables.platform_reads.hosts, now);
             tables.counters.read_failures += 1;
             log_failure(&tables.platform_reads.hosts, now, &err);
             tables.platform_reads.hosts.next_read = now + backoff(tables, failures);
@@ -175,16 +174,6 @@
     }
 }
 
-/// Starts reading in place of other hosts.
-///
-/// If the reads of a member fail, values may have expired during the outage that will be
-/// registered again, so removals are held back.
-fn start_reading(tables: &mut Tables, now: Duration) {
-    if tables.live_members().any(|member| member.read_failures > 0) {
-        tables.platform_reads.hold_until = now + tables.settings.read_pacing.removal_hold;
-    }
-}
-
 fn schedule_first_reads(tables: &mut Tables, now: Duration) {
     tables.platform_reads.started = true;
     let start_jitter = tables.settings.read_pacing.start_jitter;
@@ -218,7 +207,8 @@
     read.started_at = now;
 }
 
-fn count_failure(read: &mut ReadState) -> u32 {
+fn count_failure(read: &mut ReadState, now: Duration) -> u32 {
+    read.failing_since.get_or_insert(now);
     read.failures = read.failures.saturating_add(1);
     read.failures
 }
@@ -255,16 +245,22 @@
     texts.map(|json| json.len()).sum()
 }
 
-/// Records an answer, resets the failure count and, after an outage, starts to hold back
-/// removals.
+/// Records an answer, which resets the failure count and may end an outage.
 fn record_recovery(tables: &mut Tables, now: Duration) {
     let read = &mut tables.platform_reads.values;
     let failures = std::mem::take(&mut read.failures);
-    let unheard = now.saturating_sub(std::mem::replace(&mut read.last_answer, now));
+    let failing_since = read.failing_since.take();
+    let earlier = std::mem::replace(&mut read.last_answer, now);
     if failures > 0 {
-        tables.platform_reads.hold_until = now + tables.settings.read_pacing.removal_hold;
+        let unheard = now.saturating_sub(earlier);
         log::info!(failures, unheard_ms = millis(unheard); "store_regained");
     }
+    let answer = Answer {
+        at: now,
+        earlier: (!earlier.is_zero()).then_some(earlier),
+        failing_since,
+    };
+    outages::record_answer(tables, &answer);
 }
 
 fn apply_update(tables: &mut Tables, update: &ValueUpdate) {
--- a/src/control/removals.rs
+++ b/src/control/removals.rs
@@ -1,7 +1,8 @@
 //! Removals of values, which are held back after an outage or a restore of the platform.
 //!
 //! The time for which they are held back counts only if the platform could be reached throughout:
-//! a removal is applied once the platform has answered this host or another one after that time.
+//! another outage restarts it (see `outages`), and a removal is applied once the platform has
+//! answered this host or another one after that time.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -68,7 +69,7 @@
 /// They wait while the platform is away again, since their owners cannot register.
 pub(super) fn release(tables: &mut Tables) {
     let reads = &tables.platform_reads;
-    if reads.held_removals.is_empty() || last_platform_answer(tables) < reads.hold_until {
+    if reads.held_removals.is_empty() || reads.last_answer < reads.hold_until {
         return;
     }
     let held = std::mem::take(&mut tables.platform_reads.held_removals);
@@ -90,15 +91,6 @@
     apply::from_platform(tables, &update);
 }
 
-/// Returns the last time at which the platform is known to have answered any host.
-fn last_platform_answer(tables: &Tables) -> Duration {
-    let own = tables.platform_reads.values.last_answer;
-    let members = tables.live_members();
-    members
-        .filter_map(|member| member.last_read)
-        .fold(own, Duration::max)
-}
-
 /// Starts to hold back removals if the platform has been restored since the last update.
 fn record_restore(tables: &mut Tables, now: Duration, revision: Revision) {
     let known = tables.values.highest_revision;
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -115,6 +115,9 @@
     /// When the platform last answered it, if it has said so.
     #[serde(rename = "read")]
     pub last_read: Option<Duration>,
+    /// Since when its reads are known to fail.
+    #[serde(rename = "failing")]
+    pub failing_since: Option<Duration>,
     /// Revision of its host list.
     #[serde(rename = "roster", serialize_with = "serialize_number")]
     pub list_revision: Revision,
@@ -236,6 +239,9 @@
     /// True while this host is one of the readers.
     #[serde(rename = "reads")]
     pub(super) is_reader: bool,
+    /// When the platform last answered any host, as far as this one knows.
+    #[serde(rename = "answered")]
+    pub(super) last_answer: Duration,
     /// Time until which removals are held back after an outage of the platform.
     #[serde(rename = "doubt")]
     pub(super) hold_until: Duration,
@@ -252,6 +258,9 @@
     #[serde(rename = "pending")]
     pub(super) in_flight: bool,
     pub(super) failures: u32,
+    /// When the first of these failures was known.
+    #[serde(rename = "failing")]
+    pub(super) failing_since: Option<Duration>,
     /// When the current or last read was sent.
     pub(super) started_at: Duration,
     /// When the platform last answered with valid values.
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -37,6 +37,7 @@
 mod restored_store;
 mod resumed_host;
 mod retries_at_leaving_home;
+mod second_outage;
 mod silent_store;
 mod simultaneous_endpoint_exits;
 mod stalls_of_departed_flows;
