--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod leave;
 mod members;
 pub mod message;
+mod outages;
 mod platform_reads;
 mod publish;
 mod readers;
@@ -39,7 +40,7 @@
     FetchRequest, FetchResponse, Heartbeat, HostList, Value, ValueChange, ValueUpdate,
     WriterVersion,
 };
-pub use self::settings::{LeaseTiming, ReadPacing, Settings};
+pub use self::settings::{LeaseTiming, LiveSettings, ReadPacing, Settings};
 pub use self::tables::{Counters, LocalHost, Tables};
 pub use self::values::{BuiltConfig, ConfigBuilder, Values};
 
@@ -51,7 +52,12 @@
     /// A host sent a heartbeat.
     Heartbeat(Box<Heartbeat>),
     /// A fetch from another host completed or failed.
-    Fetched(Result<FetchResponse>),
+    Fetched {
+        /// Number of the fetch, from [`Action::Fetch`].
+        number: u64,
+        /// Response to its request.
+        result: Result<FetchResponse>,
+    },
     /// A watch of the platform's values completed or failed.
     Values(Result<ValueUpdate>),
     /// A read of the platform's host list completed or failed.
@@ -60,8 +66,8 @@
     LaneReports(Vec<Arc<LaneReport>>),
     /// A message could not be decoded or authenticated.
     Rejected,
-    /// The seed hosts in the settings have changed.
-    Seeds(Vec<SocketAddr>),
+    /// Settings at the start, or settings of which some have changed.
+    Settings(LiveSettings),
     /// The operator requested the shutdown of this host.
     Leave,
     /// No work is in flight on the traffic lanes.
@@ -80,6 +86,8 @@
     },
     /// Fetch from another host and report the result as [`Event::Fetched`].
     Fetch {
+        /// Number of this fetch, which its result repeats.
+        number: u64,
         /// Control address of the other host.
         to: SocketAddr,
         /// Request to send.
@@ -130,12 +138,12 @@
         match event {
             Event::Tick => tick(tables, now, &mut outbox),
             Event::Heartbeat(heartbeat) => heartbeat::receive(tables, now, &heartbeat, &mut outbox),
-            Event::Fetched(result) => fetch::receive(tables, now, result),
+            Event::Fetched { number, result } => fetch::receive(tables, now, number, result),
             Event::Values(result) => platform_reads::receive_values(tables, now, result),
             Event::Hosts(result) => platform_reads::receive_hosts(tables, now, result),
             Event::LaneReports(lanes) => reports::update_own(tables, &lanes),
             Event::Rejected => tables.counters.rejected += 1,
-            Event::Seeds(seeds) => tables.settings.seeds = seeds,
+            Event::Settings(settings) => apply_settings(tables, now, settings, &mut outbox),
             Event::Leave => leave::start(tables, now, &mut outbox),
             Event::Drained => leave::record_drained(tables),
         }
@@ -156,6 +164,19 @@
     }
 }
 
+/// Puts changed settings into force.
+fn apply_settings(tables: &mut Tables, now: Duration, settings: LiveSettings, outbox: &mut Outbox) {
+    // Without `..`, so that a new setting does not compile until it is used here.
+    let LiveSettings {
+        store_addr,
+        seeds,
+        drain_limit,
+    } = settings;
+    tables.settings.seeds = seeds;
+    tables.settings.drain_limit = drain_limit;
+    platform_reads::set_store(tables, now, store_addr, outbox);
+}
+
 /// Runs the systems that depend on time.
 fn tick(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     failure_detector::run(tables, now, outbox);
--- a/src/control/platform_reads.rs
+++ b/src/control/platform_reads.rs
@@ -3,9 +3,11 @@
 //! Pauses have jitter and failures back off, so that the whole fleet stays within the
 //! platform's read budget, also after an outage.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::message::{HostList, ValueUpdate, VoterSet};
+use super::outages::{self, Answer};
 use super::tables::{ReadState, Tables};
 use super::{Action, Outbox, apply, readers, removals, voters};
 use crate::clock::millis;
@@ -47,9 +49,6 @@
     }
     removals::release(tables);
     let is_reader = readers::is_reader(tables);
-    if is_reader && !tables.platform_reads.is_reader {
-        start_reading(tables, now);
-    }
     tables.platform_reads.is_reader = is_reader;
     if is_reader && is_due(&tables.platform_reads.values, now) {
         start_read(&mut tables.platform_reads.values, now);
@@ -67,13 +66,40 @@
     }
 }
 
+/// Reads from the store at `store_addr` from now on.
+///
+/// A watch at the earlier address is replaced at once, since that one may never answer it. It
+/// is the same store, so known revisions remain comparable. Failures remain counted: if the
+/// last reads at the earlier address failed, the first answer ends an outage.
+pub(super) fn set_store(
+    tables: &mut Tables,
+    now: Duration,
+    store_addr: SocketAddr,
+    outbox: &mut Outbox,
+) {
+    let reads = &mut tables.platform_reads;
+    let earlier = reads.store_addr.replace(store_addr);
+    if earlier.is_none_or(|earlier| earlier == store_addr) {
+        return;
+    }
+    if reads.values.in_flight {
+        reads.values.in_flight = false;
+        tables.counters.replaced_watches += 1;
+    }
+    reads.values.next_read = now;
+    if reads.hosts.failures > 0 {
+        reads.hosts.next_read = now;
+    }
+    run(tables, now, outbox);
+}
+
 /// Processes the result of a watch of the values.
 pub(super) fn receive_values(tables: &mut Tables, now: Duration, result: Result<ValueUpdate>) {
     tables.platform_reads.values.in_flight = false;
     match result {
         Ok(update) if update.revision < tables.values.highest_revision => {
             tables.counters.stale_reads += 1;
-            let failures = count_failure(&mut tables.platform_reads.values);
+            let failures = count_failure(&mut tables.platform_reads.values, now);
             let known = tables.values.highest_revision;
             log::warn!(failures, known:%, revision:% = update.revision; "read_stale");
             tables.platform_reads.values.next_read = now + backoff(tables, failures);
@@ -89,7 +115,7 @@
             apply_update(tables, &update);
         }
         Err(err) => {
-            let failures = count_failure(&mut tables.platform_reads.values);
+            let failures = count_failure(&mut tables.platform_reads.values, now);
             tables.counters.read_failures += 1;
             if failures == 1 {
                 // The hosts that rely on this reader learn of its failure at once.
@@ -108,18 +134,19 @@
     match result {
         Ok(list) if list.revision < tables.voter_sets.latest.revision => {
             tables.counters.stale_reads += 1;
-            let failures = count_failure(&mut tables.platform_reads.hosts);
+            let failures = count_failure(&mut tables.platform_reads.hosts, now);
             tables.platform_reads.hosts.next_read = now + backoff(tables, failures);
         }
         Ok(list) => {
             check_watch(tables, now, &list);
             tables.platform_reads.hosts.failures = 0;
+            tables.platform_reads.hosts.failing_since = None;
             tables.platform_reads.hosts.next_read = now + pause;
             let voters = VoterSet::for_zone(&list, &tables.me.info.zone);
             voters::adopt_latest(&mut tables.voter_sets, voters);
         }
         Err(err) => {
-            let failures = count_failure(&mut tables.platform_reads.hosts);
+            let failures = count_failure(&mut tables.platform_reads.hosts, now);
             tables.counters.read_failures += 1;
             log_failure(&tables.platform_reads.hosts, now, &err);
             tables.platform_reads.hosts.next_read = now + backoff(tables, failures);
@@ -147,16 +174,6 @@
     }
 }
 
-/// Starts reading in place of other hosts.
-///
-/// If the reads of a member fail, values may have expired during the outage that will be
-/// registered again, so removals are held back.
-fn start_reading(tables: &mut Tables, now: Duration) {
-    if tables.live_members().any(|member| member.read_failures > 0) {
-        tables.platform_reads.hold_until = now + tables.settings.read_pacing.removal_hold;
-    }
-}
-
 fn schedule_first_reads(tables: &mut Tables, now: Duration) {
     tables.platform_reads.started = true;
     let start_jitter = tables.settings.read_pacing.start_jitter;
@@ -190,7 +207,8 @@
     read.started_at = now;
 }
 
-fn count_failure(read: &mut ReadState) -> u32 {
+fn count_failure(read: &mut ReadState, now: Duration) -> u32 {
+    read.failing_since.get_or_insert(now);
     read.failures = read.failures.saturating_add(1);
     read.failures
 }
@@ -227,16 +245,22 @@
     texts.map(|json| json.len()).sum()
 }
 
-/// Records an answer, resets the failure count and, after an outage, starts to hold back
-/// removals.
+/// Records an answer, which resets the failure count and may end an outage.
 fn record_recovery(tables: &mut Tables, now: Duration) {
     let read = &mut tables.platform_reads.values;
     let failures = std::mem::take(&mut read.failures);
-    let unheard = now.saturating_sub(std::mem::replace(&mut read.last_answer, now));
+    let failing_since = read.failing_since.take();
+    let earlier = std::mem::replace(&mut read.last_answer, now);
     if failures > 0 {
-        tables.platform_reads.hold_until = now + tables.settings.read_pacing.removal_hold;
+        let unheard = now.saturating_sub(earlier);
         log::info!(failures, unheard_ms = millis(unheard); "store_regained");
     }
+    let answer = Answer {
+        at: now,
+        earlier: (!earlier.is_zero()).then_some(earlier),
+        failing_since,
+    };
+    outages::record_answer(tables, &answer);
 }
 
 fn apply_update(tables: &mut Tables, update: &ValueUpdate) {
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -118,6 +118,9 @@
     /// When the platform last answered it, if it has said so.
     #[serde(rename = "read")]
     pub last_read: Option<Duration>,
+    /// Since when its reads are known to fail.
+    #[serde(rename = "failing")]
+    pub failing_since: Option<Duration>,
     /// Revision of its host list.
     #[serde(rename = "roster", serialize_with = "serialize_number")]
     pub list_revision: Revision,
@@ -226,6 +229,9 @@
 /// State of the reads of the platform.
 #[derive(Debug, Default, Serialize)]
 pub(super) struct PlatformReads {
+    /// Address of the store, once the front end has named it.
+    #[serde(rename = "store")]
+    pub(super) store_addr: Option<SocketAddr>,
     pub(super) values: ReadState,
     pub(super) hosts: ReadState,
     /// Newest revision of the platform for which a watch was replaced.
@@ -236,6 +242,9 @@
     /// True while this host is one of the readers.
     #[serde(rename = "reads")]
     pub(super) is_reader: bool,
+    /// When the platform last answered any host, as far as this one knows.
+    #[serde(rename = "answered")]
+    pub(super) last_answer: Duration,
     /// Time until which removals are held back after an outage of the platform.
     #[serde(rename = "doubt")]
     pub(super) hold_until: Duration,
@@ -252,6 +261,9 @@
     #[serde(rename = "pending")]
     pub(super) in_flight: bool,
     pub(super) failures: u32,
+    /// When the first of these failures was known.
+    #[serde(rename = "failing")]
+    pub(super) failing_since: Option<Duration>,
     /// When the current or last read was sent.
     pub(super) started_at: Duration,
     /// When the platform last answered with valid values.
@@ -261,6 +273,8 @@
 /// State of the fetches from other hosts.
 #[derive(Debug, Default, Serialize)]
 pub(super) struct FetchProgress {
+    /// Number of the current or last fetch.
+    pub(super) number: u64,
     #[serde(rename = "pending")]
     pub(super) pending_since: Option<Duration>,
     #[serde(rename = "due")]
@@ -332,7 +346,7 @@
     /// Failed reads of the platform.
     pub read_failures: u64,
     /// Watches of the platform's values that were abandoned because another read showed that
-    /// they are not answered.
+    /// they are not answered, or because the store has another address.
     pub replaced_watches: u64,
     /// Responses of a stale platform replica.
     pub stale_reads: u64,
@@ -348,6 +362,8 @@
     pub fetches: u64,
     /// Failed fetches from other hosts.
     pub fetch_failures: u64,
+    /// Results of fetches that had been abandoned, which were dropped.
+    pub stale_fetches: u64,
     /// Snapshots published.
     #[serde(rename = "published")]
     pub snapshots_published: u64,
