Limit the openings to endpoints that warm up

An endpoint that has just started is slow, and the hosts together sent it as many new flows as they liked.

A service may have a limit (WarmupPerS, with WarmupExcess and WarmupSlack of the settings). Each cold endpoint then has one host, its holder, that sends it at most half of the limit in any second; all others send it nothing, neither copies nor trials. A host must also see more hosts than there are seeds that it has never met: without that rule, hosts that start while they are cut off all consider themselves the holder, which the property test found. A cold endpoint at its limit counts as one without free capacity, and adds to the limit of requests in progress only at its holder. Services without WarmupPerS behave as before.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod heartbeat;
 pub mod lease;
 mod leave;
+pub mod majority;
 mod members;
 pub mod message;
 mod platform_reads;
@@ -169,5 +170,6 @@
 fn run_dependents(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     voters::run(tables);
     lease::run(tables, now);
+    majority::run(tables, now);
     publish::run(tables, now, outbox);
 }
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 
+use super::majority::Majority;
 use super::message::{
     FetchRequest, HostInfo, MemberUpdate, Status, Timestamp, ValueChange, Vote, VoterSet,
 };
@@ -44,6 +45,8 @@
     /// What this host and others report about endpoints and load.
     pub reports: ReportTable,
     #[serde(skip)]
+    pub(super) majority: Majority,
+    #[serde(skip)]
     pub(super) snapshot: Snapshot,
     #[serde(skip)]
     pub(super) output: PendingOutput,
@@ -385,6 +388,7 @@
             platform_reads: PlatformReads::default(),
             fetch: FetchProgress::default(),
             reports: ReportTable::default(),
+            majority: Majority::default(),
             snapshot: Snapshot::empty(settings.keys.clone()),
             output: PendingOutput {
                 snapshot_changed: true,
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -128,6 +128,10 @@
         },
         drain_limit: host_settings.grace_period.saturating_sub(STOP_MARGIN),
         config_builder: platform::service_builder(host_settings.zone.clone())
+            .and_then(platform::warmup_tolerance(
+                host_settings.warmup_excess,
+                host_settings.warmup_slack,
+            ))
             .and_then(control_plane::cap_slots),
         read_pacing: ReadPacing::frequent(),
         ..defaults
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -64,6 +64,8 @@
 struct WireService {
     name: Name,
     max_conns: u32,
+    /// Requests a second that an endpoint bears while it warms up; zero for no limit.
+    warmup_per_s: Option<f64>,
 }
 
 #[serde_as]
@@ -81,6 +83,8 @@
     pub(super) routes: HashMap<SocketAddr, Route>,
     /// Maximum number of flows per endpoint, by service.
     pub(super) max_conns: HashMap<Name, u32>,
+    /// Requests a second that an endpoint bears while it warms up, by service with a limit.
+    pub(super) warmup_rates: HashMap<Name, f64>,
     pub(super) idle_timeout: Duration,
 }
 
@@ -93,11 +97,21 @@
         .iter()
         .map(decode_route)
         .collect::<Result<_>>()?;
+    let services = wire.services.iter();
+    let warmup_rates = services
+        .filter_map(|row| {
+            Some((
+                row.name.clone(),
+                row.warmup_per_s.filter(|rate| *rate > 0.0)?,
+            ))
+        })
+        .collect();
     let services = wire.services.into_iter();
     Ok(DesiredState {
         version: wire.version,
         routes,
         max_conns: services.map(|row| (row.name, row.max_conns)).collect(),
+        warmup_rates,
         idle_timeout: wire.limits.idle_timeout_ms,
     })
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::error::Error;
 
-pub use self::services::service_builder;
+pub use self::services::{service_builder, warmup_tolerance};
 pub use self::version::writer_version;
 
 /// Maximum length of the parser's message in an error, in bytes; it may quote the input.
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -12,7 +12,7 @@
 use crate::control::{BuiltConfig, ConfigBuilder, Value, Values};
 use crate::id::Name;
 use crate::revision::Revision;
-use crate::snapshot::Service;
+use crate::snapshot::{Service, WarmupLimit};
 
 /// Decoded values, kept until their revision changes.
 #[derive(Default)]
@@ -43,6 +43,17 @@
     })
 }
 
+/// Returns the function that sets by how much services may exceed their warm-up limits:
+/// `excess` is the tolerated multiple of the rate, `slack` the flows a second beyond that.
+pub fn warmup_tolerance(excess: f64, slack: f64) -> impl Fn(&mut BuiltConfig) + Send + Sync {
+    move |config| {
+        let services = config.services.iter_mut();
+        for limit in services.filter_map(|service| service.warmup_limit.as_mut()) {
+            (limit.excess, limit.slack) = (excess, slack);
+        }
+    }
+}
+
 impl Cache {
     fn build(&mut self, values: &Values, zone: &str) -> BuiltConfig {
         if let Some(value) = values.get(desired::KEY) {
@@ -53,6 +64,8 @@
         for name in self.desired.max_conns.keys() {
             let mut service = Service::new(name);
             service.idle_limit = self.desired.idle_timeout;
+            let rate = self.desired.warmup_rates.get(name);
+            service.warmup_limit = rate.map(|rate| WarmupLimit::exact(*rate));
             services.insert(Arc::clone(name), service);
         }
         let entries = values
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -44,6 +44,8 @@
 struct WireBounds {
     #[serde_as(as = "DurationSeconds<f64>")]
     grace_s: Duration,
+    warmup_excess: Option<f64>,
+    warmup_slack: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -53,7 +55,7 @@
 }
 
 /// Settings of this host, as written by the platform.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct HostSettings {
     /// Name of this host.
     pub name: Name,
@@ -73,6 +75,10 @@
     pub store_addr: SocketAddr,
     /// Time between the request to stop and the forced termination.
     pub grace_period: Duration,
+    /// Multiple of a warm-up limit that is tolerated.
+    pub warmup_excess: f64,
+    /// Flows a second that are tolerated beyond that.
+    pub warmup_slack: f64,
 }
 
 /// Reads the settings file.
@@ -120,5 +126,7 @@
         seeds: seeds.filter(|seed| *seed != peer_addr).collect(),
         store_addr: wire.store.address,
         grace_period: wire.bounds.grace_s,
+        warmup_excess: wire.bounds.warmup_excess.unwrap_or(1.0),
+        warmup_slack: wire.bounds.warmup_slack.unwrap_or(0.0),
     })
 }
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -150,6 +150,16 @@
 }
 
 impl WarmupLimit {
+    /// Creates a limit that tolerates nothing beyond its rate.
+    #[must_use]
+    pub fn exact(rate: f64) -> Self {
+        Self {
+            rate,
+            excess: 1.0,
+            slack: 0.0,
+        }
+    }
+
     /// Returns the largest number of new flows in any span of one second.
     #[must_use]
     pub fn flows_per_second(&self) -> f64 {
--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -18,6 +18,7 @@
 
 use super::policies::Tuning;
 use super::probe;
+use super::relay::warmup;
 use crate::id::Id;
 use crate::packet::{Body, Class};
 use crate::segment::Route;
@@ -137,8 +138,10 @@
     };
     let mean_time = mean_answer_time(tables, service);
     let limit = tuning.latency_share * target_latency.as_secs_f64();
+    let barred = warmup::barred_endpoints(tables, service, now);
     pick_best(tables, &tuning, service, now, |row| {
-        if tried.contains(&row.spec.id) || row.flow_count >= row.spec.max_conns {
+        let is_barred = barred.binary_search(&row.spec.id).is_ok();
+        if is_barred || tried.contains(&row.spec.id) || row.flow_count >= row.spec.max_conns {
             return None;
         }
         let slots = f64::from(row.spec.slots.max(1));
@@ -166,11 +169,9 @@
 ///
 /// This is what the endpoints can process within [`Tuning::latency_share`] of the target
 /// latency, or [`Tuning::relay_depth`] requests per slot if that is more, divided by the
-/// number of hosts. Each lane of a host gets the host's whole share.
+/// number of hosts. Each lane of a host gets the host's whole share. Cold endpoints with a limit
+/// on new flows count only at their holder.
 pub(super) fn relay_limit(tables: &Tables, tuning: &Tuning, service: Id, now: Duration) -> f64 {
-    let rows = tables.endpoints.of_service(service);
-    let usable = rows.filter(|row| row.accepts_work(now) && row.down.is_none());
-    let slots: f64 = usable.map(|row| f64::from(row.spec.slots)).sum();
     let leads_here = |route: &&Route| route.targets.iter().any(|(id, _)| *id == service);
     let routes = tables.snapshot.routes.values().filter(leads_here);
     let target_latency = routes
@@ -183,10 +184,19 @@
     } else {
         0.0
     };
+    let requests_per_slot = requests_per_slot.max(tuning.relay_depth);
+    let (mut slots, mut cold_requests) = (0.0, 0.0);
+    let rows = tables.endpoints.of_service(service);
+    for row in rows.filter(|row| row.accepts_work(now) && row.down.is_none()) {
+        match warmup::cold_capacity(tables, row, requests_per_slot, now) {
+            Some(requests) => cold_requests += requests,
+            None => slots += f64::from(row.spec.slots),
+        }
+    }
     // Hosts that share the load, including some that are expected but not known yet.
     let hosts = tables.snapshot.expected_hosts;
     // At least one request, or the lanes of a large group of hosts would send none.
-    (slots * requests_per_slot.max(tuning.relay_depth) / f64::from(hosts)).max(1.0)
+    (slots * requests_per_slot / f64::from(hosts) + cold_requests).max(1.0)
 }
 
 /// Returns the mean answer time of a service's endpoints in seconds, or zero if none is
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -10,6 +10,7 @@
 mod open;
 mod overload_queue;
 mod timeouts;
+pub(super) mod warmup;
 mod zone_evidence;
 
 use std::time::Duration;
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -11,7 +11,7 @@
 use smallvec::SmallVec;
 
 use super::super::placement::is_unresponsive;
-use super::{add_load, count_flow, forward, reset_flow, uncount_flow};
+use super::{add_load, count_flow, forward, reset_flow, uncount_flow, warmup};
 use crate::id::Id;
 use crate::segment::{Route, Segment};
 use crate::tables::{CookieEndpoint, Outbox, Tables, TrackedFlow, TrackedState};
@@ -42,7 +42,9 @@
         .filter(|flow| flow.initial_seq == Some(segment.seq))
         .cloned();
     match same_opening {
-        Some(flow) if flow.state != TrackedState::Opening => resend(tables, segment, &flow, out),
+        Some(flow) if flow.state != TrackedState::Opening => {
+            resend(tables, segment, &flow, now, out);
+        }
         Some(flow) => place_flow(tables, segment, &route, Some(flow), now, out),
         None => {
             super::remove_flow(tables, segment);
@@ -51,11 +53,22 @@
     }
 }
 
-/// Forwards a late copy of the opening to the endpoint at which the flow is open.
-fn resend(tables: &Tables, segment: &Segment, flow: &TrackedFlow, out: &mut Outbox) {
+/// Forwards a late copy of the opening to the endpoint at which the flow is open, unless the
+/// endpoint is cold and at its limit; the flow does not need the copy.
+fn resend(
+    tables: &mut Tables,
+    segment: &Segment,
+    flow: &TrackedFlow,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    if !warmup::may_open(tables, flow.endpoint, now) {
+        return;
+    }
     let cookie = tables.cookies.assignable_cookie(flow.endpoint);
     if let Some(endpoint) = cookie.and_then(|cookie| tables.cookies.find(cookie)) {
         forward(segment, endpoint, cookie, out);
+        tables.warmups.note_opening(flow.endpoint, now);
     }
 }
 
@@ -91,6 +104,7 @@
     tables.counters.forwarded_opens += 1;
     log_placement(tables, segment, route, &endpoint, now);
     flow.endpoint = endpoint.id;
+    tables.warmups.note_opening(endpoint.id, now);
     count_flow(tables, endpoint.id);
     add_load(tables, &mut flow, now);
     if let Some(row) = tables.endpoints.get_mut(endpoint.id) {
@@ -117,6 +131,7 @@
         caller:% = segment.addrs.caller, front:% = segment.addrs.vip, route:% = route.name,
         endpoint:% = row.spec.name, zone:% = row.spec.zone, copies = segment.ack,
         running = row.own_requests, flows = row.flow_count, trial = unresponsive,
+        cold = tables.warmups.is_cold(endpoint.id, now),
         revision = tables.snapshot.revision.number;
         "placed"
     );
@@ -200,7 +215,11 @@
         } else {
             REMOTE_TRIAL_PERIOD
         };
-        unresponsive && row.accepts_work(now) && now >= row.last_trial + period
+        let is_due = now >= row.last_trial + period;
+        unresponsive
+            && row.accepts_work(now)
+            && is_due
+            && warmup::may_open(tables, row.spec.id, now)
     })?;
     let (id, zone) = (row.spec.id, row.spec.zone.clone());
     let whole_zone = row.down.is_some_and(|down| down.whole_zone);
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::process_segment;
+use super::{process_segment, warmup};
 use crate::clock::millis;
 use crate::id::Id;
 use crate::segment::{Segment, SegmentKind, is_seq_after};
@@ -53,6 +53,10 @@
     if !is_at_limit(tables, service) {
         return false;
     }
+    if segment.is_opening() && warmup::is_service_barred(tables, service, now) {
+        // Waiting does not help soon, so the opening is refused at once.
+        return false;
+    }
     tables.counters.held_requests += 1;
     log::info!(
         caller:% = segment.addrs.caller, front:% = segment.addrs.vip,
--- a/src/systems/sync.rs
+++ b/src/systems/sync.rs
@@ -10,6 +10,9 @@
 pub(super) fn run(tables: &mut Tables, snapshot: Arc<Snapshot>, now: Duration, out: &mut Outbox) {
     let services_unchanged = Arc::ptr_eq(&tables.snapshot.services, &snapshot.services);
     tables.snapshot = snapshot;
+    if !services_unchanged || tables.warmups.depends_on(&tables.snapshot.hosts) {
+        tables.warmups.sync(&tables.snapshot, &tables.home, now);
+    }
     if services_unchanged {
         return;
     }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -16,6 +16,7 @@
 mod requests;
 mod timings;
 mod tracks;
+mod warmup;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +37,7 @@
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::timings::{LatencyHistograms, observe};
 pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
+pub use self::warmup::Warmups;
 
 use crate::packet::{Body, Packet};
 use crate::report::LaneReport;
@@ -63,6 +65,8 @@
     pub tracked_flows: TrackedFlows,
     /// Requests of those flows that wait until their service has capacity.
     pub held_requests: HeldRequests,
+    /// Endpoints that warm up, if their service limits new flows to them.
+    pub warmups: Warmups,
     /// Recent answers and retransmissions of those flows.
     pub recent_counts: RecentCounts,
     /// What this lane last reported about endpoints and load.
@@ -110,6 +114,7 @@
             cookies: Cookies::default(),
             tracked_flows: TrackedFlows::default(),
             held_requests: HeldRequests::default(),
+            warmups: Warmups::default(),
             recent_counts: RecentCounts::default(),
             report: Arc::default(),
             flows: Flows::default(),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -10,7 +10,7 @@
 use jacinthhinge::control::LeaseTiming;
 use jacinthhinge::control::message::{Heartbeat, HostInfo, Timestamp, Vote};
 use jacinthhinge::control::{
-    Action, Control, Event, ReadPacing, Settings, Value, ValueChange, ValueUpdate,
+    Action, ConfigBuilder, Control, Event, ReadPacing, Settings, Value, ValueChange, ValueUpdate,
 };
 use jacinthhinge::platform::{self, header, settings, store::Store};
 use jacinthhinge::prelude::*;
@@ -125,6 +125,19 @@
     assert_eq!(settings.grace_period, Duration::from_secs(6));
 }
 
+#[test]
+fn tolerance_of_warmup_limits_is_optional() {
+    let mut text = settings_text();
+    let parse = |text: &Json| {
+        let settings = settings::parse(&text.to_string()).expect("settings");
+        (settings.warmup_excess, settings.warmup_slack)
+    };
+    assert_eq!(parse(&text), (1.0, 0.0));
+    text["Bounds"]["WarmupExcess"] = json!(1.5);
+    text["Bounds"]["WarmupSlack"] = json!(2);
+    assert_eq!(parse(&text), (1.5, 2.0));
+}
+
 #[test]
 fn settings_file_without_an_address_is_refused() {
     let mut text = settings_text();
@@ -142,7 +155,19 @@
 }
 
 fn host_with_fetch_delay(fetch_delay: Duration) -> Control {
+    Control::new(host_settings(fetch_delay), Duration::ZERO)
+}
+
+fn host_with(config_builder: ConfigBuilder) -> Control {
     let settings = Settings {
+        config_builder,
+        ..host_settings(Duration::ZERO)
+    };
+    Control::new(settings, Duration::ZERO)
+}
+
+fn host_settings(fetch_delay: Duration) -> Settings {
+    Settings {
         info: HostInfo {
             name: "edge-sv-a-1".into(),
             zone: "is-sudvestur".into(),
@@ -163,8 +188,7 @@
             ..ReadPacing::default()
         },
         rng_seed: 1,
-    };
-    Control::new(settings, Duration::ZERO)
+    }
 }
 
 fn value_change(key: &str, revision: u64, text: Option<String>) -> ValueChange {
@@ -237,6 +261,24 @@
     found.map_or(vec![], |service| service.endpoints.clone())
 }
 
+/// Guards against a limit for services that have none, and against one that the tolerance of
+/// the settings does not reach.
+#[test]
+fn services_have_a_warmup_limit_only_with_a_rate() {
+    let mut desired = desired_state(7, &["adserve", "zero", "none"]);
+    desired["Services"][0]["WarmupPerS"] = json!(12);
+    desired["Services"][0]["WarmupS"] = json!(30);
+    desired["Services"][1]["WarmupPerS"] = json!(0);
+    let builder = platform::service_builder("sv-a".into());
+    let mut host = host_with(builder.and_then(platform::warmup_tolerance(1.5, 2.0)));
+    let snapshot =
+        set_values(&mut host, 9, &[("op/config", Some(desired.to_string()))]).expect("a snapshot");
+    let limit = |name| snapshot.services[&Id::of(name)].warmup_limit;
+    let flows = limit("adserve").map(|limit| limit.flows_per_second());
+    assert_eq!(flows, Some(20.0));
+    assert_eq!((limit("zero"), limit("none")), (None, None));
+}
+
 #[test]
 fn entries_and_routes_are_applied() {
     let mut host = host();
