Merge the warm-up limits, and put changed zones and tolerances into force while a host runs

The settings of the merged parts are put into force together: a change of `Zones`, `WarmupExcess` or `WarmupSlack` builds the services anew from the active values.

tests/settings.rs changes each new field alone.

--- a/src/control/apply.rs
+++ b/src/control/apply.rs
@@ -22,6 +22,21 @@
     finish(tables, update, merged, "host");
 }
 
+/// Builds the configuration anew from the active values, after a change of the settings.
+pub(super) fn rebuild(tables: &mut Tables) {
+    if tables.values.revision.is_none() {
+        return;
+    }
+    let builder = tables.settings.config_builder.clone();
+    match tables.values.rebuild(&builder) {
+        Ok(config) => activate(tables, config, "settings"),
+        Err(err) => {
+            tables.counters.refused_values += 1;
+            log::warn!(source = "settings", cause:% = err; "values_refused");
+        }
+    }
+}
+
 fn finish(tables: &mut Tables, update: &ValueUpdate, merged: Result<BuiltConfig>, source: &str) {
     match merged {
         Ok(config) => activate(tables, config, source),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,7 @@
 pub mod heartbeat;
 pub mod lease;
 mod leave;
+pub mod majority;
 mod members;
 pub mod message;
 mod outages;
@@ -171,9 +172,14 @@
         store_addr,
         seeds,
         drain_limit,
+        config_builder,
     } = settings;
     tables.settings.seeds = seeds;
     tables.settings.drain_limit = drain_limit;
+    if let Some(config_builder) = config_builder {
+        tables.settings.config_builder = config_builder;
+        apply::rebuild(tables);
+    }
     platform_reads::set_store(tables, now, store_addr, outbox);
 }
 
@@ -193,5 +199,6 @@
     voters::run(tables);
     lease::run(tables, now);
     evacuations::run(tables, now);
+    majority::run(tables, now);
     publish::run(tables, now, outbox);
 }
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -35,7 +35,7 @@
 }
 
 /// Settings that can change while a host runs.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct LiveSettings {
     /// Address of the platform's store.
     pub store_addr: SocketAddr,
@@ -43,6 +43,8 @@
     pub seeds: Vec<SocketAddr>,
     /// As in [`Settings::drain_limit`].
     pub drain_limit: Duration,
+    /// As in [`Settings::config_builder`], if it has changed.
+    pub config_builder: Option<ConfigBuilder>,
 }
 
 impl Settings {
@@ -53,6 +55,7 @@
             store_addr,
             seeds: self.seeds.clone(),
             drain_limit: self.drain_limit,
+            config_builder: None,
         }
     }
 }
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use super::evacuations::EvacuationTable;
+use super::majority::Majority;
 use super::message::{
     FetchRequest, HostInfo, MemberUpdate, Status, Timestamp, ValueChange, Vote, VoterSet,
 };
@@ -47,6 +48,8 @@
     /// Evacuation orders in force.
     pub evacuations: EvacuationTable,
     #[serde(skip)]
+    pub(super) majority: Majority,
+    #[serde(skip)]
     pub(super) snapshot: Snapshot,
     #[serde(skip)]
     pub(super) output: PendingOutput,
@@ -405,6 +408,7 @@
             fetch: FetchProgress::default(),
             reports: ReportTable::default(),
             evacuations: EvacuationTable::default(),
+            majority: Majority::default(),
             snapshot: Snapshot::empty(settings.keys.clone()),
             output: PendingOutput {
                 snapshot_changed: true,
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -183,6 +183,15 @@
         Ok(config)
     }
 
+    /// Builds the configuration of the active values.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the values are invalid for this builder.
+    pub fn rebuild(&self, builder: &ConfigBuilder) -> Result<BuiltConfig> {
+        builder.call(&self.values)
+    }
+
     /// Returns the active values that changed after the revision `after`, or all values if
     /// some removals since then are not known here.
     #[must_use]
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -21,7 +21,7 @@
 use super::settings::{DEFAULT_LOG_LEVEL, Settings};
 use crate::clock::millis;
 use crate::control::message::HostInfo;
-use crate::control::{self as control_plane, LiveSettings, ReadPacing};
+use crate::control::{self as control_plane, ConfigBuilder, LiveSettings, ReadPacing};
 use crate::error::{Error, Result};
 use crate::platform::settings::{self, HostSettings, ReloadedSettings, SettingsChange};
 use crate::platform::store::Store;
@@ -128,19 +128,23 @@
             ..defaults.info
         },
         drain_limit: drain_limit(host_settings),
-        config_builder: platform::service_builder(zone_regions(host_settings))
-            .and_then(control_plane::cap_slots),
+        config_builder: config_builder(host_settings),
         read_pacing: ReadPacing::frequent(),
         ..defaults
     }
 }
 
-fn zone_regions(host_settings: &HostSettings) -> ZoneRegions {
-    ZoneRegions {
+/// Returns the function that builds services and routes with these settings.
+fn config_builder(host_settings: &HostSettings) -> ConfigBuilder {
+    let regions = ZoneRegions {
         zone: host_settings.zone.clone(),
         region: host_settings.region.clone(),
         table: host_settings.zone_regions.clone(),
-    }
+    };
+    let (excess, slack) = (host_settings.warmup_excess, host_settings.warmup_slack);
+    platform::service_builder(regions)
+        .and_then(platform::warmup_tolerance(excess, slack))
+        .and_then(control_plane::cap_slots)
 }
 
 /// Returns the settings of the control thread that can change while it runs.
@@ -149,6 +153,7 @@
         store_addr: host_settings.store_addr,
         seeds: host_settings.seeds.clone(),
         drain_limit: drain_limit(host_settings),
+        config_builder: None,
     }
 }
 
@@ -197,7 +202,15 @@
             store:% = used.store_addr, grace_ms = millis(used.grace_period);
             "settings_in_force"
         );
-        // Sending cannot fail: the receiver lives as long as the process.
-        let _ = updates.send(live_settings(used));
+        updates.send_modify(|live| {
+            // An earlier builder stays, since the control thread may not have received it yet.
+            let builder = if change.affects_services() {
+                Some(config_builder(used))
+            } else {
+                live.config_builder.take()
+            };
+            *live = live_settings(used);
+            live.config_builder = builder;
+        });
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,6 +16,10 @@
 /// Name of the environment variable that holds the path of the settings file.
 pub const PATH_VARIABLE: &str = "JACINTHHINGE_CONFIG";
 
+const ZONES: &str = "Zones";
+const WARMUP_EXCESS: &str = "Bounds.WarmupExcess";
+const WARMUP_SLACK: &str = "Bounds.WarmupSlack";
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireSettings {
@@ -50,6 +54,8 @@
 struct WireBounds {
     #[serde_as(as = "DurationSeconds<f64>")]
     grace_s: Duration,
+    warmup_excess: Option<f64>,
+    warmup_slack: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -59,7 +65,7 @@
 }
 
 /// Settings of this host, as written by the platform.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct HostSettings {
     /// Name of this host.
     pub name: Name,
@@ -81,6 +87,10 @@
     pub store_addr: SocketAddr,
     /// Time between the request to stop and the forced termination.
     pub grace_period: Duration,
+    /// Multiple of a warm-up limit that is tolerated.
+    pub warmup_excess: f64,
+    /// Flows a second that are tolerated beyond that.
+    pub warmup_slack: f64,
 }
 
 /// Names of the fields that differ in a changed settings file, as they stand in it.
@@ -128,6 +138,9 @@
             seeds,
             store_addr,
             grace_period,
+            zone_regions,
+            warmup_excess,
+            warmup_slack,
         } = &read;
         // A restart of this host changes the port for messages between hosts, also that of the
         // other hosts' addresses.
@@ -164,12 +177,22 @@
         change.apply("Seeds", &mut used.seeds, &seeds);
         change.apply("platform.Address", &mut used.store_addr, store_addr);
         change.apply("Bounds.GraceS", &mut used.grace_period, grace_period);
+        change.apply(ZONES, &mut used.zone_regions, zone_regions);
+        change.apply(WARMUP_EXCESS, &mut used.warmup_excess, warmup_excess);
+        change.apply(WARMUP_SLACK, &mut used.warmup_slack, warmup_slack);
         self.last_read = read;
         change
     }
 }
 
 impl SettingsChange {
+    /// True if a field has changed from which services are built.
+    #[must_use]
+    pub fn affects_services(&self) -> bool {
+        let mut applied = self.applied.iter();
+        applied.any(|field| [ZONES, WARMUP_EXCESS, WARMUP_SLACK].contains(field))
+    }
+
     /// Puts the new value of a field into force.
     fn apply<T: Clone + PartialEq>(&mut self, field: &'static str, used: &mut T, read: &T) {
         if used != read {
@@ -239,5 +262,7 @@
         seeds: with_port(&wire.seeds, peer_addr),
         store_addr: wire.store.address,
         grace_period: wire.bounds.grace_s,
+        warmup_excess: wire.bounds.warmup_excess.unwrap_or(1.0),
+        warmup_slack: wire.bounds.warmup_slack.unwrap_or(0.0),
     })
 }
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -12,7 +12,7 @@
 
 use super::super::placement::is_unresponsive;
 use super::eligibility::{is_excluded, refusal_cause};
-use super::{add_load, count_flow, forward, reset_flow, uncount_flow};
+use super::{add_load, count_flow, forward, reset_flow, uncount_flow, warmup};
 use crate::id::Id;
 use crate::segment::{Route, Segment};
 use crate::tables::{CookieEndpoint, Outbox, Tables, TrackedFlow, TrackedState};
@@ -43,7 +43,9 @@
         .filter(|flow| flow.initial_seq == Some(segment.seq))
         .cloned();
     match same_opening {
-        Some(flow) if flow.state != TrackedState::Opening => resend(tables, segment, &flow, out),
+        Some(flow) if flow.state != TrackedState::Opening => {
+            resend(tables, segment, &flow, now, out);
+        }
         Some(flow) => place_flow(tables, segment, &route, Some(flow), now, out),
         None => {
             super::remove_flow(tables, segment);
@@ -52,11 +54,22 @@
     }
 }
 
-/// Forwards a late copy of the opening to the endpoint at which the flow is open.
-fn resend(tables: &Tables, segment: &Segment, flow: &TrackedFlow, out: &mut Outbox) {
+/// Forwards a late copy of the opening to the endpoint at which the flow is open, unless the
+/// endpoint is cold and at its limit; the flow does not need the copy.
+fn resend(
+    tables: &mut Tables,
+    segment: &Segment,
+    flow: &TrackedFlow,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    if !warmup::may_open(tables, flow.endpoint, now) {
+        return;
+    }
     let cookie = tables.cookies.assignable_cookie(flow.endpoint);
     if let Some(endpoint) = cookie.and_then(|cookie| tables.cookies.find(cookie)) {
         forward(segment, endpoint, cookie, out);
+        tables.warmups.note_opening(flow.endpoint, now);
     }
 }
 
@@ -92,6 +105,7 @@
     tables.counters.forwarded_opens += 1;
     log_placement(tables, segment, route, &endpoint, now);
     flow.endpoint = endpoint.id;
+    tables.warmups.note_opening(endpoint.id, now);
     count_flow(tables, endpoint.id);
     add_load(tables, &mut flow, now);
     if let Some(row) = tables.endpoints.get_mut(endpoint.id) {
@@ -118,6 +132,7 @@
         caller:% = segment.addrs.caller, front:% = segment.addrs.vip, route:% = route.name,
         endpoint:% = row.spec.name, zone:% = row.spec.zone, copies = segment.ack,
         running = row.own_requests, flows = row.flow_count, trial = unresponsive,
+        cold = tables.warmups.is_cold(endpoint.id, now),
         revision = tables.snapshot.revision.number;
         "placed"
     );
@@ -203,8 +218,11 @@
         } else {
             REMOTE_TRIAL_PERIOD
         };
-        let may_use = row.accepts_work(now) && !is_excluded(row, route);
-        unresponsive && may_use && now >= row.last_trial + period
+        let is_due = now >= row.last_trial + period;
+        let may_use = row.accepts_work(now)
+            && !is_excluded(row, route)
+            && warmup::may_open(tables, row.spec.id, now);
+        unresponsive && is_due && may_use
     })?;
     let (id, zone) = (row.spec.id, row.spec.zone.clone());
     let whole_zone = row.down.is_some_and(|down| down.whole_zone);
--- a/src/systems/sync.rs
+++ b/src/systems/sync.rs
@@ -11,6 +11,9 @@
     let services_unchanged = Arc::ptr_eq(&tables.snapshot.services, &snapshot.services);
     let zones_unchanged = tables.snapshot.evacuated_zones == snapshot.evacuated_zones;
     tables.snapshot = snapshot;
+    if !services_unchanged || tables.warmups.depends_on(&tables.snapshot.hosts) {
+        tables.warmups.sync(&tables.snapshot, &tables.home, now);
+    }
     if services_unchanged {
         if !zones_unchanged {
             let zones = &tables.snapshot.evacuated_zones;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,9 +4,10 @@
 
 mod relaying;
 
-use jacinthhinge::control::{Action, Control, Event, LiveSettings};
+use jacinthhinge::control::{Action, BuiltConfig, ConfigBuilder, Control, Event, LiveSettings};
 use jacinthhinge::platform::settings::{self, ReloadedSettings, SettingsChange};
 use jacinthhinge::prelude::*;
+use jacinthhinge::snapshot::WarmupLimit;
 use relaying::{addr, ms, relay_control};
 use serde_json::{Value as Json, json};
 
@@ -15,7 +16,8 @@
         "NodeName": "edge-1", "Ip": "10.1.0.10", "Zone": "sv-a", "Region": "is-sudvestur",
         "Listen": {"DatagramAddr": "10.1.0.10:8172", "ReadyAddr": "10.1.0.10:8167"},
         "InternalPorts": [7720, 7735], "Seeds": ["10.2.0.40:8166"],
-        "Bounds": {"GraceS": 6}, "platform": {"Address": "10.200.1.7:8169"},
+        "Zones": {"sv-a": "is-sudvestur"},
+        "Bounds": {"GraceS": 6, "WarmupExcess": 1.5, "WarmupSlack": 5}, "platform": {"Address": "10.200.1.7:8169"},
     })
 }
 
@@ -41,6 +43,13 @@
         ("/Seeds", json!(["10.3.0.1:8166"]), true),
         ("/platform/Address", json!("10.200.1.8:8169"), true),
         ("/Bounds/GraceS", json!(9), true),
+        ("/Bounds/WarmupExcess", json!(2.0), true),
+        ("/Bounds/WarmupSlack", json!(0), true),
+        (
+            "/Zones",
+            json!({"sv-a": "is-sudvestur", "sv-b": "is-sudvestur"}),
+            true,
+        ),
     ];
     for (pointer, value, can_change) in cases {
         let mut settings = start();
@@ -85,6 +94,7 @@
 
 fn live_settings(store: &str) -> LiveSettings {
     LiveSettings {
+        config_builder: None,
         store_addr: addr(store),
         seeds: vec![],
         drain_limit: Duration::from_secs(5),
@@ -165,3 +175,49 @@
     assert!(!has_exited(&mut control, 2_900));
     assert!(has_exited(&mut control, 3_000));
 }
+
+/// A changed tolerance of warm-up limits was logged as in force, while the services kept the
+/// earlier one until the next change of a value.
+#[test]
+fn services_are_built_anew_with_a_changed_builder() {
+    let builder = |excess: f64| {
+        ConfigBuilder::new(move |_| {
+            let mut service = Service::new("adserve");
+            service.warmup_limit = Some(WarmupLimit {
+                rate: 1.0,
+                excess,
+                slack: 0.0,
+            });
+            Ok(BuiltConfig {
+                services: vec![service],
+                ..BuiltConfig::default()
+            })
+        })
+    };
+    let mut control = relay_control();
+    let live = |excess| LiveSettings {
+        config_builder: Some(builder(excess)),
+        ..live_settings("10.0.0.1:1")
+    };
+    control.handle(ms(0), Event::Settings(live(1.0)));
+    let update = jacinthhinge::control::ValueUpdate {
+        revision: 7.into(),
+        is_full: true,
+        ..Default::default()
+    };
+    control.handle(ms(100), Event::Tick);
+    control.handle(ms(150), Event::Values(Ok(update)));
+    let outbox = control.handle(ms(200), Event::Settings(live(2.0)));
+    let published = outbox.iter().rev().find_map(|action| match action {
+        Action::Publish(snapshot) => Some(Arc::clone(snapshot)),
+        _ => None,
+    });
+    let snapshot = published.expect("a snapshot");
+    let limit = snapshot.services[&Id::of("adserve")].warmup_limit;
+    let expected = WarmupLimit {
+        rate: 1.0,
+        excess: 2.0,
+        slack: 0.0,
+    };
+    assert_eq!(limit, Some(expected));
+}
