--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -206,6 +206,21 @@
     assert_eq!(names.filter(|name| sends(name, &leave)).count(), 1);
 }
 
+/// Guards against callers that are refused while a cold endpoint could take their flows.
+#[test]
+fn cold_endpoint_gets_all_that_is_allowed_before_a_caller_is_refused() {
+    let full = Endpoint {
+        max_conns: 1,
+        ..endpoint(2, "a")
+    };
+    let endpoints = [cold_endpoint(1, "a"), full];
+    let mut harness = host_lane(HOST, 0, limited(&endpoints, &[host(HOST, 1)]));
+    harness.advance(ms(50));
+    let opened: Vec<_> = (1..=10).map(|port| try_open(&mut harness, port)).collect();
+    let count = |wanted| opened.iter().filter(|number| **number == wanted).count();
+    assert_eq!((count(Some(1)), count(Some(2)), count(None)), (5, 1, 4));
+}
+
 /// Guards against two hosts that do not see each other and both send all that is allowed.
 #[test]
 fn two_hosts_that_do_not_see_each_other_stay_within_the_limit_together() {
