Send changed reports at once, within limits of rounds, rows and bytes

A report reached other hosts with the next regular heartbeat only, and every known member got all rows. Other zones get service rows. Rows are sent in columns of 17 bytes a row, with the lower 32 bits of the start time, so that 24 rows fit besides gossiped updates; the largest heartbeat is tested against the limit. Reports of several lanes are added by endpoint.

--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -41,6 +41,10 @@
 /// Maximum size in bytes of the gossiped member updates in one heartbeat.
 const MAX_UPDATE_BYTES: usize = 700;
 
+/// Maximum size in bytes of the gossiped member updates in a heartbeat with a report, which takes
+/// up to 660 bytes.
+const MAX_UPDATE_BYTES_WITH_REPORT: usize = 420;
+
 /// Maximum size in bytes of an encoded member update without its names and lane addresses.
 const UPDATE_BASE_BYTES: usize = 64;
 
@@ -209,9 +213,20 @@
 }
 
 fn compose(tables: &mut Tables, now: Duration, to: Option<Id>) -> Heartbeat {
-    let updates = select_updates(tables, to);
+    let has_acked = to
+        .and_then(|id| tables.members.get(&id))
+        .is_some_and(|member| member.acked_timestamp.is_some());
+    // There is no room for a report besides the host info.
+    let report = to
+        .filter(|_| has_acked)
+        .and_then(|id| reports::for_member(tables, id, now));
+    let max_bytes = match report {
+        Some(_) => MAX_UPDATE_BYTES_WITH_REPORT,
+        None => MAX_UPDATE_BYTES,
+    };
+    tables.counters.reports_sent += u64::from(report.is_some());
+    let updates = select_updates(tables, to, max_bytes);
     let target = to.and_then(|id| tables.members.get(&id));
-    let has_acked = target.is_some_and(|member| member.acked_timestamp.is_some());
     Heartbeat {
         from: tables.me.id,
         incarnation: tables.me.incarnation,
@@ -227,7 +242,7 @@
         ping: false,
         vote: lease::vote(tables, now),
         updates,
-        report: reports::for_member(tables, to),
+        report,
         report_age: now.saturating_sub(tables.reports.own.taken_at),
     }
 }
@@ -241,7 +256,11 @@
 
 /// Selects the updates for a heartbeat: first what the receiver must refute, then the updates
 /// that have been sent least often.
-fn select_updates(tables: &mut Tables, to: Option<Id>) -> SmallVec<[MemberUpdate; 2]> {
+fn select_updates(
+    tables: &mut Tables,
+    to: Option<Id>,
+    max_bytes: usize,
+) -> SmallVec<[MemberUpdate; 2]> {
     let mut updates = SmallVec::new();
     if tables.me.has_left {
         updates.push(departure_update(tables));
@@ -258,7 +277,7 @@
         .filter(|member| member.gossip_left > 0 && Some(member.id) != to)
         .collect();
     gossiped.sort_unstable_by_key(|member| std::cmp::Reverse(member.gossip_left));
-    let mut bytes_left = MAX_UPDATE_BYTES;
+    let mut bytes_left = max_bytes;
     for member in gossiped.into_iter().take(MAX_UPDATES) {
         let Some(remaining) = bytes_left.checked_sub(max_update_size(member)) else {
             break;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -131,7 +131,7 @@
             Event::Fetched(result) => fetch::receive(tables, now, result),
             Event::Values(result) => platform_reads::receive_values(tables, now, result),
             Event::Hosts(result) => platform_reads::receive_hosts(tables, now, result),
-            Event::LaneReports(lanes) => reports::update_own(tables, &lanes),
+            Event::LaneReports(lanes) => reports::update_own(tables, now, &lanes),
             Event::Rejected => tables.counters.rejected += 1,
             Event::Seeds(seeds) => tables.settings.seeds = seeds,
             Event::Leave => leave::start(tables, now, &mut outbox),
@@ -169,5 +169,6 @@
 fn run_dependents(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     voters::run(tables);
     lease::run(tables, now);
+    reports::publish(tables, now);
     publish::run(tables, now, outbox);
 }
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -1,6 +1,6 @@
 //! Tables of the control thread.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -288,9 +288,33 @@
     pub own: Arc<LaneReport>,
     /// Newest report of each other host.
     pub others: BTreeMap<Id, HostReport>,
-    /// True if `own` has changed since it was last sent.
+    /// Part of `own` that hosts of the own availability zone get.
     #[serde(skip)]
-    pub(super) own_changed: bool,
+    pub(super) zone_part: Arc<LaneReport>,
+    /// Part of `own` that hosts of other availability zones get.
+    #[serde(skip)]
+    pub(super) service_part: Arc<LaneReport>,
+    /// When `own` last had rows.
+    #[serde(rename = "rows")]
+    pub(super) last_rows: Option<Duration>,
+    /// Members that have not been sent the latest change of `own` yet.
+    #[serde(skip)]
+    pub(super) pending: Vec<Id>,
+    /// Last member that got an extra heartbeat.
+    #[serde(skip)]
+    pub(super) last_target: Id,
+    /// Time from which the snapshot may be updated with `others` again.
+    #[serde(skip)]
+    pub(super) next_publish: Duration,
+    /// Bytes that extra rounds of heartbeats may still take, as of `last_refill`.
+    #[serde(skip)]
+    pub(super) round_bytes: f64,
+    /// Time of the last tick.
+    #[serde(skip)]
+    pub(super) last_refill: Duration,
+    /// Times of the latest extra rounds of heartbeats, oldest first.
+    #[serde(skip)]
+    pub(super) rounds: VecDeque<Duration>,
     /// True if `others` has changed since the snapshot was last updated.
     #[serde(skip)]
     pub(super) others_changed: bool,
@@ -345,6 +369,14 @@
     pub fetches: u64,
     /// Failed fetches from other hosts.
     pub fetch_failures: u64,
+    /// Heartbeats sent with a report about endpoints or load.
+    pub reports_sent: u64,
+    /// Reports of other hosts that were new.
+    pub reports_received: u64,
+    /// Rows of own reports that were left out because a message has room for fewer.
+    pub dropped_rows: u64,
+    /// Extra rounds of heartbeats for changed reports.
+    pub report_rounds: u64,
     /// Snapshots published.
     #[serde(rename = "published")]
     pub snapshots_published: u64,
--- a/src/report.rs
+++ b/src/report.rs
@@ -10,6 +10,18 @@
 use crate::control::message::Timestamp;
 use crate::id::{Id, Incarnation, Name};
 
+/// Maximum number of endpoint rows in a message between hosts; with it, a heartbeat stays below
+/// its maximum size.
+pub const MAX_ROWS: usize = 24;
+
+/// Minimum number of suspected endpoints for which a host may itself be at fault; fewer can fail
+/// together by chance.
+const MIN_WRONG_ENDPOINTS: u32 = 3;
+
+/// A host that suspects this fraction (one third) of the endpoints that it uses is more likely to
+/// be at fault than they are.
+const WRONG_SHARE_DIVISOR: u32 = 3;
+
 /// Observations of one lane, or of all lanes of a host.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct LaneReport {
@@ -33,7 +45,8 @@
 pub struct EndpointReport {
     /// Id of the endpoint.
     pub endpoint: Id,
-    /// Wall-clock time of its start, in milliseconds, which tells its incarnations apart.
+    /// Wall-clock time of its start, in milliseconds, which tells its incarnations apart. A
+    /// report of another host has only the lower 32 bits.
     pub started_ms: u64,
     /// Number of openings that it has not answered before their first copy was sent.
     pub unanswered_opens: u32,
@@ -74,3 +87,56 @@
     /// What the host reports.
     pub report: Arc<LaneReport>,
 }
+
+impl LaneReport {
+    /// Returns true if the observations of both reports are the same, apart from the passing of
+    /// time.
+    #[must_use]
+    pub fn has_same_content(&self, other: &Self) -> bool {
+        self.services == other.services && self.has_same_endpoints(other)
+    }
+
+    /// Returns true if the observations of endpoints are the same, apart from the passing of time.
+    #[must_use]
+    pub fn has_same_endpoints(&self, other: &Self) -> bool {
+        let times = |report: &Self| {
+            let rows = report.endpoints.iter();
+            rows.map(|row| row.at(report.taken_at)).collect::<Vec<_>>()
+        };
+        self.is_impaired == other.is_impaired
+            && self.suspected_endpoints == other.suspected_endpoints
+            && times(self) == times(other)
+    }
+
+    /// Returns true if its host suspects so many of the endpoints that it uses that it is more
+    /// likely to be at fault itself.
+    #[must_use]
+    pub fn suspects_too_many(&self) -> bool {
+        self.suspected_endpoints >= MIN_WRONG_ENDPOINTS
+            && self.suspected_endpoints.saturating_mul(WRONG_SHARE_DIVISOR) >= self.used_endpoints
+    }
+}
+
+impl EndpointReport {
+    /// Returns the number of pieces of evidence against the endpoint.
+    #[must_use]
+    pub fn evidence(&self) -> u32 {
+        self.unanswered_opens.saturating_add(self.stalled_flows)
+    }
+
+    /// Returns the row with the times of its oldest evidence and of the last answer in place of
+    /// their ages at `taken_at`.
+    fn at(&self, taken_at: Duration) -> (Self, Duration, Option<Duration>) {
+        let identity = Self {
+            silent_for: Duration::ZERO,
+            heard_ago: None,
+            ..*self
+        };
+        let silent_since = match self.evidence() {
+            0 => Duration::ZERO,
+            _ => taken_at.saturating_sub(self.silent_for),
+        };
+        let heard_at = self.heard_ago.map(|age| taken_at.saturating_sub(age));
+        (identity, silent_since, heard_at)
+    }
+}
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -7,19 +7,24 @@
 
 use crate::error::{Error, Result};
 use crate::id::Id;
-use crate::report::{EndpointReport, LaneReport, ServiceReport};
-
-/// Maximum number of endpoints in an encoded report; with it, a heartbeat stays below its
-/// maximum size.
-pub const MAX_ENDPOINTS: usize = 24;
+use crate::report::{EndpointReport, LaneReport, MAX_ROWS, ServiceReport};
 
 /// Maximum number of services in an encoded report.
 pub const MAX_SERVICES: usize = 8;
 
+/// Maximum number of pieces of evidence of one kind in a row, which fits into four bits.
+const MAX_EVIDENCE: u32 = 15;
+
+/// Maximum age in a row, in milliseconds, which takes two bytes.
+const MAX_AGE_MS: u32 = 16_382;
+
+/// Report about endpoints and services. The rows of endpoints are columns of equal length, which
+/// take 17 bytes a row, so that a heartbeat has room for all of them.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireReport {
-    #[prost(message, repeated, tag = "1")]
-    endpoints: Vec<WireEndpoint>,
+    /// Ids of the endpoints.
+    #[prost(fixed64, repeated, tag = "1")]
+    ids: Vec<u64>,
     #[prost(message, repeated, tag = "2")]
     services: Vec<WireService>,
     #[prost(uint32, tag = "3")]
@@ -28,22 +33,18 @@
     suspected: u32,
     #[prost(bool, tag = "5")]
     impaired: bool,
-}
-
-#[derive(Clone, Copy, PartialEq, Message)]
-struct WireEndpoint {
-    #[prost(fixed64, tag = "1")]
-    id: u64,
-    #[prost(uint64, tag = "2")]
-    started_ms: u64,
-    #[prost(uint32, tag = "3")]
-    unanswered: u32,
-    #[prost(uint32, tag = "4")]
-    stalled: u32,
-    #[prost(uint32, tag = "5")]
-    silent_ms: u32,
-    #[prost(uint32, optional, tag = "6")]
-    heard_ms: Option<u32>,
+    /// Lower 32 bits of the start times, in milliseconds.
+    #[prost(fixed32, repeated, tag = "6")]
+    started_ms: Vec<u32>,
+    /// Unanswered openings in the lower four bits, stalled flows in the upper ones.
+    #[prost(bytes = "vec", tag = "7")]
+    evidence: Vec<u8>,
+    /// Ages of the oldest evidence.
+    #[prost(uint32, repeated, tag = "8")]
+    silent_ms: Vec<u32>,
+    /// Ages of the last answers plus one, zero without an answer.
+    #[prost(uint32, repeated, tag = "9")]
+    heard_ms: Vec<u32>,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -58,27 +59,43 @@
     waiting: u32,
 }
 
-/// Converts a report, without the rows beyond [`MAX_ENDPOINTS`] and [`MAX_SERVICES`].
+/// Converts a report, without the rows beyond [`MAX_ROWS`] and [`MAX_SERVICES`].
 pub(super) fn encode(report: &LaneReport) -> WireReport {
-    let endpoints = report.endpoints.iter().take(MAX_ENDPOINTS);
     let services = report.services.iter().take(MAX_SERVICES);
-    WireReport {
-        endpoints: endpoints.map(encode_endpoint).collect(),
+    let mut wire = WireReport {
         services: services.map(encode_service).collect(),
         used: report.used_endpoints,
         suspected: report.suspected_endpoints,
         impaired: report.is_impaired,
+        ..WireReport::default()
+    };
+    for row in report.endpoints.iter().take(MAX_ROWS) {
+        wire.ids.push(row.endpoint.0);
+        wire.started_ms.push(low_bits(row.started_ms));
+        wire.evidence.push(encode_evidence(row));
+        wire.silent_ms.push(encode_age(row.silent_for));
+        wire.heard_ms
+            .push(row.heard_ago.map_or(0, |age| encode_age(age) + 1));
     }
+    wire
 }
 
 pub(super) fn decode(wire: &WireReport) -> Result<Arc<LaneReport>> {
-    if wire.endpoints.len() > MAX_ENDPOINTS || wire.services.len() > MAX_SERVICES {
+    let count = wire.ids.len();
+    let columns = [
+        wire.started_ms.len(),
+        wire.evidence.len(),
+        wire.silent_ms.len(),
+        wire.heard_ms.len(),
+    ];
+    let is_even = columns.iter().all(|length| *length == count);
+    if !is_even || count > MAX_ROWS || wire.services.len() > MAX_SERVICES {
         return Err(Error::malformed("number of rows in a report"));
     }
     let services: Result<Vec<_>> = wire.services.iter().map(decode_service).collect();
     Ok(Arc::new(LaneReport {
         taken_at: Duration::ZERO,
-        endpoints: wire.endpoints.iter().map(decode_endpoint).collect(),
+        endpoints: (0..count).map(|at| decode_endpoint(wire, at)).collect(),
         services: services?,
         used_endpoints: wire.used,
         suspected_endpoints: wire.suspected,
@@ -86,26 +103,27 @@
     }))
 }
 
-fn encode_endpoint(row: &EndpointReport) -> WireEndpoint {
-    WireEndpoint {
-        id: row.endpoint.0,
-        started_ms: row.started_ms,
-        unanswered: row.unanswered_opens,
-        stalled: row.stalled_flows,
-        silent_ms: encode_millis(row.silent_for),
-        heard_ms: row.heard_ago.map(encode_millis),
+fn decode_endpoint(wire: &WireReport, at: usize) -> EndpointReport {
+    let heard_ms = wire.heard_ms[at].checked_sub(1);
+    EndpointReport {
+        endpoint: Id(wire.ids[at]),
+        started_ms: wire.started_ms[at].into(),
+        unanswered_opens: u32::from(wire.evidence[at]) & MAX_EVIDENCE,
+        stalled_flows: u32::from(wire.evidence[at]) >> MAX_EVIDENCE.count_ones(),
+        silent_for: Duration::from_millis(wire.silent_ms[at].into()),
+        heard_ago: heard_ms.map(|ms| Duration::from_millis(ms.into())),
     }
 }
 
-fn decode_endpoint(wire: &WireEndpoint) -> EndpointReport {
-    EndpointReport {
-        endpoint: Id(wire.id),
-        started_ms: wire.started_ms,
-        unanswered_opens: wire.unanswered,
-        stalled_flows: wire.stalled,
-        silent_for: Duration::from_millis(wire.silent_ms.into()),
-        heard_ago: wire.heard_ms.map(|ms| Duration::from_millis(ms.into())),
-    }
+fn encode_evidence(row: &EndpointReport) -> u8 {
+    let stalled = row.stalled_flows.min(MAX_EVIDENCE) << MAX_EVIDENCE.count_ones();
+    let evidence = stalled | row.unanswered_opens.min(MAX_EVIDENCE);
+    u8::try_from(evidence).unwrap_or(u8::MAX)
+}
+
+/// Returns the lower 32 bits of a time, which tell the starts of one endpoint apart.
+fn low_bits(time_ms: u64) -> u32 {
+    u32::try_from(time_ms & u64::from(u32::MAX)).unwrap_or_default()
 }
 
 #[allow(
@@ -133,6 +151,6 @@
     })
 }
 
-fn encode_millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+fn encode_age(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).map_or(MAX_AGE_MS, |ms| ms.min(MAX_AGE_MS))
 }
--- /dev/null
+++ b/tests/reports.rs
@@ -0,0 +1,398 @@
+//! Exchange of reports between hosts: receivers, rounds, rows, bytes and order.
+
+mod zone;
+
+use jacinthhinge::control::message::{Heartbeat, HostInfo, MemberUpdate, Status, Timestamp, Vote};
+use jacinthhinge::control::{Counters, Event};
+use jacinthhinge::prelude::*;
+use jacinthhinge::report::{EndpointReport, HostReport, LaneReport, MAX_ROWS, ServiceReport};
+use jacinthhinge::wire::{self, MAX_HEARTBEAT_BYTES, PeerKey};
+use zone::{TICK_INTERVAL, Zone, host_id, host_info};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Largest size of the gossiped updates in a heartbeat with a report, in bytes.
+const MAX_UPDATE_BYTES: usize = 420;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Returns a zone whose hosts are spread over availability zones and know each other.
+fn started_zone(count: usize, az_count: usize) -> Zone {
+    let mut zone = Zone::new();
+    zone.az_count = az_count;
+    zone.seeds = (0..count)
+        .map(zone::host_info)
+        .map(|info| info.peer_addr)
+        .collect();
+    (0..count).for_each(|index| zone.start(index));
+    zone.run_for(15 * SECOND);
+    zone
+}
+
+fn row(number: u64, opens: u32) -> EndpointReport {
+    EndpointReport {
+        endpoint: Id(number),
+        started_ms: 7,
+        unanswered_opens: opens,
+        stalled_flows: 0,
+        silent_for: ms(300),
+        heard_ago: (opens == 0).then(|| ms(20)),
+    }
+}
+
+/// Publishes a report of a host's lane with these rows.
+fn publish(zone: &mut Zone, index: usize, endpoints: Vec<EndpointReport>) {
+    let taken_at = zone.now.saturating_sub(zone.nodes[&index].started_at);
+    let suspected = endpoints.iter().filter(|row| row.evidence() > 0).count();
+    let report = LaneReport {
+        taken_at,
+        endpoints,
+        used_endpoints: 150,
+        suspected_endpoints: u32::try_from(suspected).expect("few"),
+        ..LaneReport::default()
+    };
+    zone.deliver(index, Event::LaneReports(vec![Arc::new(report)]));
+}
+
+fn report_at(zone: &Zone, index: usize, from: usize) -> Option<&HostReport> {
+    let mut reports = zone.nodes[&index].snapshot.reports.iter();
+    reports.find(|report| report.host == host_id(from))
+}
+
+fn counters(zone: &Zone, index: usize) -> Counters {
+    zone.nodes[&index].control.tables().counters
+}
+
+/// Failure: an endpoint stops. The own availability zone knows within a tick, before the next
+/// regular round, and no other one is told.
+#[test]
+fn change_is_sent_to_the_own_availability_zone_at_once() {
+    let mut zone = started_zone(9, 3);
+    publish(&mut zone, 0, vec![row(1, 2)]);
+    let made_at = zone.now;
+    zone.run_for(TICK_INTERVAL + ms(5));
+    for index in [3, 6] {
+        let report = report_at(&zone, index, 0).expect("told");
+        assert_eq!(report.report.endpoints[0].unanswered_opens, 2);
+        let taken_at = report.taken_at + zone.nodes[&index].started_at;
+        assert!(
+            taken_at >= made_at && taken_at <= made_at + ms(5),
+            "{taken_at:?}"
+        );
+    }
+    zone.run_for(2 * SECOND);
+    for index in [1, 2, 4, 5, 7, 8] {
+        assert!(report_at(&zone, index, 0).is_none(), "host {index}");
+    }
+    assert_eq!(counters(&zone, 0).report_rounds, 1);
+}
+
+/// Load: hosts of all availability zones need each other's demand, but not at once.
+#[test]
+fn other_availability_zones_get_services_only() {
+    let mut zone = started_zone(4, 2);
+    let report = LaneReport {
+        endpoints: vec![row(1, 2)],
+        services: vec![ServiceReport {
+            service: Id(5),
+            demand: 2.5,
+            running: 3,
+            waiting: 1,
+        }],
+        ..LaneReport::default()
+    };
+    zone.deliver(0, Event::LaneReports(vec![Arc::new(report)]));
+    zone.run_for(SECOND);
+    let other = &report_at(&zone, 1, 0).expect("told").report;
+    assert_eq!((other.endpoints.len(), other.services.len()), (0, 1));
+    let near = &report_at(&zone, 2, 0).expect("told").report;
+    assert_eq!((near.endpoints.len(), near.services.len()), (1, 1));
+}
+
+/// Load: reports change all the time. There are at most 4 extra rounds in any second, each to at
+/// most 36 hosts, and every host gets its turn.
+#[test]
+fn flapping_endpoints_cause_few_rounds() {
+    let mut zone = started_zone(60, 1);
+    let mut rounds = Vec::new();
+    for step in 0..40 {
+        publish(&mut zone, 0, vec![row(1, 1 + step % 7), row(2, 0)]);
+        let before = counters(&zone, 0);
+        zone.run_for(TICK_INTERVAL);
+        let after = counters(&zone, 0);
+        if after.report_rounds > before.report_rounds {
+            rounds.push(zone.now);
+        }
+    }
+    assert_eq!(rounds.len() as u64, counters(&zone, 0).report_rounds);
+    assert!(rounds.len() >= 4, "{rounds:?}");
+    for at in &rounds {
+        let later = rounds
+            .iter()
+            .filter(|time| *time >= at && **time < *at + SECOND);
+        assert!(later.count() <= 4, "{rounds:?}");
+    }
+    assert!((1..60).all(|index| report_at(&zone, index, 0).is_some()));
+}
+
+/// Load: one round reaches 36 hosts, and the next one the others.
+#[test]
+fn round_has_a_maximum_number_of_receivers() {
+    let mut zone = started_zone(60, 1);
+    publish(&mut zone, 0, vec![row(1, 1)]);
+    zone.run_for(TICK_INTERVAL + ms(5));
+    let told = |zone: &Zone| {
+        (1..60)
+            .filter(|index| report_at(zone, *index, 0).is_some())
+            .count()
+    };
+    assert!(told(&zone) >= 36);
+    zone.run_for(TICK_INTERVAL);
+    assert_eq!(told(&zone), 59);
+    assert_eq!(counters(&zone, 0).report_rounds, 2);
+}
+
+/// Load: 150 endpoints are suspected. A message has those with the most evidence, some
+/// contradictions and the total, and the rest is counted.
+#[test]
+fn message_has_the_rows_with_the_most_evidence() {
+    let mut zone = started_zone(2, 1);
+    let mut rows: Vec<EndpointReport> = (1..=150)
+        .map(|number| row(number, 1 + u32::from(number > 140)))
+        .collect();
+    rows.extend((151..160).map(|number| row(number, 0)));
+    publish(&mut zone, 0, rows);
+    zone.run_for(TICK_INTERVAL + ms(5));
+    let report = &report_at(&zone, 1, 0).expect("told").report;
+    assert_eq!(report.endpoints.len(), MAX_ROWS);
+    assert_eq!(report.suspected_endpoints, 150);
+    let strong = report.endpoints.iter().filter(|row| row.evidence() == 2);
+    assert_eq!(strong.count(), 10);
+    let cleared = report.endpoints.iter().filter(|row| row.evidence() == 0);
+    assert_eq!(cleared.count(), 4);
+    assert_eq!(counters(&zone, 0).dropped_rows, 159 - 24);
+}
+
+/// Failure: the message about the end of a suspicion is lost. Heartbeats repeat it for 2 s, and
+/// carry no report after that.
+#[test]
+fn end_of_a_report_is_repeated() {
+    let mut zone = started_zone(2, 1);
+    publish(&mut zone, 0, vec![row(1, 1)]);
+    zone.run_for(SECOND);
+    let lost_until = zone.now + ms(700);
+    zone.network.link_model = Box::new(move |now, _, _| {
+        if now < lost_until {
+            vec![]
+        } else {
+            vec![zone::LATENCY]
+        }
+    });
+    publish(&mut zone, 0, vec![]);
+    zone.run_for(ms(500));
+    assert_eq!(
+        report_at(&zone, 1, 0).expect("old").report.endpoints.len(),
+        1
+    );
+    zone.run_for(SECOND);
+    assert!(
+        report_at(&zone, 1, 0)
+            .expect("new")
+            .report
+            .endpoints
+            .is_empty()
+    );
+    zone.run_for(SECOND);
+    let sent = counters(&zone, 0).reports_sent;
+    zone.run_for(3 * SECOND);
+    assert_eq!(counters(&zone, 0).reports_sent, sent);
+}
+
+/// A zone without suspicions sends no report.
+#[test]
+fn quiet_zone_sends_no_report() {
+    let mut zone = started_zone(6, 2);
+    for _ in 0..20 {
+        publish(&mut zone, 0, vec![]);
+        zone.run_for(TICK_INTERVAL);
+    }
+    assert!((0..6).all(|index| counters(&zone, index).reports_sent == 0));
+}
+
+fn heartbeat_of(zone: &Zone, from: usize, sent_at: u64, opens: u32) -> Heartbeat {
+    let report = LaneReport {
+        endpoints: vec![row(1, opens)],
+        ..LaneReport::default()
+    };
+    Heartbeat {
+        from: host_id(from),
+        incarnation: zone.nodes[&from].incarnation,
+        version: 0,
+        leaving: false,
+        read_failures: 0,
+        read_age: None,
+        info: None,
+        revision: Revision::default(),
+        list_revision: Revision::default(),
+        sent_at: Timestamp(sent_at),
+        echo: None,
+        ping: false,
+        vote: Vote::default(),
+        updates: smallvec::smallvec![],
+        report: Some(Arc::new(report)),
+        report_age: ms(30),
+    }
+}
+
+/// Failure: heartbeats arrive twice, late, or from an earlier incarnation. The newest one counts.
+#[test]
+fn newest_report_of_the_present_incarnation_counts() {
+    let mut zone = started_zone(2, 1);
+    let newest = u64::MAX / 2;
+    let before = counters(&zone, 0).reports_received;
+    for (sent_at, opens) in [(newest, 3), (newest, 3), (newest - 1, 1)] {
+        let heartbeat = heartbeat_of(&zone, 1, sent_at, opens);
+        zone.deliver(0, Event::Heartbeat(Box::new(heartbeat)));
+    }
+    let mut earlier = heartbeat_of(&zone, 1, newest + 1, 9);
+    earlier.incarnation -= 1;
+    zone.deliver(0, Event::Heartbeat(Box::new(earlier)));
+    zone.run_for(TICK_INTERVAL);
+    let report = report_at(&zone, 0, 1).expect("stored");
+    assert_eq!(report.report.endpoints[0].unanswered_opens, 3);
+    assert_eq!(counters(&zone, 0).reports_received, before + 1);
+    zone.kill(1);
+    zone.run_for(10 * SECOND);
+    assert!(report_at(&zone, 0, 1).is_none(), "its host is dead");
+}
+
+/// Several lanes of a host observe the same endpoint. Their evidence is added, and an answer to
+/// one of them that is newer than the evidence of another remains visible.
+#[test]
+fn reports_of_several_lanes_are_added() {
+    let mut zone = started_zone(2, 1);
+    let now = zone.now.saturating_sub(zone.nodes[&0].started_at);
+    let lane = |taken_at: Duration, row: EndpointReport| {
+        Arc::new(LaneReport {
+            taken_at,
+            endpoints: vec![row],
+            ..LaneReport::default()
+        })
+    };
+    let lanes = vec![
+        lane(now.saturating_sub(ms(200)), row(1, 2)),
+        lane(now, row(1, 0)),
+        lane(now, row(1, 1)),
+    ];
+    zone.deliver(0, Event::LaneReports(lanes));
+    let own = &zone.nodes[&0].control.tables().reports.own;
+    let expected = EndpointReport {
+        unanswered_opens: 3,
+        silent_for: ms(500),
+        heard_ago: Some(ms(20)),
+        ..row(1, 3)
+    };
+    assert_eq!(own.endpoints, [expected]);
+}
+
+/// Returns a heartbeat with all its parts at their largest, as the control thread sends it.
+fn largest_heartbeat() -> Heartbeat {
+    let endpoint = |number: u64| EndpointReport {
+        endpoint: Id(u64::MAX - number),
+        started_ms: u64::MAX,
+        unanswered_opens: u32::MAX,
+        stalled_flows: u32::MAX,
+        silent_for: Duration::from_secs(1 << 40),
+        heard_ago: Some(Duration::from_secs(1 << 40)),
+    };
+    let service = |number: u64| ServiceReport {
+        service: Id(u64::MAX - number),
+        demand: 1e9,
+        running: u32::MAX,
+        waiting: u32::MAX,
+    };
+    let update = |info: Option<HostInfo>| MemberUpdate {
+        id: info
+            .as_ref()
+            .map_or(Id(u64::MAX), |info| Id::of(&info.name)),
+        incarnation: u64::MAX,
+        version: u32::MAX,
+        status: Status::Dead,
+        leaving: true,
+        info,
+    };
+    let mut info = host_info(0);
+    let long_addr = SocketAddr::from(([0xffff; 8], u16::MAX));
+    info.lanes = std::iter::repeat_n(long_addr, 2).collect();
+    info.peer_addr = long_addr;
+    info.name = "n".repeat(80).into();
+    let update_bytes = 64 + info.name.len() + info.zone.len() + 2 * 20;
+    let gossip_count = MAX_UPDATE_BYTES / update_bytes;
+    let mut updates = smallvec::smallvec![update(None), update(None)];
+    updates.extend((0..gossip_count).map(|_| update(Some(info.clone()))));
+    Heartbeat {
+        from: Id(u64::MAX),
+        incarnation: u64::MAX,
+        version: u32::MAX,
+        leaving: true,
+        read_failures: u32::MAX,
+        read_age: Some(Duration::from_secs(10)),
+        info: None,
+        revision: Revision::new(u64::MAX, u64::MAX),
+        list_revision: Revision::new(u64::MAX, u64::MAX),
+        sent_at: Timestamp(u64::MAX),
+        echo: Some(Timestamp(u64::MAX)),
+        ping: true,
+        vote: Vote {
+            views: smallvec::smallvec![u64::MAX; jacinthhinge::control::lease::MAX_VIEWS],
+            is_valid: true,
+            agreed_digest: u64::MAX,
+        },
+        updates,
+        report: Some(Arc::new(LaneReport {
+            taken_at: SECOND,
+            endpoints: (0..30).map(endpoint).collect(),
+            services: (0..10).map(service).collect(),
+            used_endpoints: u32::MAX,
+            suspected_endpoints: u32::MAX,
+            is_impaired: true,
+        })),
+        report_age: Duration::from_secs(1 << 40),
+    }
+}
+
+/// A datagram of a heartbeat must not be fragmented, and receivers refuse a longer one.
+#[test]
+fn largest_heartbeat_stays_below_the_limit() {
+    let key = PeerKey::new("secret");
+    let bytes = wire::encode_heartbeat(&largest_heartbeat(), &key);
+    assert!(bytes.len() <= MAX_HEARTBEAT_BYTES, "{} bytes", bytes.len());
+    let decoded = wire::decode_heartbeat(&bytes, &key).expect("heartbeat");
+    let report = decoded.report.expect("report");
+    assert_eq!(report.endpoints.len(), MAX_ROWS);
+    assert_eq!(report.endpoints[0].unanswered_opens, 15);
+}
+
+/// Load: all hosts of the largest deployments report flapping endpoints with full messages for
+/// 10 s.
+#[test]
+fn flood_of_reports_is_bounded() {
+    let mut zone = started_zone(78, 3);
+    zone.network.count_traffic = true;
+    zone.network.sent_bytes = 0;
+    for step in 0..100 {
+        for index in 0..78 {
+            let opens = 1 + (step + u32::try_from(index).expect("small")) % 7;
+            let rows = (1..=30).map(|number| row(number, opens));
+            publish(&mut zone, index, rows.collect());
+        }
+        zone.run_for(TICK_INTERVAL);
+    }
+    let per_host = zone.network.sent_bytes / 78 / 10;
+    assert!(
+        per_host <= 22_000,
+        "{per_host} bytes a second sent by each host"
+    );
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,10 +1,16 @@
 //! Encoding of packets and tickets: round trips, and rejection of invalid bytes.
 
+use jacinthhinge::control::Heartbeat;
+use jacinthhinge::control::message::{Timestamp, Vote};
 use jacinthhinge::packet::{MAX_PACKET_BYTES, MAX_PART_BYTES, MAX_PARTS};
 use jacinthhinge::prelude::*;
+use jacinthhinge::report::{EndpointReport, LaneReport, MAX_ROWS, ServiceReport};
 use jacinthhinge::systems;
 use jacinthhinge::tables::{Arrival, Outbox, Tables};
-use jacinthhinge::wire::{decode_packet, decode_ticket, encode_packet, encode_ticket};
+use jacinthhinge::wire::{
+    MAX_HEARTBEAT_BYTES, PeerKey, decode_heartbeat, decode_packet, decode_ticket, encode_heartbeat,
+    encode_packet, encode_ticket,
+};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -181,6 +187,66 @@
     })
 }
 
+/// Generates rows as a report may have them: start times of 32 bits, up to 15 pieces of evidence
+/// of each kind, and ages below 16 s.
+fn endpoint_report() -> impl Strategy<Value = EndpointReport> {
+    let evidence = (0..16_u32, 0..16_u32);
+    let ages = (0..16_383_u64, prop::option::of(0..16_383_u64));
+    (any::<(u64, u32)>(), evidence, ages).prop_map(
+        |((endpoint, started), (opens, stalled), (silent, heard))| EndpointReport {
+            endpoint: Id(endpoint),
+            started_ms: started.into(),
+            unanswered_opens: opens,
+            stalled_flows: stalled,
+            silent_for: Duration::from_millis(silent),
+            heard_ago: heard.map(Duration::from_millis),
+        },
+    )
+}
+
+fn lane_report() -> impl Strategy<Value = LaneReport> {
+    let service = any::<(u64, u16, u32, u32)>().prop_map(|(service, demand, running, waiting)| {
+        ServiceReport {
+            service: Id(service),
+            demand: demand.into(),
+            running,
+            waiting,
+        }
+    });
+    let rows = (vec(endpoint_report(), 0..=MAX_ROWS), vec(service, 0..=8));
+    (rows, any::<(u32, u32, bool)>()).prop_map(
+        |((endpoints, services), (used, suspected, impaired))| LaneReport {
+            taken_at: Duration::ZERO,
+            endpoints,
+            services,
+            used_endpoints: used,
+            suspected_endpoints: suspected,
+            is_impaired: impaired,
+        },
+    )
+}
+
+fn heartbeat(report: LaneReport, age: u32) -> Heartbeat {
+    Heartbeat {
+        from: Id(3),
+        incarnation: 5,
+        version: 2,
+        leaving: false,
+        read_failures: 0,
+        read_age: None,
+        info: None,
+        revision: Revision::new(1, 2),
+        list_revision: Revision::default(),
+        sent_at: Timestamp(77),
+        echo: None,
+        ping: false,
+        vote: Vote::default(),
+        updates: smallvec::smallvec![],
+        report: Some(Arc::new(report)),
+        report_age: Duration::from_millis(age.into()),
+    }
+}
+
 fn tables() -> Tables {
     let home = Home {
         host: Id::of("host-0"),
@@ -210,6 +276,15 @@
         prop_assert_eq!(decode_ticket(&bytes).expect("a ticket"), ticket);
     }
 
+    #[test]
+    fn report_round_trips_in_a_heartbeat(report in lane_report(), age in any::<u32>()) {
+        let key = PeerKey::new("secret");
+        let heartbeat = heartbeat(report, age);
+        let bytes = encode_heartbeat(&heartbeat, &key);
+        prop_assert!(bytes.len() <= MAX_HEARTBEAT_BYTES, "{} bytes", bytes.len());
+        prop_assert_eq!(decode_heartbeat(&bytes, &key).expect("a heartbeat"), heartbeat);
+    }
+
     #[test]
     fn arbitrary_bytes_decode_or_return_a_packet_error(bytes in vec(any::<u8>(), 0..1_500)) {
         if let Err(error) = decode_packet(bytes.clone().into()) {
