Decide from the reports of several hosts that an endpoint is down

Each host had to detect a silent endpoint alone. A lane now reports openings without an answer and flows with two retransmissions, and evaluates the reports of its availability zone: one host with evidence that no answer contradicts steers new flows away, two hosts with three pieces of evidence that stand for 150 ms declare the endpoint down and reset the flows that wait for it, unless their requests run at most once. One host of the zone sends the trials, and an answer is reported at once.

An acknowledgement that comes with new data shows only that the endpoint has run since the data before that was sent. It no longer counts as an answer that contradicts the reports; otherwise each idle flow at a silent endpoint would mark it as up with its next request.

--- a/src/front/trace.rs
+++ b/src/front/trace.rs
@@ -91,11 +91,16 @@
     }
 }
 
-/// Returns true for an event that reports one of the endpoints or a whole zone as up, down
-/// or removed.
+/// Returns true if reports of other hosts were part of the evidence for the event.
+fn is_reported(line: &LogLine) -> bool {
+    line.get("reports").and_then(Value::as_bool) == Some(true)
+}
+
+/// Returns true for an event that reports one of the endpoints or a whole zone as up, suspected,
+/// down or removed.
 fn is_health_event(line: &LogLine, endpoints: &BTreeSet<&str>) -> bool {
     match text_field(line, "event") {
-        "endpoint_down" | "endpoint_up" | "endpoint_gone" => {
+        "endpoint_suspected" | "endpoint_down" | "endpoint_up" | "endpoint_gone" => {
             endpoints.contains(text_field(line, "endpoint"))
         }
         "zone_down" | "zone_up" => true,
@@ -123,8 +128,13 @@
             format!("The flow was reset by {host}: its endpoint is no longer listed.")
         }
         ("reset", "endpoint_down") => format!(
-            "The flow opened and stalled: {host} reset it after {} ms, because {endpoint} did not respond.",
-            number_field(last, "waited_ms")
+            "The flow opened and stalled: {host} reset it after {} ms, because {endpoint} did not respond{}.",
+            number_field(last, "waited_ms"),
+            if is_reported(last) {
+                " to several hosts"
+            } else {
+                ""
+            }
         ),
         ("placed", _) if number_field(last, "copies") > 0 => format!(
             "The flow did not open on the first try: {} endpoints were tried, {endpoint} last.",
@@ -153,10 +163,18 @@
         .filter(|line| text_field(line, "event") == "endpoint_down")
         .map(|line| text_field(line, "host"))
         .collect();
+    let resets = matching
+        .iter()
+        .filter(|line| text_field(line, "event") == "reset");
+    let reported = resets.filter(|line| is_reported(line)).count();
     format!(
-        "{name} received {} new flows; {} hosts considered it down, and {} of its flows were reset.",
+        "{name} received {} new flows; {} hosts considered it down, and {} of its flows were reset{}.",
         count("placed"),
         hosts.len(),
-        count("reset")
+        count("reset"),
+        match reported {
+            0 => String::new(),
+            reported => format!(", {reported} of them by the reports of several hosts"),
+        }
     )
 }
--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -390,13 +390,14 @@
         .is_some_and(|since| now >= since + Tuning::DEFAULT.answer_timeout)
 }
 
-/// Returns true if an endpoint is down or does not answer this lane, or if it is reported
+/// Returns true if an endpoint is down, suspected or does not answer this lane, or if it is reported
 /// unhealthy and has not answered recently.
 fn is_unhealthy(row: &EndpointRow, tuning: &Tuning, now: Duration) -> bool {
     let unresponsive = row
         .unanswered_since
         .is_some_and(|since| now >= since + tuning.answer_timeout);
     row.down.is_some()
+        || row.suspicion.is_some()
         || unresponsive
         || (!row.spec.healthy && now >= row.last_heard + UNHEALTHY_DELAY)
 }
--- a/src/systems/relay/failure_detector.rs
+++ b/src/systems/relay/failure_detector.rs
@@ -114,7 +114,7 @@
 }
 
 /// Returns true when this host's own link or processor is the likely cause of silence.
-fn is_host_impaired(tables: &mut Tables, now: Duration) -> bool {
+pub(super) fn is_host_impaired(tables: &mut Tables, now: Duration) -> bool {
     let in_grace = |read_at| now < read_at + SNAPSHOT_GRACE;
     tables.snapshot.large_update.is_some_and(in_grace)
         || has_just_resumed(tables, now)
@@ -216,6 +216,7 @@
             since: now,
             whole_zone: true,
             confirmed: true,
+            from_reports: false,
         });
         down_ids.push(row.spec.id);
     }
@@ -246,6 +247,7 @@
             since: now,
             whole_zone: false,
             confirmed: true,
+            from_reports: false,
         });
         tables.counters.failed_endpoints += 1;
         down_ids.push(row.spec.id);
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -8,7 +8,9 @@
 
 use std::time::Duration;
 
-use super::{add_load, failure_detector, is_idempotent, remove_load, timeouts, uncount_flow};
+use super::{
+    add_load, evidence, failure_detector, is_idempotent, remove_load, timeouts, uncount_flow,
+};
 use crate::clock::millis;
 use crate::segment::{Segment, SegmentKind, is_seq_after};
 use crate::tables::{EndpointRow, StalledFlow, Tables, TrackedFlow, TrackedState, observe};
@@ -26,6 +28,13 @@
 /// lane notices when the endpoint answers again.
 const SUSPICION_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time after which a caller first retransmits data.
+const INITIAL_RETRANSMIT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time after its last retransmission at which a stalled flow is no longer recorded: callers
+/// retransmit at least every 1.6 s.
+const STALL_RETENTION: Duration = Duration::from_secs(2);
+
 /// Maximum number of stalled flows recorded per endpoint.
 const MAX_STALLED_FLOWS: usize = 16;
 
@@ -76,7 +85,10 @@
 /// Returns true when a flow waits for an answer from an endpoint that is down.
 fn awaits_down_endpoint(row: &EndpointRow, flow: &TrackedFlow, now: Duration) -> bool {
     let suspected = now < row.last_suspected + SUSPICION_PERIOD;
-    row.down.is_some() && flow.unanswered_since.is_some() && (flow.retransmissions > 0 || suspected)
+    let reported = row.down.is_some_and(|down| down.from_reports);
+    row.down.is_some()
+        && flow.unanswered_since.is_some()
+        && (flow.retransmissions > 0 || suspected || reported)
 }
 
 /// Returns true when a segment shows that the endpoint has answered the flow.
@@ -86,6 +98,11 @@
 
 /// Records an answer: opens the flow, or ends its pending request.
 fn record_progress(tables: &mut Tables, flow: &mut TrackedFlow, segment: &Segment, now: Duration) {
+    // An acknowledgement without data is sent at once. With data, or as the flow is closed, it
+    // may be for an answer that came long ago, but after the data that it answers was sent.
+    let is_prompt = flow.state == TrackedState::Opening
+        || (segment.kind == SegmentKind::Data && segment.len == 0);
+    let alive_at = if is_prompt { now } else { flow.last_advance };
     if flow.state == TrackedState::Opening {
         flow.state = TrackedState::Open;
         observe(
@@ -107,18 +124,34 @@
     flow.acked_seq = segment.ack;
     flow.unanswered_segments = 0;
     flow.retransmissions = 0;
-    mark_answering(tables, flow, now);
+    mark_answering(tables, flow, alive_at, now);
 }
 
 /// Records that the flow's endpoint answers, and clears its down state.
-fn mark_answering(tables: &mut Tables, flow: &TrackedFlow, now: Duration) {
+///
+/// The answer shows that the endpoint was running at the time `alive_at` or later. If that is
+/// before the evidence of several hosts that it is down, it stays down.
+fn mark_answering(tables: &mut Tables, flow: &TrackedFlow, alive_at: Duration, now: Duration) {
     tables.recent_counts.note_answer(now);
+    let health = tables.shared_health.get(flow.endpoint);
+    let down_evidence = health.and_then(|health| health.confirmed_evidence);
+    evidence::note_answer(tables, flow.endpoint, alive_at, now);
+    if down_evidence.is_some_and(|since| alive_at <= since) {
+        return;
+    }
     let Some(row) = tables.endpoints.get_mut(flow.endpoint) else {
         return;
     };
     row.note_response(now);
     row.unanswered_since = None;
-    row.stalled_flows.clear();
+    if alive_at == now {
+        row.stalled_flows.clear();
+    } else {
+        // The failure detector ignores flows that stalled before this answer, but they may be
+        // evidence for other hosts.
+        row.stalled_flows
+            .retain(|stall| stall.first_sent + INITIAL_RETRANSMIT_TIMEOUT > alive_at);
+    }
     if let Some(down) = row.down.take() {
         let zone = down.whole_zone.then(|| row.spec.zone.clone());
         tables.counters.recovered_endpoints += 1;
@@ -142,7 +175,7 @@
         // The caller sends more only after earlier data was acknowledged.
         flow.unanswered_segments = 1;
         flow.retransmissions = 0;
-        mark_answering(tables, flow, now);
+        mark_answering(tables, flow, now, now);
     }
     if flow.unanswered_since.is_none() {
         flow.unanswered_since = Some(now);
@@ -178,7 +211,9 @@
         return;
     };
     row.last_suspected = now;
-    row.stalled_flows.retain(|known| known.addrs != stall.addrs);
+    row.stalled_flows.retain(|known| {
+        known.addrs != stall.addrs && now < known.last_retransmission + STALL_RETENTION
+    });
     if row.stalled_flows.len() < MAX_STALLED_FLOWS {
         row.stalled_flows.push(stall);
     }
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -5,10 +5,13 @@
 //! retransmissions and acknowledgements of callers show which endpoints answer.
 
 mod established;
+mod evidence;
 mod failure_detector;
 mod liveness;
 mod open;
 mod overload_queue;
+mod report;
+mod shared_health;
 mod timeouts;
 
 use std::time::Duration;
@@ -52,6 +55,8 @@
 pub(super) fn run_timers(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     failure_detector::run(tables, now, out);
     timeouts::run(tables, now);
+    shared_health::run(tables, now, out);
+    report::run(tables, now);
     overload_queue::run_timers(tables, now);
     for flow in tables.tracked_flows.expire(now) {
         uncount_flow(tables, &flow);
@@ -101,6 +106,11 @@
 /// Sends a reset to the caller of a flow whose endpoint is down.
 fn reset_down_flow(tables: &mut Tables, flow: &TrackedFlow, now: Duration, out: &mut Outbox) {
     tables.counters.down_resets += 1;
+    let row = tables.endpoints.get(flow.endpoint);
+    let reported = row
+        .and_then(|row| row.down)
+        .is_some_and(|down| down.from_reports);
+    tables.counters.reported_resets += u64::from(reported);
     let name = endpoint_name(tables, flow.endpoint);
     let waited = flow
         .unanswered_since
@@ -110,7 +120,7 @@
     }
     log::info!(
         caller:% = flow.addrs.caller, front:% = flow.addrs.vip, endpoint:% = name,
-        cause = "endpoint_down", repeats = flow.retransmissions,
+        cause = "endpoint_down", repeats = flow.retransmissions, reports = reported,
         waited_ms = millis(waited.unwrap_or_default());
         "reset"
     );
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -11,10 +11,10 @@
 use smallvec::SmallVec;
 
 use super::super::placement::is_unresponsive;
-use super::{add_load, count_flow, forward, reset_flow, uncount_flow};
+use super::{add_load, count_flow, evidence, forward, reset_flow, shared_health, uncount_flow};
 use crate::id::Id;
 use crate::segment::{Route, Segment};
-use crate::tables::{CookieEndpoint, Outbox, Tables, TrackedFlow, TrackedState};
+use crate::tables::{CookieEndpoint, EndpointRow, Outbox, Tables, TrackedFlow, TrackedState};
 
 /// Minimum time between two trial openings to an endpoint that does not answer. If it
 /// still does not, the caller's first retransmission, 200 ms later, goes elsewhere.
@@ -80,6 +80,7 @@
             row.last_suspected = now;
         }
         uncount_flow(tables, &earlier);
+        evidence::note_open(tables, &earlier, now);
     }
     let Some((endpoint, cookie)) = choose_endpoint(tables, route, &flow.tried_endpoints, now)
     else {
@@ -112,7 +113,7 @@
     let Some(row) = tables.endpoints.get(endpoint.id) else {
         return;
     };
-    let unresponsive = row.down.is_some() || is_unresponsive(row, now);
+    let unresponsive = is_avoided(row, now);
     log::info!(
         caller:% = segment.addrs.caller, front:% = segment.addrs.vip, route:% = route.name,
         endpoint:% = row.spec.name, zone:% = row.spec.zone, copies = segment.ack,
@@ -188,19 +189,27 @@
     others.map(|other| other.shed_rank).max() <= Some(route.shed_rank)
 }
 
+/// Returns true if an endpoint gets new flows only as trials.
+fn is_avoided(row: &EndpointRow, now: Duration) -> bool {
+    row.down.is_some() || row.suspicion.is_some() || is_unresponsive(row, now)
+}
+
 /// Returns an endpoint that does not answer and is due for another trial.
 ///
 /// The endpoints of a partitioned zone share one trial interval, and endpoints of other
-/// zones are tried less often.
+/// zones are tried less often. If other hosts suspect the endpoint too, one host of the zone
+/// tries it for all.
 fn choose_trial(tables: &mut Tables, service: Id, now: Duration) -> Option<Id> {
     let row = tables.endpoints.of_service(service).find(|row| {
-        let unresponsive = row.down.is_some() || is_unresponsive(row, now);
         let period = if row.spec.local {
             LOCAL_TRIAL_PERIOD
         } else {
             REMOTE_TRIAL_PERIOD
         };
-        unresponsive && row.accepts_work(now) && now >= row.last_trial + period
+        is_avoided(row, now)
+            && row.accepts_work(now)
+            && now >= row.last_trial + period
+            && shared_health::may_try(tables, row)
     })?;
     let (id, zone) = (row.spec.id, row.spec.zone.clone());
     let whole_zone = row.down.is_some_and(|down| down.whole_zone);
--- /dev/null
+++ b/src/systems/relay/report.rs
@@ -0,0 +1,82 @@
+//! Builds the report of this lane about the endpoints that it suspects, for other hosts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{evidence, failure_detector};
+use crate::report::{EndpointReport, LaneReport};
+use crate::tables::{EndpointRow, HealthRow, Tables};
+
+/// Minimum time between two reports: the interval at which the control thread reads them.
+const REPORT_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time after which a report is made again although nothing has changed: a third of the age at
+/// which other hosts ignore it.
+const REFRESH_PERIOD: Duration = Duration::from_millis(500);
+
+/// Replaces the report of this lane if its content has changed or it is old.
+pub(super) fn run(tables: &mut Tables, now: Duration) {
+    if now < tables.shared_health.last_check + REPORT_PERIOD {
+        return;
+    }
+    tables.shared_health.last_check = now;
+    let rows = endpoint_rows(tables, now);
+    let is_empty = rows.is_empty();
+    if is_empty && tables.report.endpoints.is_empty() {
+        return;
+    }
+    let (used_endpoints, suspected_endpoints) = evidence::count_endpoints(tables, now);
+    let report = LaneReport {
+        taken_at: now,
+        endpoints: rows,
+        services: tables.report.services.clone(),
+        used_endpoints,
+        suspected_endpoints,
+        is_impaired: !is_empty && failure_detector::is_host_impaired(tables, now),
+    };
+    let is_old = !is_empty && now >= tables.report.taken_at + REFRESH_PERIOD;
+    if is_old || !report.has_same_content(&tables.report) {
+        tables.report = Arc::new(report);
+    }
+}
+
+fn endpoint_rows(tables: &Tables, now: Duration) -> Vec<EndpointReport> {
+    let mut rows = Vec::new();
+    for row in tables.endpoints.iter() {
+        let health = tables.shared_health.get(row.spec.id);
+        if health.is_some() || evidence::has_stalls(row) {
+            rows.extend(endpoint_row(row, health, now));
+        }
+    }
+    rows
+}
+
+/// Returns the observations of an endpoint; none if there is no evidence against it and none was
+/// contradicted.
+fn endpoint_row(
+    row: &EndpointRow,
+    health: Option<&HealthRow>,
+    now: Duration,
+) -> Option<EndpointReport> {
+    let own = evidence::collect(row, health, now);
+    let cleared = health.and_then(|health| health.cleared);
+    if own.count() == 0 && cleared.is_none() {
+        return None;
+    }
+    let heard_at = match cleared {
+        Some(cleared) if own.count() == 0 => cleared.heard_at,
+        _ => row.last_alive,
+    };
+    let silent_for = match own.count() {
+        0 => Duration::ZERO,
+        _ => now.saturating_sub(own.oldest),
+    };
+    Some(EndpointReport {
+        endpoint: row.spec.id,
+        started_ms: row.spec.started_ms,
+        unanswered_opens: own.opens,
+        stalled_flows: own.stalled,
+        silent_for,
+        heard_ago: (!heard_at.is_zero()).then(|| now.saturating_sub(heard_at)),
+    })
+}
--- /dev/null
+++ b/src/systems/relay/shared_health.rs
@@ -0,0 +1,431 @@
+//! Decides from this lane's evidence and the reports of other hosts which endpoints are
+//! suspected, and which are down.
+//!
+//! Reports count only from live hosts of the own availability zone that are likely to be right.
+//! An endpoint is suspected if one host has evidence that no answer contradicts; it then gets
+//! only trials. It is down if several hosts have evidence; its waiting flows are then reset.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::evidence::{self, OwnEvidence};
+use super::{failure_detector, is_idempotent, reset_down_flow, uncount_flow};
+use crate::clock::millis;
+use crate::id::{Id, Name, rendezvous_weight};
+use crate::report::{HostReport, LaneReport};
+use crate::snapshot::Host;
+use crate::tables::{Cleared, DownState, EndpointRow, Outbox, Suspicion, Tables, TrackedState};
+
+/// Maximum age of a report that counts: three of its regular repetitions.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time after the last report at which a suspicion ends.
+const SUSPICION_TIME: Duration = Duration::from_secs(2);
+
+/// Longest time for which one other host alone may steer flows away. If the endpoint is down,
+/// the next flow gives this host evidence of its own.
+const SOLE_SUSPICION_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which a contradiction is reported: several regular heartbeats.
+const CLEARED_TIME: Duration = Duration::from_secs(2);
+
+/// Amount by which times in reports of other hosts may be late: the delay of a message.
+const TIME_ERROR: Duration = Duration::from_millis(50);
+
+/// Minimum number of hosts with evidence against an endpoint that is down.
+const MIN_HOSTS: usize = 2;
+
+/// Minimum number of pieces of evidence of all hosts together in that case.
+const MIN_EVIDENCE: u32 = 3;
+
+/// Time for which that much evidence must be known, so that a contradiction has time to arrive:
+/// a lane's report period and a delay.
+const CONFIRM_TIME: Duration = Duration::from_millis(150);
+
+/// What is known about an endpoint in this tick.
+#[derive(Default)]
+struct Finding {
+    own: OwnEvidence,
+    /// Evidence of other hosts.
+    reports: SmallVec<[Observation; 4]>,
+    /// Latest time at which another host knows that it was running.
+    alive_elsewhere: Duration,
+}
+
+/// Evidence of another host against an endpoint.
+struct Observation {
+    host: Id,
+    evidence: u32,
+    /// Time at which the oldest of it was sent.
+    oldest: Duration,
+    /// Time of the report.
+    taken_at: Duration,
+}
+
+/// Whether the evidence of this host may count.
+#[derive(Clone, Copy)]
+struct OwnState {
+    is_impaired: bool,
+    is_credible: bool,
+}
+
+/// Updates suspicions, marks endpoints as down or up, and resets flows that wait for them.
+pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    let has_rows = |report: &HostReport| !report.report.endpoints.is_empty();
+    let is_idle = tables.shared_health.is_empty()
+        && !tables.shared_health.any_suspected
+        && !tables.snapshot.reports.iter().any(has_rows)
+        && !tables.endpoints.iter().any(evidence::has_stalls);
+    if is_idle {
+        return;
+    }
+    expire(tables, now);
+    let own = own_state(tables, now);
+    let mut down_ids = Vec::new();
+    for (id, finding) in collect_findings(tables, now) {
+        if evaluate(tables, id, &finding, own, now) {
+            down_ids.push(id);
+        }
+    }
+    let any_suspected = tables.endpoints.iter().any(|row| row.suspicion.is_some());
+    tables.shared_health.any_suspected = any_suspected;
+    if !down_ids.is_empty() {
+        reset_waiting_flows(tables, &down_ids, now, out);
+    }
+}
+
+/// Returns true if this host may send a trial opening to an endpoint: one host of the zone tries
+/// an endpoint that others suspect too.
+pub(super) fn may_try(tables: &Tables, row: &EndpointRow) -> bool {
+    let is_shared = row
+        .suspicion
+        .as_ref()
+        .is_some_and(|known| known.other_hosts > 0);
+    let Some(me) = own_host(tables).filter(|_| is_shared) else {
+        return true;
+    };
+    let hosts = tables.snapshot.hosts.iter();
+    let zone_hosts =
+        hosts.filter(|host| host.availability_zone == me.availability_zone && !host.leaving);
+    let trying = zone_hosts.max_by_key(|host| rendezvous_weight(row.spec.id.0, host.id));
+    trying.is_none_or(|host| host.id == me.id)
+}
+
+/// Removes evidence and contradictions that are too old, or whose endpoint is gone.
+fn expire(tables: &mut Tables, now: Duration) {
+    let endpoints = &tables.endpoints;
+    tables.shared_health.retain(|id, health| {
+        let row = endpoints.get(id);
+        let Some(row) = row.filter(|row| row.spec.started_ms == health.started_ms) else {
+            return false;
+        };
+        health
+            .opens
+            .retain(|open| now < open.sent_at + evidence::OPEN_EVIDENCE_TIME);
+        health.cleared = health.cleared.filter(|known| now < known.at + CLEARED_TIME);
+        if !row.down.is_some_and(|down| down.from_reports) {
+            health.confirmed_evidence = None;
+        }
+        if now >= health.alive_elsewhere + evidence::OPEN_EVIDENCE_TIME {
+            health.alive_elsewhere = Duration::ZERO;
+        }
+        !health.is_empty()
+    });
+}
+
+fn own_state(tables: &mut Tables, now: Duration) -> OwnState {
+    let is_impaired = failure_detector::is_host_impaired(tables, now);
+    let (used_endpoints, suspected_endpoints) = evidence::count_endpoints(tables, now);
+    let counts = LaneReport {
+        used_endpoints,
+        suspected_endpoints,
+        ..LaneReport::default()
+    };
+    OwnState {
+        is_impaired,
+        is_credible: !is_impaired && !counts.suspects_too_many(),
+    }
+}
+
+/// Collects what is known about each endpoint with a suspicion or evidence.
+fn collect_findings(tables: &Tables, now: Duration) -> BTreeMap<Id, Finding> {
+    let mut findings: BTreeMap<Id, Finding> = BTreeMap::new();
+    for row in tables.endpoints.iter() {
+        let health = tables.shared_health.get(row.spec.id);
+        if health.is_some() || row.suspicion.is_some() || evidence::has_stalls(row) {
+            let finding = findings.entry(row.spec.id).or_default();
+            finding.own = evidence::collect(row, health, now);
+        }
+    }
+    for report in tables.snapshot.reports.iter() {
+        if is_credible(tables, report, now) {
+            add_report(tables, report, &mut findings);
+        }
+    }
+    findings
+}
+
+/// Returns true if the observations of a host count.
+fn is_credible(tables: &Tables, report: &HostReport, now: Duration) -> bool {
+    let mut hosts = tables.snapshot.hosts.iter();
+    let is_live =
+        hosts.any(|host| host.id == report.host && host.incarnation == report.incarnation);
+    let is_own = own_host(tables)
+        .is_some_and(|me| me.availability_zone == report.zone && me.id != report.host);
+    is_live
+        && is_own
+        && now < report.taken_at + MAX_REPORT_AGE
+        && !report.report.is_impaired
+        && !report.report.suspects_too_many()
+}
+
+fn add_report(tables: &Tables, report: &HostReport, findings: &mut BTreeMap<Id, Finding>) {
+    let time = |age: Duration| report.taken_at.saturating_sub(age);
+    for observed in &report.report.endpoints {
+        let Some(row) = tables.endpoints.get(observed.endpoint) else {
+            continue;
+        };
+        if row.replaced || !is_same_start(row.spec.started_ms, observed.started_ms) {
+            continue;
+        }
+        let finding = findings.entry(observed.endpoint).or_default();
+        if let Some(age) = observed.heard_ago {
+            finding.alive_elsewhere = finding.alive_elsewhere.max(time(age));
+        }
+        if observed.evidence() > 0 {
+            finding.reports.push(Observation {
+                host: report.host,
+                evidence: observed.evidence(),
+                oldest: time(observed.silent_for),
+                taken_at: report.taken_at,
+            });
+        }
+    }
+}
+
+/// Returns true if a start time and its form in a report, which has only the lower 32 bits, are
+/// the same.
+fn is_same_start(started_ms: u64, reported_ms: u64) -> bool {
+    let low_bits = |time: u64| time & u64::from(u32::MAX);
+    low_bits(started_ms) == low_bits(reported_ms)
+}
+
+/// Updates the state of an endpoint. Returns true if it was declared down.
+fn evaluate(tables: &mut Tables, id: Id, finding: &Finding, own: OwnState, now: Duration) -> bool {
+    let Some(row) = tables.endpoints.get(id) else {
+        return false;
+    };
+    let last_alive = row.last_alive;
+    let started_ms = row.spec.started_ms;
+    let health = tables.shared_health.row(id, started_ms);
+    health.alive_elsewhere = health.alive_elsewhere.max(finding.alive_elsewhere);
+    let elsewhere = health.alive_elsewhere;
+    health
+        .opens
+        .retain(|open| open.sent_at > elsewhere + TIME_ERROR);
+    let alive = last_alive.max(elsewhere);
+    let is_valid = |since: Duration| since > alive + TIME_ERROR;
+    let refuted = finding.reports.iter().map(|seen| seen.oldest);
+    let refuted = refuted
+        .filter(|since| *since <= last_alive + TIME_ERROR)
+        .max();
+    let is_told = |since| {
+        health
+            .cleared
+            .is_some_and(|known| known.heard_at + TIME_ERROR >= since)
+    };
+    if refuted.is_some_and(|since| !is_told(since)) {
+        tables.counters.contradicted_reports += 1;
+        health.cleared = Some(Cleared {
+            at: now,
+            heard_at: last_alive,
+        });
+    }
+    let mut others: SmallVec<[&Observation; 4]> = SmallVec::new();
+    others.extend(finding.reports.iter().filter(|seen| is_valid(seen.oldest)));
+    let own_evidence = finding.own;
+    let own_counts =
+        own.is_credible && own_evidence.count() > 0 && own_evidence.oldest > elsewhere + TIME_ERROR;
+    if others.len() == 1 && !own_counts {
+        let since = *health.sole_since.get_or_insert(now);
+        if now >= since + SOLE_SUSPICION_TIME {
+            others.clear();
+        }
+    } else {
+        health.sole_since = None;
+    }
+    let has_quorum = others.len() + usize::from(own_counts) >= MIN_HOSTS
+        && !own.is_impaired
+        && count_evidence(&others, own_counts, own_evidence) >= MIN_EVIDENCE;
+    let quorum_since = *health.quorum_since.get_or_insert(now);
+    if !has_quorum {
+        health.quorum_since = None;
+    }
+    let is_contradicted = health
+        .confirmed_evidence
+        .is_some_and(|since| !is_valid(since));
+    update_suspicion(
+        tables,
+        id,
+        &others,
+        own_counts.then_some(own_evidence),
+        alive,
+        now,
+    );
+    if is_contradicted {
+        mark_up(tables, id, now);
+    }
+    has_quorum && now >= quorum_since + CONFIRM_TIME && mark_down(tables, id, now)
+}
+
+fn count_evidence(others: &[&Observation], own_counts: bool, own: OwnEvidence) -> u32 {
+    let own = if own_counts { own.count() } else { 0 };
+    let counts = others.iter().map(|seen| seen.evidence);
+    counts.fold(own, u32::saturating_add)
+}
+
+/// Begins, renews or ends the suspicion of an endpoint.
+fn update_suspicion(
+    tables: &mut Tables,
+    id: Id,
+    others: &[&Observation],
+    own: Option<OwnEvidence>,
+    alive: Duration,
+    now: Duration,
+) {
+    let known = tables
+        .endpoints
+        .get(id)
+        .and_then(|row| row.suspicion.clone());
+    let own_time = own.map(|_| now);
+    let newest = others
+        .iter()
+        .map(|seen| seen.taken_at)
+        .chain(own_time)
+        .max();
+    let oldest = others.iter().map(|seen| seen.oldest);
+    let oldest = oldest.chain(own.map(|own| own.oldest)).min();
+    let updated = if let (Some(newest), Some(silent_since)) = (newest, oldest) {
+        Some(Suspicion {
+            since: known.as_ref().map_or(now, |known| known.since),
+            until: newest + SUSPICION_TIME,
+            observers: observer_names(tables, others, own.is_some()),
+            other_hosts: u32::try_from(others.len()).unwrap_or(u32::MAX),
+            evidence: count_evidence(others, own.is_some(), own.unwrap_or_default()),
+            silent_since,
+        })
+    } else {
+        let health = tables.shared_health.get(id);
+        let is_ignored = health.is_some_and(|health| health.sole_since.is_some());
+        known.clone().filter(|known| {
+            !is_ignored && now < known.until && known.silent_since > alive + TIME_ERROR
+        })
+    };
+    if known.is_none()
+        && let (Some(suspicion), Some(row)) = (&updated, tables.endpoints.get(id))
+    {
+        tables.counters.suspected_endpoints += 1;
+        log::info!(
+            endpoint:% = row.spec.name, zone:% = row.spec.zone,
+            observers:% = suspicion.observers.join(" "), evidence = suspicion.evidence,
+            oldest_ms = millis(now.saturating_sub(suspicion.silent_since));
+            "endpoint_suspected"
+        );
+    }
+    if let Some(row) = tables.endpoints.get_mut(id) {
+        row.suspicion = updated;
+    }
+}
+
+/// Returns the names of hosts with evidence, this one first.
+fn observer_names(
+    tables: &Tables,
+    others: &[&Observation],
+    own: bool,
+) -> SmallVec<[Name; Suspicion::MAX_NAMES]> {
+    let ids = own.then_some(tables.home.host).into_iter();
+    let ids = ids.chain(others.iter().map(|seen| seen.host));
+    let names = ids.take(Suspicion::MAX_NAMES).map(|id| {
+        let host = tables.snapshot.hosts.iter().find(|host| host.id == id);
+        host.map_or_else(|| format!("{id:?}").into(), |host| host.name.clone())
+    });
+    names.collect()
+}
+
+/// Marks an endpoint as down; returns false if it already was, with sufficient evidence.
+fn mark_down(tables: &mut Tables, id: Id, now: Duration) -> bool {
+    let Some(row) = tables.endpoints.get_mut(id) else {
+        return false;
+    };
+    let (known, Some(suspicion)) = (row.down, &row.suspicion) else {
+        return false;
+    };
+    if known.is_some_and(|down| down.confirmed) {
+        return false;
+    }
+    row.down = Some(DownState {
+        since: known.map_or(now, |down| down.since),
+        whole_zone: known.is_some_and(|down| down.whole_zone),
+        confirmed: true,
+        from_reports: true,
+    });
+    tables.counters.failed_endpoints += u64::from(known.is_none());
+    tables.counters.reported_endpoints += 1;
+    log::warn!(
+        endpoint:% = row.spec.name, zone:% = row.spec.zone, reports = true,
+        stalled_flows = row.stalled_flows.len(),
+        heard_ms = millis(now.saturating_sub(row.last_heard)),
+        observers:% = suspicion.observers.join(" "), evidence = suspicion.evidence,
+        oldest_ms = millis(now.saturating_sub(suspicion.silent_since));
+        "endpoint_down"
+    );
+    let (silent_since, started_ms) = (suspicion.silent_since, row.spec.started_ms);
+    let health = tables.shared_health.row(id, started_ms);
+    health.confirmed_evidence = Some(silent_since);
+    true
+}
+
+/// Marks an endpoint as up that was down by reports, since another host has had an answer.
+fn mark_up(tables: &mut Tables, id: Id, now: Duration) {
+    if let Some(health) = tables.shared_health.get_mut(id) {
+        health.confirmed_evidence = None;
+    }
+    let Some(row) = tables.endpoints.get_mut(id) else {
+        return;
+    };
+    let Some(down) = row.down.filter(|down| down.from_reports) else {
+        return;
+    };
+    row.down = None;
+    row.unanswered_since = None;
+    tables.counters.recovered_endpoints += 1;
+    log::info!(
+        endpoint:% = row.spec.name, zone:% = row.spec.zone, reports = true,
+        down_ms = millis(now.saturating_sub(down.since));
+        "endpoint_up"
+    );
+}
+
+/// Resets the flows with idempotent requests that wait for endpoints that are down.
+fn reset_waiting_flows(tables: &mut Tables, down_ids: &[Id], now: Duration, out: &mut Outbox) {
+    let waiting: Vec<_> = tables
+        .tracked_flows
+        .iter()
+        .filter(|flow| down_ids.contains(&flow.endpoint) && flow.state == TrackedState::Open)
+        .filter(|flow| flow.unanswered_since.is_some() && is_idempotent(tables, flow))
+        .map(|flow| flow.addrs)
+        .collect();
+    for addrs in waiting {
+        if let Some(flow) = tables.tracked_flows.remove(&addrs) {
+            uncount_flow(tables, &flow);
+            reset_down_flow(tables, &flow, now, out);
+        }
+    }
+}
+
+fn own_host(tables: &Tables) -> Option<&Host> {
+    let mut hosts = tables.snapshot.hosts.iter();
+    hosts.find(|host| host.id == tables.home.host)
+}
--- a/src/systems/relay/timeouts.rs
+++ b/src/systems/relay/timeouts.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::{remove_load, uncount_flow};
+use super::{evidence, remove_load, uncount_flow};
 use crate::tables::{EndpointRow, Tables, TrackedFlow, TrackedState};
 
 /// Time after which a request without a retransmission counts as answered. Callers
@@ -16,6 +16,11 @@
 /// Time after which a caller abandons a flow that does not open.
 const MAX_OPENING_TIME: Duration = Duration::from_millis(1_400);
 
+/// Time after which an opening without any later segment of its caller counts as unanswered.
+/// Callers send a copy after 200 ms, which may reach another host; a busy host may read an
+/// answer's acknowledgement late.
+const MAX_OPEN_ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// Multiple of an endpoint's mean answer time for which a request counts as load.
 const LOAD_TIME_FACTOR: f64 = 3.0;
 
@@ -74,7 +79,14 @@
     if now >= deadline {
         uncount_flow(tables, flow);
         tables.tracked_flows.remove(&flow.addrs);
-    } else {
+        return;
+    }
+    let unanswered_at = flow.last_advance + MAX_OPEN_ANSWER_TIME;
+    if now >= unanswered_at {
+        evidence::note_open(tables, flow, now);
         tables.tracked_flows.schedule_check(flow.addrs, deadline);
+    } else {
+        let due = unanswered_at.min(deadline);
+        tables.tracked_flows.schedule_check(flow.addrs, due);
     }
 }
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -124,4 +124,16 @@
     /// Times at which an endpoint that was down answered again.
     #[serde(rename = "ups")]
     pub recovered_endpoints: u64,
+    /// Times at which this host or another one began to suspect an endpoint.
+    #[serde(rename = "suspected")]
+    pub suspected_endpoints: u64,
+    /// Times at which an endpoint was declared down by the reports of several hosts.
+    #[serde(rename = "reported_downs")]
+    pub reported_endpoints: u64,
+    /// Of the flows reset because their endpoint is down, those for which reports decided.
+    #[serde(rename = "reported_resets")]
+    pub reported_resets: u64,
+    /// Suspicions of other hosts that an answer to this host has contradicted.
+    #[serde(rename = "contradictions")]
+    pub contradicted_reports: u64,
 }
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use serde::{Serialize, Serializer};
+use smallvec::SmallVec;
 
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::packet::Load;
 use crate::segment::FlowAddrs;
 use crate::snapshot::{Endpoint, Snapshot};
@@ -104,6 +105,13 @@
     pub stalled_flows: Vec<StalledFlow>,
     /// Set while it is considered down.
     pub down: Option<DownState>,
+    /// Set while this host or another one has evidence that it does not answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub suspicion: Option<Suspicion>,
+    /// Latest time for which an answer shows that it was running: an acknowledgement that comes
+    /// with new data only shows that it has run since the data before that was sent.
+    #[serde(rename = "alive")]
+    pub last_alive: Duration,
     /// Time at which data of a flow last went unanswered.
     #[serde(rename = "doubted")]
     pub last_suspected: Duration,
@@ -122,6 +130,33 @@
     pub whole_zone: bool,
     /// True if the evidence suffices to reset open flows; otherwise new flows are steered away.
     pub confirmed: bool,
+    /// True if reports of other hosts were part of the evidence.
+    #[serde(rename = "reported")]
+    pub from_reports: bool,
+}
+
+/// Evidence of this host and of others that an endpoint does not answer.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Suspicion {
+    /// Time at which it began.
+    pub since: Duration,
+    /// Time at which it ends unless it is reported again.
+    pub until: Duration,
+    /// Names of hosts with evidence, at most [`Suspicion::MAX_NAMES`].
+    pub observers: SmallVec<[Name; Suspicion::MAX_NAMES]>,
+    /// Number of other hosts with evidence.
+    #[serde(rename = "others")]
+    pub other_hosts: u32,
+    /// Pieces of evidence of all hosts.
+    pub evidence: u32,
+    /// Time at which the oldest of this evidence was sent.
+    #[serde(rename = "silent")]
+    pub silent_since: Duration,
+}
+
+impl Suspicion {
+    /// Maximum number of names in a log line.
+    pub const MAX_NAMES: usize = 4;
 }
 
 /// A flow whose data is not answered.
@@ -462,6 +497,8 @@
             recent_answers: 0.0,
             stalled_flows: Vec::new(),
             down: None,
+            suspicion: None,
+            last_alive: Duration::ZERO,
             last_suspected: Duration::ZERO,
             last_trial: Duration::ZERO,
         }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -14,6 +14,7 @@
 mod inbox;
 mod recent;
 mod requests;
+mod shared_health;
 mod timings;
 mod tracks;
 
@@ -28,12 +29,13 @@
 pub use self::cookies::{CookieEndpoint, Cookies, cookie_of};
 pub use self::counters::Counters;
 pub use self::ended_requests::ENDED_RETENTION;
-pub use self::endpoints::{DownState, EndpointRow, Endpoints, StalledFlow};
+pub use self::endpoints::{DownState, EndpointRow, Endpoints, StalledFlow, Suspicion};
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::held::{HeldRequest, HeldRequests};
 pub use self::inbox::{Arrival, Stage, StageQueues};
 pub use self::recent::RecentCounts;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
+pub use self::shared_health::{Cleared, HealthRow, SharedHealth, UnansweredOpen};
 pub use self::timings::{LatencyHistograms, observe};
 pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
 
@@ -65,6 +67,8 @@
     pub held_requests: HeldRequests,
     /// Recent answers and retransmissions of those flows.
     pub recent_counts: RecentCounts,
+    /// Evidence of this lane about endpoints, for reports to other hosts.
+    pub shared_health: SharedHealth,
     /// What this lane last reported about endpoints and load.
     pub report: Arc<LaneReport>,
     /// Flows that this lane is the home of.
@@ -111,6 +115,7 @@
             tracked_flows: TrackedFlows::default(),
             held_requests: HeldRequests::default(),
             recent_counts: RecentCounts::default(),
+            shared_health: SharedHealth::default(),
             report: Arc::default(),
             flows: Flows::default(),
             requests: Requests::new(&home),
@@ -173,6 +178,8 @@
                 "requests": self.requests,
                 "tracks": self.tracked_flows,
                 "held": self.held_requests,
+                "health": self.shared_health,
+                "report": self.report,
                 "snapshot": self.dump_snapshot(),
             })),
             Some("counters") => Some(json!(self.counters)),
@@ -181,6 +188,8 @@
             Some("requests") => Some(json!(self.requests)),
             Some("tracks") => Some(json!(self.tracked_flows)),
             Some("held") => Some(json!(self.held_requests)),
+            Some("health") => Some(json!(self.shared_health)),
+            Some("report") => Some(json!(self.report)),
             Some("snapshot") => Some(self.dump_snapshot()),
             Some(_) => None,
         }
--- a/tests/decoding.rs
+++ b/tests/decoding.rs
@@ -5,14 +5,16 @@
 
 mod relaying;
 
-use jacinthhinge::control::{Action, Control, Event, Value, ValueChange, ValueUpdate};
+use jacinthhinge::control::message::{HostInfo, Timestamp, Vote};
+use jacinthhinge::control::{Action, Control, Event, Heartbeat, Value, ValueChange, ValueUpdate};
 use jacinthhinge::front::host_list;
 use jacinthhinge::platform::{self, header, settings};
 use jacinthhinge::prelude::*;
+use jacinthhinge::report::{EndpointReport, LaneReport, ServiceReport};
 use jacinthhinge::wire::{self, PeerKey};
 use proptest::prelude::*;
 use proptest::sample::Index;
-use relaying::{LaneHarness, ms, opening_segment, relay_control};
+use relaying::{LaneHarness, local_endpoints, ms, opening_segment, relay_control};
 use serde_json::{Value as Json, json};
 
 const SECRET: &str = "secret";
@@ -196,6 +198,75 @@
     content
 }
 
+/// Returns a heartbeat of another host of the zone with a report about two endpoints.
+fn reporting_heartbeat() -> Heartbeat {
+    let row = |number: u8| EndpointReport {
+        endpoint: Id::of(&format!("i-{number:02x}")),
+        started_ms: number.into(),
+        unanswered_opens: 2,
+        stalled_flows: 1,
+        silent_for: ms(300),
+        heard_ago: Some(ms(400)),
+    };
+    Heartbeat {
+        from: Id::of("sv-a-2"),
+        incarnation: 5,
+        version: 0,
+        leaving: false,
+        read_failures: 0,
+        read_age: None,
+        info: Some(HostInfo {
+            name: "sv-a-2".into(),
+            zone: "is-sudvestur".into(),
+            availability_zone: "sv-a".into(),
+            peer_addr: SocketAddr::from(([10, 1, 0, 11], 7720)),
+            lanes: std::iter::once(SocketAddr::from(([10, 1, 0, 11], 8172))).collect(),
+        }),
+        revision: Revision::default(),
+        list_revision: Revision::default(),
+        sent_at: Timestamp(77),
+        echo: None,
+        ping: false,
+        vote: Vote::default(),
+        updates: smallvec::smallvec![],
+        report: Some(Arc::new(LaneReport {
+            endpoints: vec![row(1), row(2)],
+            services: vec![ServiceReport {
+                service: Id::of("adserve"),
+                demand: 1.5,
+                running: 2,
+                waiting: 3,
+            }],
+            used_endpoints: 150,
+            suspected_endpoints: 2,
+            ..LaneReport::default()
+        })),
+        report_age: ms(20),
+    }
+}
+
+/// Hands a heartbeat to a control thread and the reports in its snapshot to a lane.
+fn evaluate_report(heartbeat: Heartbeat) {
+    let mut host = relay_control();
+    let mut harness = LaneHarness::new(&local_endpoints(3));
+    let mut outbox = host.handle(harness.now, Event::Heartbeat(Box::new(heartbeat)));
+    outbox.extend(host.handle(harness.now + ms(100), Event::Tick));
+    let snapshots = outbox.into_iter().filter_map(|action| match action {
+        Action::Publish(snapshot) => Some(snapshot),
+        _ => None,
+    });
+    if let Some(published) = snapshots.last() {
+        let mut snapshot = (*harness.tables.snapshot).clone();
+        snapshot.hosts = published.hosts.clone();
+        snapshot.reports = published.reports.clone();
+        harness.publish(&Arc::new(snapshot));
+    }
+    for port in 1..4 {
+        harness.receive(opening_segment(port, 0));
+        harness.advance(ms(200));
+    }
+}
+
 proptest! {
     #[test]
     fn entries_leave_the_other_endpoints_in_use(
@@ -288,6 +359,26 @@
         }
     }
 
+    #[test]
+    fn altered_reports_are_evaluated_or_refused(
+        flips in proptest::collection::vec((any::<Index>(), any::<u8>()), 0..5),
+        cut in proptest::option::of(any::<Index>()),
+    ) {
+        let key = PeerKey::new(SECRET);
+        let encoded = wire::encode_heartbeat(&reporting_heartbeat(), &key);
+        let mut inner = encoded[..encoded.len() - TAG_BYTES].to_vec();
+        for (at, byte) in flips {
+            let at = at.index(inner.len());
+            inner[at] = byte;
+        }
+        if let Some(cut) = cut {
+            inner.truncate(cut.index(inner.len()));
+        }
+        if let Ok(heartbeat) = wire::decode_heartbeat(&signed(inner), &key) {
+            evaluate_report(heartbeat);
+        }
+    }
+
     #[test]
     fn messages_between_hosts_are_decoded_or_refused(
         content in proptest::collection::vec(any::<u8>(), 0..300),
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -11,6 +11,8 @@
   10.8 sv-a-1 {"time":"T10.801","host":"sv-a-1","event":"reset","cause":"endpoint_down","caller":"192.0.2.8:1","front":"198.18.0.1:443","endpoint":"i-2","repeats":1,"waited_ms":412}
   10.2 sv-a-1 {"time":"T10.200","host":"sv-a-1","event":"placed","caller":"192.0.2.8:1","front":"198.18.0.1:443","endpoint":"i-2","copies":0}
   10.9 sv-a-1 {"time":"T10.900","host":"sv-a-1","event":"reset","cause":"no_endpoint","caller":"192.0.2.9:1","front":"198.18.0.2:443","copies":0}
+  11.1 sv-a-2 {"time":"T11.100","host":"sv-a-2","event":"endpoint_suspected","endpoint":"i-4","zone":"sv-a","observers":"sv-a-1","evidence":1,"oldest_ms":310}
+  11.2 sv-a-2 {"time":"T11.200","host":"sv-a-2","event":"reset","cause":"endpoint_down","reports":true,"caller":"192.0.2.11:1","front":"198.18.0.1:443","endpoint":"i-4","repeats":0,"waited_ms":180}
   not a log line, and { not one either
 "#;
 
@@ -43,6 +45,22 @@
     );
 }
 
+/// The summary tells that the evidence was not this host's alone.
+#[test]
+fn flow_that_was_reset_by_reports() {
+    let (lines, summary) = trace_flow("192.0.2.11:1");
+    assert!(lines[0].contains("endpoint_suspected"), "{lines:?}");
+    assert_eq!(
+        summary,
+        "The flow opened and stalled: sv-a-2 reset it after 180 ms, because i-4 did not respond to several hosts."
+    );
+    let report = build_report(parse(LOGS), &Subject::Endpoint("i-4".to_owned()));
+    assert_eq!(
+        report.summary,
+        "i-4 received 0 new flows; 0 hosts considered it down, and 1 of its flows were reset, 1 of them by the reports of several hosts."
+    );
+}
+
 #[test]
 fn flow_that_was_refused() {
     assert_eq!(
