--- a/examples/control_cost.rs
+++ b/examples/control_cost.rs
@@ -10,7 +10,9 @@
 use std::fs;
 use std::time::Instant;
 
+use jacinthhinge::control::Event;
 use jacinthhinge::prelude::*;
+use jacinthhinge::report::{EndpointReport, LaneReport};
 use zone::{Zone, host_names};
 
 /// Numbers of hosts to measure.
@@ -28,7 +30,26 @@
 /// Size of a memory page in bytes.
 const PAGE_BYTES: f64 = 4096.0;
 
+/// Rows of a host in the measured failures: one silent endpoint, the share of one host when 30
+/// exit together, and a full message.
+const ROW_COUNTS: [u64; 3] = [1, 5, 24];
+
+/// Number of availability zones over which the hosts are spread when reports are measured.
+const AZ_COUNT: usize = 3;
+
+/// Time over which the cost of reports is measured.
+const REPORT_TIME: Duration = Duration::from_secs(10);
+
+/// Time between two publications of a lane's report.
+const REPORT_PERIOD: Duration = Duration::from_millis(100);
+
+/// Number of publications after which an unchanged report is refreshed.
+const REFRESH_STEPS: u32 = 5;
+
 fn main() {
+    for count in [23, 79] {
+        measure_reports(count);
+    }
     println!(
         "hosts  bytes/s  messages/s  core %  KiB/host  death s  change s  lease s  churn bytes/s"
     );
@@ -39,7 +60,7 @@
 
 fn measure_zone(count: usize) {
     let before = resident_bytes();
-    let mut zone = new_zone(count);
+    let mut zone = new_zone(count, 1);
     let hosts = to_f64(count);
     zone.run_for(WARM_UP_TIME);
     let (traffic, cpu) = measure_cost(&mut zone, |zone| zone.run_for(QUIET_TIME));
@@ -66,9 +87,67 @@
     );
 }
 
+/// Prints the bytes a second that a host sends without reports, with reports that persist and
+/// with reports that change all the time.
+fn measure_reports(count: usize) {
+    let mut zone = new_zone(count, AZ_COUNT);
+    zone.run_for(WARM_UP_TIME);
+    let quiet = measure_report_bytes(&mut zone, count, 0, false);
+    println!("reports, {count} hosts, no rows: {quiet:.0} bytes/s");
+    for rows in ROW_COUNTS {
+        for changing in [false, true] {
+            let bytes = measure_report_bytes(&mut zone, count, rows, changing);
+            let kind = if changing { "changing" } else { "persistent" };
+            println!("reports, {count} hosts, {rows} {kind} rows each: {bytes:.0} bytes/s");
+            measure_report_bytes(&mut zone, count, 0, false);
+        }
+    }
+}
+
+/// Returns the bytes a second that a host sends while each host reports `rows` endpoints.
+fn measure_report_bytes(zone: &mut Zone, count: usize, rows: u64, changing: bool) -> f64 {
+    zone.network.sent_bytes = 0;
+    let steps = u32::try_from(REPORT_TIME.as_millis() / REPORT_PERIOD.as_millis()).expect("few");
+    for step in 0..steps {
+        for index in 0..count {
+            if changing || step % REFRESH_STEPS == 0 {
+                let taken_at = zone.now.saturating_sub(zone.nodes[&index].started_at);
+                let report = report(taken_at, rows, changing, step);
+                zone.deliver(index, Event::LaneReports(vec![Arc::new(report)]));
+            }
+        }
+        zone.run_for(REPORT_PERIOD);
+    }
+    to_f64(zone.network.sent_bytes) / to_f64(count) / REPORT_TIME.as_secs_f64()
+}
+
+fn report(taken_at: Duration, rows: u64, changing: bool, step: u32) -> LaneReport {
+    let opens = if changing { 1 + step % 7 } else { 1 };
+    let row = |number| EndpointReport {
+        endpoint: Id(u64::MAX - number),
+        started_ms: 1_767_986_000_000,
+        unanswered_opens: opens,
+        stalled_flows: 1,
+        silent_for: taken_at,
+        heard_ago: Some(taken_at),
+    };
+    LaneReport {
+        taken_at,
+        endpoints: (0..rows).map(row).collect(),
+        used_endpoints: 150,
+        suspected_endpoints: u32::try_from(rows).expect("few"),
+        ..LaneReport::default()
+    }
+}
+
 /// Creates a zone with a platform whose host list contains all its hosts.
-fn new_zone(count: usize) -> Zone {
-    let mut zone = Zone::with_hosts(count);
+fn new_zone(count: usize, az_count: usize) -> Zone {
+    let mut zone = Zone::new();
+    zone.az_count = az_count;
+    zone.seeds = (0..count)
+        .map(|index| zone::host_info(index).peer_addr)
+        .collect();
+    (0..count).for_each(|index| zone.start(index));
     zone.network.count_traffic = true;
     zone.platform.up = true;
     zone.set_host_list(0..count);
