Keep trials with one host while an endpoint stays down

Once the evidence of the other hosts is too old, the host that sends the trials is the only one with evidence, and after 2 s the others would have tried the endpoint themselves. For an endpoint that several hosts have found down, they wait 10 s. A host that found an endpoint down by itself tries it at once when another host has an answer from it.

--- a/src/systems/relay/shared_health.rs
+++ b/src/systems/relay/shared_health.rs
@@ -28,6 +28,10 @@
 /// the next flow gives this host evidence of its own.
 const SOLE_SUSPICION_TIME: Duration = Duration::from_secs(2);
 
+/// The same for an endpoint that several hosts have found down: the host that sends the trials for
+/// all is then the only one with evidence, unless it alone cannot reach the endpoint.
+const SOLE_TRIAL_TIME: Duration = Duration::from_secs(10);
+
 /// Time for which a contradiction is reported: several regular heartbeats.
 const CLEARED_TIME: Duration = Duration::from_secs(2);
 
@@ -220,7 +224,8 @@
     let last_alive = row.last_alive;
     let started_ms = row.spec.started_ms;
     let health = tables.shared_health.row(id, started_ms);
-    health.alive_elsewhere = health.alive_elsewhere.max(finding.alive_elsewhere);
+    let known_elsewhere = health.alive_elsewhere;
+    health.alive_elsewhere = known_elsewhere.max(finding.alive_elsewhere);
     let elsewhere = health.alive_elsewhere;
     health
         .opens
@@ -250,7 +255,11 @@
         own.is_credible && own_evidence.count() > 0 && own_evidence.oldest > elsewhere + TIME_ERROR;
     if others.len() == 1 && !own_counts {
         let since = *health.sole_since.get_or_insert(now);
-        if now >= since + SOLE_SUSPICION_TIME {
+        let max_time = match health.confirmed_evidence {
+            Some(_) => SOLE_TRIAL_TIME,
+            None => SOLE_SUSPICION_TIME,
+        };
+        if now >= since + max_time {
             others.clear();
         }
     } else {
@@ -277,6 +286,9 @@
     if is_contradicted {
         mark_up(tables, id, now);
     }
+    if finding.alive_elsewhere > known_elsewhere {
+        hasten_trial(tables, id, finding.alive_elsewhere);
+    }
     has_quorum && now >= quorum_since + CONFIRM_TIME && mark_down(tables, id, now)
 }
 
@@ -408,6 +420,19 @@
     );
 }
 
+/// Makes the next trial of an endpoint due that does not answer this host, but has answered
+/// another one since. It stays avoided until it answers this host, whose path may be at fault.
+fn hasten_trial(tables: &mut Tables, id: Id, alive_at: Duration) {
+    let Some(row) = tables.endpoints.get_mut(id) else {
+        return;
+    };
+    let since = row.down.map(|down| down.since).or(row.unanswered_since);
+    let is_single = row.down.is_none_or(|down| !down.whole_zone);
+    if is_single && since.is_some_and(|since| alive_at > since) {
+        row.last_trial = Duration::ZERO;
+    }
+}
+
 /// Resets the flows with idempotent requests that wait for endpoints that are down.
 fn reset_waiting_flows(tables: &mut Tables, down_ids: &[Id], now: Duration, out: &mut Outbox) {
     let waiting: Vec<_> = tables
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -1,12 +1,15 @@
 //! Exchange of reports between hosts: receivers, rounds, rows, bytes and order.
 
+mod relaying;
 mod zone;
 
 use jacinthhinge::control::message::{Heartbeat, HostInfo, MemberUpdate, Status, Timestamp, Vote};
 use jacinthhinge::control::{Counters, Event};
 use jacinthhinge::prelude::*;
 use jacinthhinge::report::{EndpointReport, HostReport, LaneReport, MAX_ROWS, ServiceReport};
+use jacinthhinge::segment::RelayAction;
 use jacinthhinge::wire::{self, MAX_HEARTBEAT_BYTES, PeerKey};
+use relaying::{LaneHarness, data_segment, local_endpoints};
 use zone::{TICK_INTERVAL, Zone, host_id, host_info};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -375,6 +378,102 @@
     assert_eq!(report.endpoints[0].unanswered_opens, 15);
 }
 
+/// Lanes of the hosts of a zone, which publish to their control threads and get their snapshots.
+struct LaneZone {
+    zone: Zone,
+    lanes: Vec<LaneHarness>,
+}
+
+impl LaneZone {
+    fn new(count: usize) -> Self {
+        let zone = started_zone(count, 1);
+        let lanes = (0..count).map(|index| {
+            let mut lane = LaneHarness::new(&local_endpoints(8));
+            lane.now = zone.now;
+            lane.tables.home.host = host_id(index);
+            lane
+        });
+        let lanes = lanes.collect();
+        Self { zone, lanes }
+    }
+
+    /// Runs for a tick, during which endpoint 2 answers every lane. Returns the resets.
+    fn run_tick(&mut self, acks: &mut u32) -> Vec<RelayAction> {
+        let mut resets = Vec::new();
+        for _ in 0..10 {
+            *acks += 1;
+            for lane in &mut self.lanes {
+                lane.receive(data_segment(60_000, 2, 101, 0, *acks));
+            }
+        }
+        self.zone.run_for(relaying::TICK_INTERVAL);
+        for (index, lane) in self.lanes.iter_mut().enumerate() {
+            let published = &self.zone.nodes[&index].snapshot;
+            let mut snapshot = (*lane.tables.snapshot).clone();
+            snapshot.hosts = published.hosts.clone();
+            snapshot.reports = published.reports.clone();
+            lane.publish(&Arc::new(snapshot));
+            let actions = lane.advance(relaying::TICK_INTERVAL);
+            let is_reset = |action: &RelayAction| matches!(action, RelayAction::Reset { .. });
+            resets.extend(actions.into_iter().filter(is_reset));
+            let report = Arc::clone(&lane.tables.report);
+            self.zone.deliver(index, Event::LaneReports(vec![report]));
+        }
+        resets
+    }
+
+    fn is_down(&self, lane: usize) -> bool {
+        let row = self.lanes[lane].tables.endpoints.get(Id::of("i-01"));
+        row.expect("listed").down.is_some()
+    }
+}
+
+/// Load: an endpoint exits. From the lanes' observations by their control threads to the lanes of
+/// a host without evidence, it takes at most 400 ms from the second retransmission to the
+/// reset; and less than 400 ms from an answer until the endpoint is up everywhere.
+#[test]
+fn evidence_and_answer_reach_the_lanes_of_other_hosts() {
+    let mut hosts = LaneZone::new(5);
+    let mut acks = 1;
+    for lane in &mut hosts.lanes {
+        for ack in [400, 500] {
+            lane.receive(data_segment(1, 1, 0, 0, ack));
+        }
+    }
+    (0..8).for_each(|_| drop(hosts.run_tick(&mut acks)));
+    for tick in 0..=12 {
+        if [0, 4, 12].contains(&tick) {
+            for lane in &mut hosts.lanes[..3] {
+                lane.send_request(1, 1);
+            }
+        }
+        assert_eq!(hosts.run_tick(&mut acks), []);
+    }
+    hosts.lanes[3].send_request(1, 1);
+    let mut resets = Vec::new();
+    let mut reset_after = None;
+    for tick in 1..=12 {
+        if tick == 5 && resets.len() < 4 {
+            // Its caller's first retransmission, 200 ms later.
+            hosts.lanes[3].send_request(1, 1);
+        }
+        resets.extend(hosts.run_tick(&mut acks));
+        if resets.len() == 4 && reset_after.is_none() {
+            reset_after = Some(relaying::TICK_INTERVAL * tick);
+        }
+    }
+    assert!(
+        reset_after.is_some_and(|time| time <= ms(400)),
+        "{reset_after:?} {resets:?}"
+    );
+    assert!((0..5).all(|lane| hosts.is_down(lane)));
+    for ack in [5, 6] {
+        hosts.lanes[4].receive(data_segment(77, 1, 101, 0, ack));
+    }
+    (0..8).for_each(|_| drop(hosts.run_tick(&mut acks)));
+    assert!((0..5).all(|lane| !hosts.is_down(lane)));
+}
+
 /// Load: all hosts of the largest deployments report flapping endpoints with full messages for
 /// 10 s.
 #[test]
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -505,6 +505,72 @@
     assert!((0..4).all(|lane| !zone.is_down(lane, 1)));
 }
 
+/// Load: an endpoint stays silent for 8 s. Only one host of the zone loses openings to it, once a
+/// second.
+#[test]
+fn trials_of_a_silent_endpoint_stay_with_one_host() {
+    let mut zone = zone_of_four();
+    stall_three(&mut zone);
+    run_answered(&mut zone, 3);
+    let mut trials: Vec<(usize, u16)> = Vec::new();
+    let mut copies: Vec<(u32, usize, u16)> = Vec::new();
+    let mut port = 1_000;
+    for step in 0..80 {
+        for (_, lane, port) in copies.iter().filter(|(due, _, _)| *due == step) {
+            zone.lanes[*lane].receive(opening_segment(*port, 1));
+        }
+        for lane in 0..4 {
+            port += 1;
+            let actions = zone.lanes[lane].receive(opening_segment(port, 0));
+            match actions[..] {
+                [
+                    RelayAction::Forward {
+                        endpoint_number: 1, ..
+                    },
+                ] => {
+                    trials.push((lane, port));
+                    copies.push((step + 2, lane, port));
+                }
+                [
+                    RelayAction::Forward {
+                        endpoint_number: number,
+                        ..
+                    },
+                ] => {
+                    let opened = relaying::data_segment(port, number, 0, 0, 500);
+                    zone.lanes[lane].receive(opened);
+                }
+                _ => {}
+            }
+        }
+        run_answered(&mut zone, 1);
+    }
+    assert!((6..=9).contains(&trials.len()), "{trials:?}");
+    let lane = trials[0].0;
+    assert!(trials.iter().all(|(other, _)| *other == lane), "{trials:?}");
+    assert!((0..4).all(|lane| zone.is_down(lane, 1)));
+}
+
+/// Failure: this host alone has marked an endpoint as down. When another host has an answer from
+/// it, this one tries it at once instead of after the trial period.
+#[test]
+fn answer_to_another_host_hastens_the_trial() {
+    let mut zone = zone_of_four();
+    for port in [30, 31] {
+        zone.open_at(0, port, 1);
+    }
+    zone.stall(&[(0, 30, 1), (0, 31, 1)], 2);
+    assert!(zone.is_down(0, 1), "by its own observations");
+    let tried = (500..510).any(|port| zone.lanes[0].open_flow(port) == 1);
+    assert!(tried);
+    run_answered(&mut zone, 1);
+    zone.answer(3, WAITING_PORT, 1, 700);
+    run_answered(&mut zone, 2);
+    assert!(zone.is_down(0, 1), "its own path may be at fault");
+    let tried = (600..610).any(|port| zone.lanes[0].open_flow(port) == 1);
+    assert!(tried, "within the trial period");
+}
+
 /// Load: an opening is not answered, and its copy or the time shows it. Both are evidence.
 #[test]
 fn unanswered_openings_are_evidence() {
