--- /dev/null
+++ b/src/systems/relay/findings.rs
@@ -0,0 +1,130 @@
+//! Collects what this lane and credible hosts of its availability zone know about endpoints.
+//!
+//! A host is credible if it is live and likely to be right: not impaired, and not suspecting so
+//! many endpoints that it is more likely to be at fault itself.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::evidence::{self, OwnEvidence};
+use super::failure_detector;
+use crate::id::Id;
+use crate::report::{HostReport, LaneReport};
+use crate::snapshot::Host;
+use crate::tables::Tables;
+
+/// Maximum age of a report that counts: three of its regular repetitions.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
+
+/// What is known about an endpoint in this tick.
+#[derive(Default)]
+pub(super) struct Finding {
+    pub(super) own: OwnEvidence,
+    /// Evidence of other hosts.
+    pub(super) reports: SmallVec<[Observation; 4]>,
+    /// Latest time at which another host knows that it was running.
+    pub(super) alive_elsewhere: Duration,
+}
+
+/// Evidence of another host against an endpoint.
+pub(super) struct Observation {
+    pub(super) host: Id,
+    pub(super) evidence: u32,
+    /// Time at which the oldest of it was sent.
+    pub(super) oldest: Duration,
+    /// Time of the report.
+    pub(super) taken_at: Duration,
+}
+
+/// Whether the evidence of this host may count.
+#[derive(Clone, Copy)]
+pub(super) struct OwnState {
+    pub(super) is_impaired: bool,
+    pub(super) is_credible: bool,
+}
+
+/// Returns whether the evidence of this host may count.
+pub(super) fn own_state(tables: &mut Tables, now: Duration) -> OwnState {
+    let is_impaired = failure_detector::is_host_impaired(tables, now);
+    let (used_endpoints, suspected_endpoints) = evidence::count_endpoints(tables, now);
+    let counts = LaneReport {
+        used_endpoints,
+        suspected_endpoints,
+        ..LaneReport::default()
+    };
+    OwnState {
+        is_impaired,
+        is_credible: !is_impaired && !counts.suspects_too_many(),
+    }
+}
+
+/// Collects what is known about each endpoint with a suspicion or evidence.
+pub(super) fn collect(tables: &Tables, now: Duration) -> BTreeMap<Id, Finding> {
+    let mut findings: BTreeMap<Id, Finding> = BTreeMap::new();
+    for row in tables.endpoints.iter() {
+        let health = tables.shared_health.get(row.spec.id);
+        if health.is_some() || row.suspicion.is_some() || evidence::has_stalls(row) {
+            let finding = findings.entry(row.spec.id).or_default();
+            finding.own = evidence::collect(row, health, now);
+        }
+    }
+    for report in tables.snapshot.reports.iter() {
+        if is_credible(tables, report, now) {
+            add_report(tables, report, &mut findings);
+        }
+    }
+    findings
+}
+
+/// Returns true if the observations of a host count.
+fn is_credible(tables: &Tables, report: &HostReport, now: Duration) -> bool {
+    let mut hosts = tables.snapshot.hosts.iter();
+    let is_live =
+        hosts.any(|host| host.id == report.host && host.incarnation == report.incarnation);
+    let is_own = own_host(tables)
+        .is_some_and(|me| me.availability_zone == report.zone && me.id != report.host);
+    is_live
+        && is_own
+        && now < report.taken_at + MAX_REPORT_AGE
+        && !report.report.is_impaired
+        && !report.report.suspects_too_many()
+}
+
+fn add_report(tables: &Tables, report: &HostReport, findings: &mut BTreeMap<Id, Finding>) {
+    let time = |age: Duration| report.taken_at.saturating_sub(age);
+    for observed in &report.report.endpoints {
+        let Some(row) = tables.endpoints.get(observed.endpoint) else {
+            continue;
+        };
+        if row.replaced || !is_same_start(row.spec.started_ms, observed.started_ms) {
+            continue;
+        }
+        let finding = findings.entry(observed.endpoint).or_default();
+        if let Some(age) = observed.heard_ago {
+            finding.alive_elsewhere = finding.alive_elsewhere.max(time(age));
+        }
+        if observed.evidence() > 0 {
+            finding.reports.push(Observation {
+                host: report.host,
+                evidence: observed.evidence(),
+                oldest: time(observed.silent_for),
+                taken_at: report.taken_at,
+            });
+        }
+    }
+}
+
+/// Returns true if a start time and its form in a report, which has only the lower 32 bits, are
+/// the same.
+fn is_same_start(started_ms: u64, reported_ms: u64) -> bool {
+    let low_bits = |time: u64| time & u64::from(u32::MAX);
+    low_bits(started_ms) == low_bits(reported_ms)
+}
+
+/// Returns the entry of this host among the live hosts.
+pub(super) fn own_host(tables: &Tables) -> Option<&Host> {
+    let mut hosts = tables.snapshot.hosts.iter();
+    hosts.find(|host| host.id == tables.home.host)
+}
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -7,6 +7,7 @@
 mod established;
 mod evidence;
 mod failure_detector;
+mod findings;
 mod liveness;
 mod open;
 mod overload_queue;
--- a/src/systems/relay/shared_health.rs
+++ b/src/systems/relay/shared_health.rs
@@ -5,22 +5,18 @@
 //! An endpoint is suspected if one host has evidence that no answer contradicts; it then gets
 //! only trials. It is down if several hosts have evidence; its waiting flows are then reset.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
 use super::evidence::{self, OwnEvidence};
-use super::{failure_detector, is_idempotent, reset_down_flow, uncount_flow};
+use super::findings::{self, Finding, Observation, OwnState};
+use super::{is_idempotent, reset_down_flow, uncount_flow};
 use crate::clock::millis;
 use crate::id::{Id, Name, rendezvous_weight};
-use crate::report::{HostReport, LaneReport};
-use crate::snapshot::Host;
+use crate::report::HostReport;
 use crate::tables::{Cleared, DownState, EndpointRow, Outbox, Suspicion, Tables, TrackedState};
 
-/// Maximum age of a report that counts: three of its regular repetitions.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
-
 /// Time after the last report at which a suspicion ends.
 const SUSPICION_TIME: Duration = Duration::from_secs(2);
 
@@ -48,33 +44,6 @@
 /// a lane's report period and a delay.
 const CONFIRM_TIME: Duration = Duration::from_millis(150);
 
-/// What is known about an endpoint in this tick.
-#[derive(Default)]
-struct Finding {
-    own: OwnEvidence,
-    /// Evidence of other hosts.
-    reports: SmallVec<[Observation; 4]>,
-    /// Latest time at which another host knows that it was running.
-    alive_elsewhere: Duration,
-}
-
-/// Evidence of another host against an endpoint.
-struct Observation {
-    host: Id,
-    evidence: u32,
-    /// Time at which the oldest of it was sent.
-    oldest: Duration,
-    /// Time of the report.
-    taken_at: Duration,
-}
-
-/// Whether the evidence of this host may count.
-#[derive(Clone, Copy)]
-struct OwnState {
-    is_impaired: bool,
-    is_credible: bool,
-}
-
 /// Updates suspicions, marks endpoints as down or up, and resets flows that wait for them.
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     let has_rows = |report: &HostReport| !report.report.endpoints.is_empty();
@@ -86,9 +55,9 @@
         return;
     }
     expire(tables, now);
-    let own = own_state(tables, now);
+    let own = findings::own_state(tables, now);
     let mut down_ids = Vec::new();
-    for (id, finding) in collect_findings(tables, now) {
+    for (id, finding) in findings::collect(tables, now) {
         if evaluate(tables, id, &finding, own, now) {
             down_ids.push(id);
         }
@@ -107,7 +76,7 @@
         .suspicion
         .as_ref()
         .is_some_and(|known| known.other_hosts > 0);
-    let Some(me) = own_host(tables).filter(|_| is_shared) else {
+    let Some(me) = findings::own_host(tables).filter(|_| is_shared) else {
         return true;
     };
     let hosts = tables.snapshot.hosts.iter();
@@ -139,83 +108,6 @@
     });
 }
 
-fn own_state(tables: &mut Tables, now: Duration) -> OwnState {
-    let is_impaired = failure_detector::is_host_impaired(tables, now);
-    let (used_endpoints, suspected_endpoints) = evidence::count_endpoints(tables, now);
-    let counts = LaneReport {
-        used_endpoints,
-        suspected_endpoints,
-        ..LaneReport::default()
-    };
-    OwnState {
-        is_impaired,
-        is_credible: !is_impaired && !counts.suspects_too_many(),
-    }
-}
-
-/// Collects what is known about each endpoint with a suspicion or evidence.
-fn collect_findings(tables: &Tables, now: Duration) -> BTreeMap<Id, Finding> {
-    let mut findings: BTreeMap<Id, Finding> = BTreeMap::new();
-    for row in tables.endpoints.iter() {
-        let health = tables.shared_health.get(row.spec.id);
-        if health.is_some() || row.suspicion.is_some() || evidence::has_stalls(row) {
-            let finding = findings.entry(row.spec.id).or_default();
-            finding.own = evidence::collect(row, health, now);
-        }
-    }
-    for report in tables.snapshot.reports.iter() {
-        if is_credible(tables, report, now) {
-            add_report(tables, report, &mut findings);
-        }
-    }
-    findings
-}
-
-/// Returns true if the observations of a host count.
-fn is_credible(tables: &Tables, report: &HostReport, now: Duration) -> bool {
-    let mut hosts = tables.snapshot.hosts.iter();
-    let is_live =
-        hosts.any(|host| host.id == report.host && host.incarnation == report.incarnation);
-    let is_own = own_host(tables)
-        .is_some_and(|me| me.availability_zone == report.zone && me.id != report.host);
-    is_live
-        && is_own
-        && now < report.taken_at + MAX_REPORT_AGE
-        && !report.report.is_impaired
-        && !report.report.suspects_too_many()
-}
-
-fn add_report(tables: &Tables, report: &HostReport, findings: &mut BTreeMap<Id, Finding>) {
-    let time = |age: Duration| report.taken_at.saturating_sub(age);
-    for observed in &report.report.endpoints {
-        let Some(row) = tables.endpoints.get(observed.endpoint) else {
-            continue;
-        };
-        if row.replaced || !is_same_start(row.spec.started_ms, observed.started_ms) {
-            continue;
-        }
-        let finding = findings.entry(observed.endpoint).or_default();
-        if let Some(age) = observed.heard_ago {
-            finding.alive_elsewhere = finding.alive_elsewhere.max(time(age));
-        }
-        if observed.evidence() > 0 {
-            finding.reports.push(Observation {
-                host: report.host,
-                evidence: observed.evidence(),
-                oldest: time(observed.silent_for),
-                taken_at: report.taken_at,
-            });
-        }
-    }
-}
-
-/// Returns true if a start time and its form in a report, which has only the lower 32 bits, are
-/// the same.
-fn is_same_start(started_ms: u64, reported_ms: u64) -> bool {
-    let low_bits = |time: u64| time & u64::from(u32::MAX);
-    low_bits(started_ms) == low_bits(reported_ms)
-}
-
 /// Updates the state of an endpoint. Returns true if it was declared down.
 fn evaluate(tables: &mut Tables, id: Id, finding: &Finding, own: OwnState, now: Duration) -> bool {
     let Some(row) = tables.endpoints.get(id) else {
@@ -449,8 +341,3 @@
         }
     }
 }
-
-fn own_host(tables: &Tables) -> Option<&Host> {
-    let mut hosts = tables.snapshot.hosts.iter();
-    hosts.find(|host| host.id == tables.home.host)
-}
