Send less while endpoints stay down

Evidence that ends without an answer no longer takes an extra round, since nobody waits for it. 1.5 s after several hosts have found an endpoint down, only the host that sends the trials reports it.

--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -56,6 +56,7 @@
     if Arc::ptr_eq(&own, known) || own == *known {
         return;
     }
+    let is_urgent = own.adds_to(known);
     let is_changed = !own.has_same_endpoints(known);
     let (zone_part, dropped) = select_rows(&own);
     tables.reports.service_part = Arc::new(LaneReport {
@@ -66,6 +67,8 @@
     tables.reports.own = own;
     if is_changed {
         tables.counters.dropped_rows += dropped;
+    }
+    if is_urgent {
         tables.reports.pending = zone_members(tables);
     }
 }
--- a/src/report.rs
+++ b/src/report.rs
@@ -108,6 +108,24 @@
             && times(self) == times(other)
     }
 
+    /// Returns true if it has evidence or answers that `known` lacks. Others need these at once,
+    /// and the end of evidence without an answer with the next heartbeat.
+    #[must_use]
+    pub fn adds_to(&self, known: &Self) -> bool {
+        let is_known = |row: &EndpointReport| {
+            let (_, _, heard_at) = row.at(self.taken_at);
+            known.endpoints.iter().any(|other| {
+                let (_, _, other_heard) = other.at(known.taken_at);
+                row.endpoint == other.endpoint
+                    && row.started_ms == other.started_ms
+                    && row.unanswered_opens <= other.unanswered_opens
+                    && row.stalled_flows <= other.stalled_flows
+                    && heard_at <= other_heard
+            })
+        };
+        (self.is_impaired && !known.is_impaired) || !self.endpoints.iter().all(is_known)
+    }
+
     /// Returns true if its host suspects so many of the endpoints that it uses that it is more
     /// likely to be at fault itself.
     #[must_use]
--- a/src/systems/relay/report.rs
+++ b/src/systems/relay/report.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{evidence, failure_detector};
+use super::{evidence, failure_detector, shared_health};
 use crate::report::{EndpointReport, LaneReport};
 use crate::tables::{EndpointRow, HealthRow, Tables};
 
@@ -14,6 +14,11 @@
 /// which other hosts ignore it.
 const REFRESH_PERIOD: Duration = Duration::from_millis(500);
 
+/// Time for which this lane reports evidence after several hosts have found the endpoint down, so
+/// that all of them do: three regular heartbeats. After it, only the host that sends the trials
+/// reports the endpoint.
+const DOWN_REPORT_TIME: Duration = Duration::from_millis(1_500);
+
 /// Replaces the report of this lane if its content has changed or it is old.
 pub(super) fn run(tables: &mut Tables, now: Duration) {
     if now < tables.shared_health.last_check + REPORT_PERIOD {
@@ -45,12 +50,22 @@
     for row in tables.endpoints.iter() {
         let health = tables.shared_health.get(row.spec.id);
         if health.is_some() || evidence::has_stalls(row) {
-            rows.extend(endpoint_row(row, health, now));
+            let is_left = is_left_to_others(tables, row, now);
+            rows.extend(
+                endpoint_row(row, health, now).filter(|row| !is_left || row.evidence() == 0),
+            );
         }
     }
     rows
 }
 
+/// Returns true if another host reports an endpoint for all.
+fn is_left_to_others(tables: &Tables, row: &EndpointRow, now: Duration) -> bool {
+    let down = row.down.filter(|down| down.from_reports);
+    down.is_some_and(|down| now >= down.since + DOWN_REPORT_TIME)
+        && !shared_health::may_try(tables, row)
+}
+
 /// Returns the observations of an endpoint; none if there is no evidence against it and none was
 /// contradicted.
 fn endpoint_row(
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -213,6 +213,26 @@
     assert_eq!(counters(&zone, 0).reports_sent, sent);
 }
 
+/// Load: evidence expires without an answer. Nobody waits for that, so it takes no extra round;
+/// more evidence and an answer do.
+#[test]
+fn end_of_evidence_takes_no_extra_round() {
+    let mut zone = started_zone(3, 1);
+    let mut rounds = Vec::new();
+    for rows in [
+        vec![row(1, 2), row(2, 1)],
+        vec![row(1, 1)],
+        vec![row(1, 2)],
+        vec![row(1, 0)],
+        vec![],
+    ] {
+        publish(&mut zone, 0, rows);
+        zone.run_for(SECOND);
+        rounds.push(counters(&zone, 0).report_rounds);
+    }
+    assert_eq!(rounds, [1, 1, 2, 3, 3]);
+}
+
 /// A zone without suspicions sends no report.
 #[test]
 fn quiet_zone_sends_no_report() {
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -546,6 +546,10 @@
         run_answered(&mut zone, 1);
     }
     assert!((6..=9).contains(&trials.len()), "{trials:?}");
+    let reporting: Vec<usize> = (0..4)
+        .filter(|lane| !zone.lanes[*lane].tables.report.endpoints.is_empty())
+        .collect();
+    assert_eq!(reporting, [trials[0].0], "only that host reports it");
     let lane = trials[0].0;
     assert!(trials.iter().all(|(other, _)| *other == lane), "{trials:?}");
     assert!((0..4).all(|lane| zone.is_down(lane, 1)));
