--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -142,7 +142,7 @@
             Event::Fetched { number, result } => fetch::receive(tables, now, number, result),
             Event::Values(result) => platform_reads::receive_values(tables, now, result),
             Event::Hosts(result) => platform_reads::receive_hosts(tables, now, result),
-            Event::LaneReports(lanes) => reports::update_own(tables, &lanes),
+            Event::LaneReports(lanes) => reports::update_own(tables, now, &lanes),
             Event::Rejected => tables.counters.rejected += 1,
             Event::Settings(settings) => apply_settings(tables, now, settings, &mut outbox),
             Event::Leave => leave::start(tables, now, &mut outbox),
@@ -200,5 +200,6 @@
     lease::run(tables, now);
     evacuations::run(tables, now);
     majority::run(tables, now);
+    reports::publish(tables, now);
     publish::run(tables, now, outbox);
 }
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -12,10 +12,12 @@
 
 use super::super::placement::is_unresponsive;
 use super::eligibility::{is_excluded, refusal_cause};
-use super::{add_load, count_flow, forward, reset_flow, uncount_flow, warmup};
+use super::{
+    add_load, count_flow, evidence, forward, reset_flow, shared_health, uncount_flow, warmup,
+};
 use crate::id::Id;
 use crate::segment::{Route, Segment};
-use crate::tables::{CookieEndpoint, Outbox, Tables, TrackedFlow, TrackedState};
+use crate::tables::{CookieEndpoint, EndpointRow, Outbox, Tables, TrackedFlow, TrackedState};
 
 /// Minimum time between two trial openings to an endpoint that does not answer. If it
 /// still does not, the caller's first retransmission, 200 ms later, goes elsewhere.
@@ -94,6 +96,7 @@
             row.last_suspected = now;
         }
         uncount_flow(tables, &earlier);
+        evidence::note_open(tables, &earlier, now);
     }
     let Some((endpoint, cookie)) = choose_endpoint(tables, route, &flow.tried_endpoints, now)
     else {
@@ -127,7 +130,7 @@
     let Some(row) = tables.endpoints.get(endpoint.id) else {
         return;
     };
-    let unresponsive = row.down.is_some() || is_unresponsive(row, now);
+    let unresponsive = is_avoided(row, now);
     log::info!(
         caller:% = segment.addrs.caller, front:% = segment.addrs.vip, route:% = route.name,
         endpoint:% = row.spec.name, zone:% = row.spec.zone, copies = segment.ack,
@@ -206,13 +209,18 @@
     others.map(|other| other.shed_rank).max() <= Some(route.shed_rank)
 }
 
+/// Returns true if an endpoint gets new flows only as trials.
+fn is_avoided(row: &EndpointRow, now: Duration) -> bool {
+    row.down.is_some() || row.suspicion.is_some() || is_unresponsive(row, now)
+}
+
 /// Returns an endpoint that does not answer and is due for another trial.
 ///
 /// The endpoints of a partitioned zone share one trial interval, and endpoints of other
-/// zones are tried less often.
+/// zones are tried less often. If other hosts suspect the endpoint too, one host of the zone
+/// tries it for all.
 fn choose_trial(tables: &mut Tables, route: &Route, service: Id, now: Duration) -> Option<Id> {
     let row = tables.endpoints.of_service(service).find(|row| {
-        let unresponsive = row.down.is_some() || is_unresponsive(row, now);
         let period = if row.spec.local {
             LOCAL_TRIAL_PERIOD
         } else {
@@ -221,8 +229,9 @@
         let is_due = now >= row.last_trial + period;
         let may_use = row.accepts_work(now)
             && !is_excluded(row, route)
-            && warmup::may_open(tables, row.spec.id, now);
-        unresponsive && is_due && may_use
+            && warmup::may_open(tables, row.spec.id, now)
+            && shared_health::may_try(tables, row);
+        is_avoided(row, now) && is_due && may_use
     })?;
     let (id, zone) = (row.spec.id, row.spec.zone.clone());
     let whole_zone = row.down.is_some_and(|down| down.whole_zone);
--- a/src/systems/relay/zone_evidence.rs
+++ b/src/systems/relay/zone_evidence.rs
@@ -160,6 +160,7 @@
             since: known.map_or(now, |down| down.since),
             whole_zone: true,
             confirmed,
+            from_reports: false,
         });
         changed.push(row.spec.id);
     }
