Drop the answer to a fetch that has been abandoned

Cause: the result of a fetch was checked against the request sent last. After a pause of more than 4 s the answer to a fetch of members was taken for the one to a fetch of values and raised the revision without values.

Change: Action::Fetch and Event::Fetched carry the number of the fetch. A result whose fetch is not pending is dropped and counted (stale_fetches). The decoding test delivers responses to a pending fetch of values, since others are dropped now.

--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -59,9 +59,19 @@
     }
 }
 
-/// Processes the result of a fetch.
-pub(super) fn receive(tables: &mut Tables, now: Duration, result: Result<FetchResponse>) {
-    let started_at = tables.fetch.pending_since.take().unwrap_or(now);
+/// Processes the result of a fetch, unless that has been abandoned: another request may be
+/// pending, for which the result would be taken.
+pub(super) fn receive(
+    tables: &mut Tables,
+    now: Duration,
+    number: u64,
+    result: Result<FetchResponse>,
+) {
+    let is_pending = number == tables.fetch.number;
+    let Some(started_at) = tables.fetch.pending_since.take_if(|_| is_pending) else {
+        tables.counters.stale_fetches += 1;
+        return;
+    };
     match result {
         Ok(fetched) => {
             tables.fetch.failed_peer = None;
@@ -200,6 +210,7 @@
 fn start(tables: &mut Tables, now: Duration, id: Id, request: FetchRequest, outbox: &mut Outbox) {
     let to = tables.members[&id].info.peer_addr;
     tables.counters.fetches += 1;
+    tables.fetch.number += 1;
     tables.fetch.pending_since = Some(now);
     tables.fetch.peer = Some(to);
     tables.fetch.request = request;
@@ -207,6 +218,7 @@
         tables.fetch.differs_since = None;
     }
     outbox.push(Action::Fetch {
+        number: tables.fetch.number,
         to,
         request,
         response_time: RESPONSE_TIME,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -50,7 +50,12 @@
     /// A host sent a heartbeat.
     Heartbeat(Box<Heartbeat>),
     /// A fetch from another host completed or failed.
-    Fetched(Result<FetchResponse>),
+    Fetched {
+        /// Number of the fetch, from [`Action::Fetch`].
+        number: u64,
+        /// Response to its request.
+        result: Result<FetchResponse>,
+    },
     /// A watch of the platform's values completed or failed.
     Values(Result<ValueUpdate>),
     /// A read of the platform's host list completed or failed.
@@ -79,6 +84,8 @@
     },
     /// Fetch from another host and report the result as [`Event::Fetched`].
     Fetch {
+        /// Number of this fetch, which its result repeats.
+        number: u64,
         /// Control address of the other host.
         to: SocketAddr,
         /// Request to send.
@@ -129,7 +136,7 @@
         match event {
             Event::Tick => tick(tables, now, &mut outbox),
             Event::Heartbeat(heartbeat) => heartbeat::receive(tables, now, &heartbeat, &mut outbox),
-            Event::Fetched(result) => fetch::receive(tables, now, result),
+            Event::Fetched { number, result } => fetch::receive(tables, now, number, result),
             Event::Values(result) => platform_reads::receive_values(tables, now, result),
             Event::Hosts(result) => platform_reads::receive_hosts(tables, now, result),
             Event::LaneReports(lanes) => reports::update_own(tables, &lanes),
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -270,6 +270,8 @@
 /// State of the fetches from other hosts.
 #[derive(Debug, Default, Serialize)]
 pub(super) struct FetchProgress {
+    /// Number of the current or last fetch.
+    pub(super) number: u64,
     #[serde(rename = "pending")]
     pub(super) pending_since: Option<Duration>,
     #[serde(rename = "due")]
@@ -357,6 +359,8 @@
     pub fetches: u64,
     /// Failed fetches from other hosts.
     pub fetch_failures: u64,
+    /// Results of fetches that had been abandoned, which were dropped.
+    pub stale_fetches: u64,
     /// Snapshots published.
     #[serde(rename = "published")]
     pub snapshots_published: u64,
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -270,10 +270,11 @@
             match action {
                 Action::Send { to, heartbeat } => self.send(to, *heartbeat).await,
                 Action::Fetch {
+                    number,
                     to,
                     request,
                     response_time,
-                } => self.fetch(to, request, response_time),
+                } => self.fetch(number, to, request, response_time),
                 Action::Watch {
                     known_revision,
                     max_wait,
@@ -293,10 +294,18 @@
         }
     }
 
-    fn fetch(&mut self, to: SocketAddr, request: FetchRequest, response_time: Duration) {
+    fn fetch(
+        &mut self,
+        number: u64,
+        to: SocketAddr,
+        request: FetchRequest,
+        response_time: Duration,
+    ) {
         let key = self.settings.peer_key.clone();
-        self.pending_reads
-            .spawn(async move { Event::Fetched(fetch(to, request, response_time, &key).await) });
+        self.pending_reads.spawn(async move {
+            let result = fetch(to, request, response_time, &key).await;
+            Event::Fetched { number, result }
+        });
     }
 
     fn watch(&mut self, known_revision: Revision, max_wait: Duration, response_time: Duration) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -119,9 +119,9 @@
 //!                 Action::Send { heartbeat, .. } => {
 //!                     hosts[to].handle(now, Event::Heartbeat(heartbeat));
 //!                 }
-//!                 Action::Fetch { request, .. } => {
-//!                     let fetched = hosts[to].answer_fetch(&request);
-//!                     hosts[from].handle(now, Event::Fetched(Ok(fetched)));
+//!                 Action::Fetch { number, request, .. } => {
+//!                     let result = Ok(hosts[to].answer_fetch(&request));
+//!                     hosts[from].handle(now, Event::Fetched { number, result });
 //!                 }
 //!                 _ => {}
 //!             }
--- a/tests/decoding.rs
+++ b/tests/decoding.rs
@@ -5,14 +5,14 @@
 
 mod relaying;
 
-use jacinthhinge::control::{Action, Control, Event, Value, ValueChange, ValueUpdate};
+use jacinthhinge::control::{Action, Control, Event, Heartbeat, Value, ValueChange, ValueUpdate};
 use jacinthhinge::front::host_list;
 use jacinthhinge::platform::{self, header, settings};
 use jacinthhinge::prelude::*;
 use jacinthhinge::wire::{self, PeerKey};
 use proptest::prelude::*;
 use proptest::sample::Index;
-use relaying::{LaneHarness, ms, opening_segment, relay_control};
+use relaying::{LaneHarness, ms, opening_segment, peer_heartbeat, relay_control};
 use serde_json::{Value as Json, json};
 
 const SECRET: &str = "secret";
@@ -154,6 +154,25 @@
     host
 }
 
+/// Returns a host that waits for values from another host, and the number of its fetch.
+fn fetching_host() -> (Control, u64) {
+    let mut host = host();
+    host.handle(ms(2_000), Event::Values(Err(Error::platform("down"))));
+    let heartbeat = Heartbeat {
+        revision: 9.into(),
+        ..peer_heartbeat(ms(2_100))
+    };
+    host.handle(ms(2_100), Event::Heartbeat(Box::new(heartbeat)));
+    let actions = host.handle(ms(2_200), Event::Tick);
+    let number = actions.iter().find_map(|action| match action {
+        Action::Fetch {
+            number, request, ..
+        } if request.known_revision == 4.into() => Some(*number),
+        _ => None,
+    });
+    (host, number.expect("a fetch of values"))
+}
+
 /// Delivers a value to a host; returns the snapshot that it publishes.
 fn deliver(host: &mut Control, revision: u64, key: &str, text: &str) -> Option<Arc<Snapshot>> {
     let value = Value {
@@ -306,7 +325,10 @@
             inner[at] = byte;
         }
         if let Ok(response) = wire::decode_fetch_response(&signed(inner), &key) {
-            host().handle(ms(2_000), Event::Fetched(Ok(response)));
+            let (mut host, number) = fetching_host();
+            let result = Ok(response);
+            host.handle(ms(2_300), Event::Fetched { number, result });
+            prop_assert_eq!(host.tables().counters.stale_fetches, 0);
         }
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -823,9 +823,13 @@
             let now = Duration::from_millis(at);
             handle(host, now, Event::Heartbeat(Box::new(heartbeat(at, 9))));
             for action in host.handle(now, Event::Tick) {
-                if let Action::Fetch { request, .. } = action {
+                if let Action::Fetch {
+                    number, request, ..
+                } = action
+                {
                     fetches.push((at, request.known_revision));
-                    host.handle(now, Event::Fetched(Err(Error::platform("none"))));
+                    let result = Err(Error::platform("none"));
+                    host.handle(now, Event::Fetched { number, result });
                 }
             }
         }
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -40,6 +40,7 @@
 mod second_outage;
 mod silent_store;
 mod simultaneous_endpoint_exits;
+mod stale_fetch;
 mod stalls_of_departed_flows;
 mod stopped_response;
 mod unanswered_fetch;
--- a/tests/regression/second_outage.rs
+++ b/tests/regression/second_outage.rs
@@ -2,11 +2,10 @@
 //! outage that began within the 2.2 s for which removals are held back: the host counted the
 //! second outage as part of that time, and endpoints could not register again in it.
 
-use jacinthhinge::control::message::{Heartbeat, HostInfo, Timestamp, Vote};
-use jacinthhinge::control::{Control, Event, Value, ValueChange, ValueUpdate};
+use jacinthhinge::control::{Control, Event, Heartbeat, Value, ValueChange, ValueUpdate};
 use jacinthhinge::prelude::*;
 
-use crate::relaying::{addr, ms, relay_control};
+use crate::relaying::{ms, peer_heartbeat, relay_control};
 use crate::zone::{Node, Zone};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -237,7 +236,7 @@
         let heartbeat = Heartbeat {
             read_failures,
             read_age,
-            ..heartbeat(self.now)
+            ..peer_heartbeat(self.now)
         };
         let event = Event::Heartbeat(Box::new(heartbeat));
         self.control.handle(self.now, event);
@@ -249,7 +248,8 @@
     }
 }
 
-fn update(revision: u64, json: Option<&str>) -> ValueUpdate {
+/// Returns an update of the only value.
+pub fn update(revision: u64, json: Option<&str>) -> ValueUpdate {
     let value = Value {
         revision: revision.into(),
         json: json.map(Name::from),
@@ -266,34 +266,6 @@
     }
 }
 
-fn heartbeat(now: Duration) -> Heartbeat {
-    let name = "sv-b-1";
-    Heartbeat {
-        report: None,
-        report_age: Duration::ZERO,
-        from: Id::of(name),
-        incarnation: 1,
-        version: 0,
-        leaving: false,
-        read_failures: 0,
-        read_age: None,
-        info: Some(HostInfo {
-            name: name.into(),
-            zone: "is-sudvestur".into(),
-            availability_zone: "sv-b".into(),
-            peer_addr: addr("10.2.0.40:7720"),
-            lanes: std::iter::once(addr("10.2.0.40:8172")).collect(),
-        }),
-        revision: Revision::default(),
-        list_revision: Revision::default(),
-        sent_at: Timestamp::new(1, now),
-        echo: None,
-        ping: false,
-        vote: Vote::default(),
-        updates: smallvec::smallvec![],
-    }
-}
-
 /// The failures of this host's own reads show the second outage; the other host's are not heard.
 #[test]
 fn own_failed_reads_show_the_second_outage() {
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -3,8 +3,8 @@
 
 use std::collections::HashMap;
 
-use jacinthhinge::control::message::HostInfo;
-use jacinthhinge::control::{Control, LeaseTiming, ReadPacing, Settings, cap_slots};
+use jacinthhinge::control::message::{HostInfo, Timestamp, Vote};
+use jacinthhinge::control::{Control, Heartbeat, LeaseTiming, ReadPacing, Settings, cap_slots};
 use jacinthhinge::platform;
 use jacinthhinge::prelude::*;
 use jacinthhinge::segment::{FlowAddrs, RelayAction, RequestKind, Route, Segment, SegmentKind};
@@ -90,6 +90,35 @@
     Control::new(settings, Duration::ZERO)
 }
 
+/// Returns a heartbeat of another host of the region, which knows no values.
+pub fn peer_heartbeat(now: Duration) -> Heartbeat {
+    let name = "sv-b-1";
+    Heartbeat {
+        report: None,
+        report_age: Duration::ZERO,
+        from: Id::of(name),
+        incarnation: 1,
+        version: 0,
+        leaving: false,
+        read_failures: 0,
+        read_age: None,
+        info: Some(HostInfo {
+            name: name.into(),
+            zone: "is-sudvestur".into(),
+            availability_zone: "sv-b".into(),
+            peer_addr: addr("10.2.0.40:7720"),
+            lanes: std::iter::once(addr("10.2.0.40:8172")).collect(),
+        }),
+        revision: Revision::default(),
+        list_revision: Revision::default(),
+        sent_at: Timestamp::new(1, now),
+        echo: None,
+        ping: false,
+        vote: Vote::default(),
+        updates: smallvec::smallvec![],
+    }
+}
+
 impl LaneHarness {
     pub fn new(endpoints: &[Endpoint]) -> Self {
         let home = Home {
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -97,11 +97,20 @@
     Tick(usize, Incarnation),
     Event(usize, Incarnation, Event),
     Heartbeat(usize, Box<Heartbeat>),
-    Fetch(usize, Incarnation, usize, FetchRequest, Duration),
+    Fetch(usize, Incarnation, FetchCall),
     Watch(usize, Incarnation, WatchCall),
     WatchError(usize, Incarnation, WatchCall, Error),
 }
 
+/// A fetch that the host with the index `to` has not answered yet.
+#[derive(Clone, Copy)]
+struct FetchCall {
+    number: u64,
+    to: usize,
+    request: FetchRequest,
+    response_time: Duration,
+}
+
 /// A watch that the platform has not answered yet.
 #[derive(Clone, Copy)]
 struct WatchCall {
@@ -362,17 +371,17 @@
             }
             Task::Event(index, run, event) if self.is_up(index, run) => self.deliver(index, event),
             Task::Heartbeat(index, heartbeat) => self.deliver(index, Event::Heartbeat(heartbeat)),
-            Task::Fetch(index, run, to, request, response_time) => {
-                let answer = self.answer_fetch(index, to, &request);
-                let delay = if answer.is_ok() {
+            Task::Fetch(index, run, call) => {
+                let result = self.answer_fetch(index, call.to, &call.request);
+                let delay = if result.is_ok() {
                     LATENCY
                 } else {
-                    response_time
+                    call.response_time
                 };
-                self.network.schedule(
-                    self.now + delay,
-                    Task::Event(index, run, Event::Fetched(answer)),
-                );
+                let number = call.number;
+                let event = Event::Fetched { number, result };
+                self.network
+                    .schedule(self.now + delay, Task::Event(index, run, event));
             }
             Task::Watch(index, run, call) if self.is_current(index, run, &call) => {
                 self.answer_watch(index, run, &call);
@@ -463,14 +472,18 @@
     match action {
         Action::Send { to, heartbeat } => network.send(now, index, host_index(to), &heartbeat),
         Action::Fetch {
+            number,
             to,
             request,
             response_time,
         } => {
-            network.schedule(
-                now + LATENCY,
-                Task::Fetch(index, run, host_index(to), request, response_time),
-            );
+            let call = FetchCall {
+                number,
+                to: host_index(to),
+                request,
+                response_time,
+            };
+            network.schedule(now + LATENCY, Task::Fetch(index, run, call));
         }
         Action::Watch {
             known_revision,
