Move the store to a second address in the soak's changed settings

The fault ReloadSettings gives a host the second of two proxies in the cases in which it also leaves one seed. It draws no further random number, so the planned faults of a seed stay as they were.

--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -103,7 +103,8 @@
     subnet: u8,
     checker: Checker,
     store: Store,
-    proxy_addr: SocketAddr,
+    /// Addresses at which hosts reach the store; they start with the first one.
+    proxy_addrs: [SocketAddr; 2],
     router: Router,
     hosts: Vec<Host>,
     endpoints: Vec<RunningEndpoint>,
@@ -167,7 +168,7 @@
         // Each seed has its own subnet, so that runs with other seeds can share the machine.
         let subnet = 64 + u8::try_from(options.seed % 128).unwrap_or(0);
         let at = |group, last, port| SocketAddr::from(([127, subnet, group, last], port));
-        let proxy_addr = at(0, 2, 27_100);
+        let proxy_addrs = [at(0, 2, 27_100), at(0, 3, 27_100)];
         let checker = Checker::default();
         let work_dir = std::env::temp_dir().join(format!(
             "jacinthhinge-soak-{}-{}",
@@ -178,9 +179,9 @@
         let mut soak = Self {
             rng: SmallRng::seed_from_u64(options.seed),
             subnet,
-            store: Store::start(at(0, 1, 27_100), proxy_addr).await?,
+            store: Store::start(at(0, 1, 27_100), &proxy_addrs).await?,
             checker,
-            proxy_addr,
+            proxy_addrs,
             router: Router::default(),
             hosts: Vec::new(),
             endpoints: Vec::new(),
@@ -224,7 +225,7 @@
         };
         self.router.add(spec.ip);
         let seeds = self.seed_ips();
-        let (proxy_addr, work_dir, bin) = (self.proxy_addr, &self.work_dir, &self.options.bin);
+        let (proxy_addr, work_dir, bin) = (self.proxy_addrs[0], &self.work_dir, &self.options.bin);
         let mut host = Host::new(
             spec,
             &seeds,
@@ -429,10 +430,13 @@
     }
 
     /// Gives a host invalid settings, which it must reject, and then valid ones with other
-    /// seeds.
+    /// seeds, in one of three cases also with the second address of the store.
     async fn reload_settings(&mut self, host: usize) {
         let mut seeds = self.seed_ips();
-        seeds.truncate(self.rng.random_range(1..=3));
+        let seed_count = self.rng.random_range(1..=3);
+        seeds.truncate(seed_count);
+        // Not a draw of its own, so that the other faults of a seed stay the same.
+        let proxy_addr = self.proxy_addrs[usize::from(seed_count == 1)];
         let host = &self.hosts[host];
         // A signal ends a process whose program has not installed its handlers yet.
         sleep(EXEC_TIME).await;
@@ -441,7 +445,7 @@
         }
         host.signal(Signal::HUP);
         sleep(INVALID_SETTINGS_TIME).await;
-        if let Err(err) = host.write_settings(&seeds, self.proxy_addr) {
+        if let Err(err) = host.write_settings(&seeds, proxy_addr) {
             println!("cannot write the settings of a host: {err}");
         }
         host.signal(Signal::HUP);
--- a/examples/soak/store.rs
+++ b/examples/soak/store.rs
@@ -79,12 +79,15 @@
 }
 
 impl Store {
-    /// Serves the store at `store_addr` and a proxy to it at `proxy_addr`.
+    /// Serves the store at `store_addr` and a proxy to it at each of `proxy_addrs`.
     ///
     /// # Errors
     ///
     /// Fails if one of the addresses cannot be bound.
-    pub async fn start(store_addr: SocketAddr, proxy_addr: SocketAddr) -> std::io::Result<Self> {
+    pub async fn start(
+        store_addr: SocketAddr,
+        proxy_addrs: &[SocketAddr],
+    ) -> std::io::Result<Self> {
         let store = Self {
             data: Arc::default(),
             changed: Arc::default(),
@@ -97,8 +100,10 @@
             .with_state(store.clone());
         let listener = TcpListener::bind(store_addr).await?;
         tokio::spawn(async move { axum::serve(listener, router).await });
-        let proxy_listener = TcpListener::bind(proxy_addr).await?;
-        tokio::spawn(proxy(proxy_listener, store_addr, store.mode.subscribe()));
+        for proxy_addr in proxy_addrs {
+            let proxy_listener = TcpListener::bind(proxy_addr).await?;
+            tokio::spawn(proxy(proxy_listener, store_addr, store.mode.subscribe()));
+        }
         Ok(store)
     }
 
