--- a/src/control/outages.rs
+++ b/src/control/outages.rs
@@ -10,6 +10,7 @@
 use super::heartbeat;
 use super::message::Heartbeat;
 use super::tables::{Member, Tables};
+use crate::clock::millis;
 
 /// Maximum error of the time of another host's answer: the variation of the delay of heartbeats
 /// on a busy machine.
@@ -36,6 +37,9 @@
         let hold_until = answer.at + tables.settings.read_pacing.removal_hold;
         let reads = &mut tables.platform_reads;
         reads.hold_until = reads.hold_until.max(hold_until);
+        let unheard_ms = millis(answer.at.saturating_sub(known));
+        let held = reads.held_removals.len();
+        log::info!(unheard_ms, held; "outage_ended");
     }
     tables.platform_reads.last_answer = answer.at;
 }
