Give each test host an address of its own in tests/peer.rs

Cause: a test fails now and then, as a host never starts: "open the control listener: Address already in use".

Change: each address has an IP address of its own in 127.0.9.0/24, on which nothing else listens. Checks and time limits are unchanged.

--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -2,8 +2,9 @@
 
 mod zone;
 
-use std::net::UdpSocket;
+use std::net::{Ipv4Addr, UdpSocket};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use jacinthhinge::control::LeaseTiming;
 use jacinthhinge::control::message::{FetchRequest, Timestamp, Vote};
@@ -103,9 +104,12 @@
     }
 }
 
-/// Returns a loopback address whose port was free for UDP a moment ago.
+/// Returns a loopback address whose port was free for UDP and TCP a moment ago. Each has an IP
+/// address of its own, so that no other socket of this machine has the port there meanwhile.
 fn free_addr() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback");
+    static CALLS: AtomicU8 = AtomicU8::new(1);
+    let ip = Ipv4Addr::new(127, 0, 9, CALLS.fetch_add(1, Ordering::Relaxed));
+    let socket = UdpSocket::bind((ip, 0)).expect("loopback");
     socket.local_addr().expect("address")
 }
 
