Order waiting requests and refuse those that cannot be answered

Under a shortage every request waited until its caller gave up, the newest went first whatever its route, and at-most-once requests fared worse than repeatable ones.

Waiting requests are ordered by the priority of their route, by whether they can still meet the target, by the demand of their caller's bucket, by kind and by arrival. Every eighth release goes to a rank that got nothing for one target latency. An opening that cannot be answered before its caller gives up is refused at once. Requests on open flows are passed on before their time is over and never reset for lack of capacity. The time-out of a route is decoded. The queue returns the segments to process instead of calling the code that processes them.

--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Interval, MissedTickBehavior, interval};
+use tokio::time::{Interval, MissedTickBehavior, interval, sleep};
 
 use crate::clock::Clock;
 use crate::error::{Error, Result};
@@ -119,6 +119,10 @@
 /// [`LaneStats`].
 const STATS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Longest time between two ticks while requests wait for capacity: callers learn of a refusal
+/// within a tenth of their target latency, which is at least 250 ms.
+const HELD_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Maximum number of batches that a stopping lane reads: more than fit into a socket's buffer.
 const MAX_LAST_BATCHES: usize = 256;
 
@@ -236,6 +240,7 @@
             let timers_due = tokio::select! {
                 _ = self.socket.readable() => false,
                 _ = timer.tick() => true,
+                () = sleep(HELD_INTERVAL), if !self.tables.held_requests.is_empty() => false,
                 command = commands.recv() => match command {
                     None | Some(Command::Stop) => {
                         self.finish();
--- a/src/front/trace.rs
+++ b/src/front/trace.rs
@@ -126,6 +126,20 @@
             "The flow opened and stalled: {host} reset it after {} ms, because {endpoint} did not respond.",
             number_field(last, "waited_ms")
         ),
+        ("refused", _) => format!(
+            "The flow was refused by {host} after {} ms for lack of capacity: {} requests were ahead of it.",
+            number_field(last, "waited_ms"),
+            number_field(last, "ahead"),
+        ),
+        ("held", _) => format!(
+            "The flow waits on {host}: its service has {} requests of this host in progress, and {} others wait.",
+            number_field(last, "running"),
+            number_field(last, "waiting"),
+        ),
+        ("released", _) => format!(
+            "A request of the flow waited {} ms on {host} for capacity and was then forwarded.",
+            number_field(last, "waited_ms"),
+        ),
         ("placed", _) if number_field(last, "copies") > 0 => format!(
             "The flow did not open on the first try: {} endpoints were tried, {endpoint} last.",
             matching
--- a/src/platform/desired.rs
+++ b/src/platform/desired.rs
@@ -16,6 +16,9 @@
 /// Key of the desired state in the store.
 pub(super) const KEY: &str = "op/config";
 
+/// Multiple of the target latency after which callers of a route without a time-out give up.
+const DEFAULT_TIMEOUT_FACTOR: u32 = 4;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireDesired {
@@ -37,6 +40,10 @@
     r#type: WireRequestKind,
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     target_latency_ms: Duration,
+    /// Zero counts as absent.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    timeout_ms: Option<Duration>,
     priority: u32,
     service: Option<Name>,
     /// Services with their weights; replaces `service` unless empty.
@@ -126,6 +133,10 @@
             WireRequestKind::Once => RequestKind::Once,
         },
         target_latency: wire.target_latency_ms,
+        timeout: wire
+            .timeout_ms
+            .filter(|time| !time.is_zero())
+            .unwrap_or(wire.target_latency_ms * DEFAULT_TIMEOUT_FACTOR),
         shed_rank: wire.priority,
         allowed_regions: SmallVec::new(),
     };
--- a/src/segment.rs
+++ b/src/segment.rs
@@ -123,6 +123,8 @@
     /// Response time that the route aims for; later answers are worth less.
     #[serde(rename = "aim")]
     pub target_latency: Duration,
+    /// Time after which a caller gives up a request.
+    pub timeout: Duration,
     /// Order in which overload is shed; the route of highest rank is refused first.
     #[serde(rename = "rank")]
     pub shed_rank: u32,
--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -191,7 +191,7 @@
 
 /// Returns the mean answer time of a service's endpoints in seconds, or zero if none is
 /// known.
-fn mean_answer_time(tables: &Tables, service: Id) -> f64 {
+pub(super) fn mean_answer_time(tables: &Tables, service: Id) -> f64 {
     let rows = tables.endpoints.of_service(service);
     let known = rows
         .map(|row| row.answer_time)
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -4,6 +4,7 @@
 //! segments are routed by their cookie, even if this lane has no state of the flow. The
 //! retransmissions and acknowledgements of callers show which endpoints answer.
 
+mod admission;
 mod established;
 mod failure_detector;
 mod liveness;
@@ -28,16 +29,21 @@
             // is dropped, and the caller retransmits it.
             continue;
         }
-        if !overload_queue::queue_if_full(tables, &segment, now, out) {
-            process_segment(tables, &segment, now, out);
+        for ready in overload_queue::admit(tables, segment, now, out) {
+            process_segment(tables, &ready, now, out);
         }
     }
-    overload_queue::release_queued(tables, now, out);
+    while let Some(segment) = overload_queue::release_next(tables, now) {
+        process_segment(tables, &segment, now, out);
+    }
+    overload_queue::refuse_due(tables, now, out);
 }
 
 /// Forwards or refuses the segments that still wait for their service when the lane stops.
 pub(super) fn finish(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    overload_queue::release_all(tables, now, out);
+    for segment in overload_queue::take_all(tables) {
+        process_segment(tables, &segment, now, out);
+    }
 }
 
 fn process_segment(tables: &mut Tables, segment: &Segment, now: Duration, out: &mut Outbox) {
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -4,145 +4,212 @@
 //! queue. Endpoints refuse the excess and callers retry at once, so refusals increase
 //! the load. Each host therefore limits its share of a service's requests in progress
 //! to a small multiple of the service's slots. Requests above the limit wait in this
-//! queue. The newest is released first, because its caller has the most time left.
+//! queue. [`admission`] decides which goes next and which openings are refused.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::process_segment;
+use smallvec::{SmallVec, smallvec};
+
+use super::super::placement::mean_answer_time;
+use super::admission::{self, Shortage};
 use crate::clock::millis;
 use crate::id::Id;
-use crate::segment::{Segment, SegmentKind, is_seq_after};
-use crate::tables::{HeldRequest, Outbox, Tables};
+use crate::segment::{FlowAddrs, RelayAction, Route, Segment, SegmentKind, is_seq_after};
+use crate::tables::{HeldRequest, Outbox, Refusal, ServiceLimit, Tables};
+
+/// Minimum time between two checks for refusals, much less than a tenth of the shortest target
+/// latency (25 ms), within which a refusal is sent after it is due.
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Maximum time that a request waits in the queue. Callers abandon an opening after
-/// 1.4 s, and retransmit data at least once in that time.
-const MAX_QUEUE_TIME: Duration = Duration::from_millis(1_400);
+/// Segments to process now, in order.
+pub(super) type ReadySegments = SmallVec<[Segment; 2]>;
 
-/// Queues a segment whose service is at its limit.
-///
-/// Returns false when the segment is to be processed now.
-pub(super) fn queue_if_full(
+/// Takes a received segment. Returns the segments to process now: none if this one waits or
+/// was refused, and an earlier one of its flow first if that still waits.
+pub(super) fn admit(
     tables: &mut Tables,
-    segment: &Segment,
+    segment: Segment,
     now: Duration,
     out: &mut Outbox,
-) -> bool {
+) -> ReadySegments {
     if let Some(waiting) = tables.held_requests.get(&segment.addrs) {
-        let service = waiting.service;
         if segment.kind == SegmentKind::Data && segment.len == 0 {
-            return false;
+            return smallvec![segment];
         }
-        if is_retransmission(&waiting.segment, segment) {
-            enqueue(tables, segment, service, now);
-            return true;
+        if is_retransmission(&waiting.segment, &segment) {
+            let mut waiting = waiting.clone();
+            waiting.segment = segment;
+            tables.held_requests.put(waiting);
+            return smallvec![];
         }
         // The caller has sent something new, so its queued segment is processed first,
         // unless the flow is reset or opened again.
-        if let Some((_, earlier)) = tables.held_requests.remove(&segment.addrs)
-            && segment.kind != SegmentKind::Reset
-            && !segment.is_opening()
-        {
-            process_segment(tables, &earlier.segment, now, out);
-        }
-        return false;
+        let earlier = tables.held_requests.remove(&segment.addrs);
+        let is_over = segment.kind == SegmentKind::Reset || segment.is_opening();
+        let earlier = earlier.filter(|_| !is_over).map(|waiting| waiting.segment);
+        return earlier.into_iter().chain([segment]).collect();
     }
-    let Some(service) = requested_service(tables, segment) else {
-        return false;
+    let Some((service, route)) = requested_service(tables, &segment) else {
+        return smallvec![segment];
     };
+    let (rank, kind) = (route.shed_rank, route.kind);
+    let (target_latency, timeout) = (route.target_latency, route.timeout);
+    let bucket = tables.held_requests.note_caller(&segment.addrs, now);
     if !is_at_limit(tables, service) {
-        return false;
+        return smallvec![segment];
     }
-    tables.counters.held_requests += 1;
+    let waiting = HeldRequest {
+        service,
+        rank,
+        kind,
+        target_latency,
+        timeout,
+        bucket,
+        arrived: now.saturating_sub(admission::age_of(&segment)),
+        segment,
+    };
+    if waiting.segment.is_opening()
+        && let Some(shortage) = admission::arrival_shortage(&tables.held_requests, &waiting, now)
+    {
+        refuse(tables, &waiting, shortage, now, out);
+    } else {
+        hold(tables, waiting);
+    }
+    smallvec![]
+}
+
+/// Removes the next waiting segment that is to be processed now: one whose service is below its
+/// limit, or one of an open flow whose time is nearly over.
+pub(super) fn release_next(tables: &mut Tables, now: Duration) -> Option<Segment> {
+    let held = &tables.held_requests;
+    let has_room = |service| !is_at_limit(tables, service);
+    let addrs = admission::next_overdue(held, now)
+        .or_else(|| admission::next_release(held, has_room, now))?;
+    let waiting = tables.held_requests.remove(&addrs)?;
+    tables
+        .held_requests
+        .note_release(waiting.service, waiting.rank, now);
     log::info!(
-        caller:% = segment.addrs.caller, front:% = segment.addrs.vip,
-        running = tables.endpoints.own_requests(service), room = tables.held_requests.capacity(service),
-        waiting = tables.held_requests.len();
-        "held"
+        caller:% = addrs.caller, front:% = addrs.vip, rank = waiting.rank,
+        waited_ms = millis(now.saturating_sub(waiting.arrived));
+        "released"
     );
-    enqueue(tables, segment, service, now);
-    true
+    Some(waiting.segment)
 }
 
-/// Processes queued segments whose service is below its limit, the newest first.
-pub(super) fn release_queued(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    while let Some(next) = next_startable(tables) {
-        let Some((since, waiting)) = tables.held_requests.remove(&next.segment.addrs) else {
-            return;
-        };
-        log::info!(
-            caller:% = waiting.segment.addrs.caller, front:% = waiting.segment.addrs.vip,
-            waited_ms = millis(now.saturating_sub(since));
-            "released"
-        );
-        process_segment(tables, &waiting.segment, now, out);
-    }
+/// Removes all waiting segments, the oldest first.
+pub(super) fn take_all(tables: &mut Tables) -> Vec<Segment> {
+    let waiting = tables.held_requests.take_all().into_iter();
+    waiting.map(|waiting| waiting.segment).collect()
 }
 
-/// Processes all queued segments, whatever the limits of their services, the oldest first.
-pub(super) fn release_all(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    for waiting in tables.held_requests.take_all() {
-        process_segment(tables, &waiting.segment, now, out);
+/// Refuses the waiting openings that cannot be answered in time.
+pub(super) fn refuse_due(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    let held = &mut tables.held_requests;
+    if held.is_empty() || now < held.last_check + CHECK_INTERVAL {
+        return;
+    }
+    held.last_check = now;
+    held.forget_refusals(now);
+    for (addrs, shortage) in admission::due_refusals(held, now) {
+        if let Some(waiting) = tables.held_requests.remove(&addrs) {
+            refuse(tables, &waiting, shortage, now, out);
+        }
     }
 }
 
-/// Updates the limit of each service, and drops segments that their callers have abandoned.
+/// Updates the limit of each service, and drops openings that their callers have abandoned.
 pub(super) fn run_timers(tables: &mut Tables, now: Duration) {
     let policies = Arc::clone(&tables.policies);
     let services: Vec<Id> = tables.snapshot.services.keys().copied().collect();
-    let limits: Vec<_> = services
-        .into_iter()
-        .map(|service| (service, (policies.relay_limit)(tables, service, now)))
+    let limit_of = |service| ServiceLimit {
+        requests: (policies.relay_limit)(tables, service, now),
+        answer_time: mean_answer_time(tables, service),
+    };
+    let limits: Vec<_> = services.iter().map(|id| (*id, limit_of(*id))).collect();
+    tables.held_requests.set_limits(limits);
+    tables.held_requests.forget_refusals(now);
+    let rows = tables.held_requests.iter();
+    let abandoned: Vec<FlowAddrs> = rows
+        .filter(|waiting| waiting.segment.is_opening())
+        .filter(|waiting| now >= admission::give_up_time(waiting))
+        .map(|waiting| waiting.segment.addrs)
         .collect();
-    tables.held_requests.set_capacities(limits.into_iter());
-    let expired = tables
-        .held_requests
-        .expire(now.saturating_sub(MAX_QUEUE_TIME));
-    for waiting in expired {
+    for addrs in abandoned {
+        tables.held_requests.remove(&addrs);
         tables.counters.abandoned_requests += 1;
         log::info!(
-            caller:% = waiting.segment.addrs.caller, front:% = waiting.segment.addrs.vip,
-            cause = "given_up_by_caller";
+            caller:% = addrs.caller, front:% = addrs.vip, cause = "given_up_by_caller";
             "dropped"
         );
     }
 }
 
-/// Adds a segment to the queue; a copy of a queued segment replaces it and keeps its place.
-fn enqueue(tables: &mut Tables, segment: &Segment, service: Id, now: Duration) {
-    let segment = segment.clone();
-    tables
-        .held_requests
-        .put(HeldRequest { segment, service }, now);
+/// Adds a request to the queue.
+fn hold(tables: &mut Tables, waiting: HeldRequest) {
+    tables.counters.held_requests += 1;
+    let addrs = waiting.segment.addrs;
+    let limit = tables.held_requests.limit(waiting.service);
+    log::info!(
+        caller:% = addrs.caller, front:% = addrs.vip, rank = waiting.rank,
+        running = tables.endpoints.own_requests(waiting.service),
+        room = limit.map(|limit| limit.requests), waiting = tables.held_requests.len();
+        "held"
+    );
+    tables.held_requests.put(waiting);
 }
 
-/// Returns the newest queued segment whose service is below its limit.
-fn next_startable(tables: &Tables) -> Option<HeldRequest> {
-    let mut newest = tables.held_requests.newest_first();
-    newest
-        .find(|waiting| !is_at_limit(tables, waiting.service))
-        .cloned()
+/// Refuses an opening: nothing of its flow has run.
+fn refuse(
+    tables: &mut Tables,
+    waiting: &HeldRequest,
+    shortage: Shortage,
+    now: Duration,
+    out: &mut Outbox,
+) {
+    tables.counters.refused_capacity += 1;
+    let (service, addrs) = (waiting.service, waiting.segment.addrs);
+    tables.held_requests.note_refusal(Refusal {
+        at: now,
+        service,
+        rank: waiting.rank,
+        bucket: waiting.bucket,
+    });
+    let mut remote = tables.endpoints.of_service(service);
+    let elsewhere = remote.any(|row| {
+        let is_usable = row.accepts_work(now) && row.down.is_none();
+        !row.spec.local && is_usable && row.own_requests < row.spec.slots
+    });
+    log::info!(
+        caller:% = addrs.caller, front:% = addrs.vip, cause = "no_capacity",
+        ahead = shortage.ahead, each_us = Duration::from_secs_f64(shortage.seconds_each).as_micros(),
+        waited_ms = millis(now.saturating_sub(waiting.arrived)),
+        target_ms = millis(waiting.target_latency), rank = waiting.rank, elsewhere;
+        "refused"
+    );
+    out.relay_actions.push(RelayAction::Reset { addrs, seq: 0 });
 }
 
 /// Returns true when a service has as many requests in progress as this lane may start.
 fn is_at_limit(tables: &Tables, service: Id) -> bool {
-    let limit = tables.held_requests.capacity(service);
-    limit.is_some_and(|limit| f64::from(tables.endpoints.own_requests(service)) >= limit)
+    let limit = tables.held_requests.limit(service);
+    limit.is_some_and(|limit| f64::from(tables.endpoints.own_requests(service)) >= limit.requests)
 }
 
 fn is_retransmission(queued: &Segment, segment: &Segment) -> bool {
     queued.kind == segment.kind && queued.seq == segment.seq && queued.len == segment.len
 }
 
-/// Returns the service to which a segment brings a new flow or request; `None` when it
-/// belongs to an earlier one.
-fn requested_service(tables: &Tables, segment: &Segment) -> Option<Id> {
+/// Returns the service to which a segment brings a new flow or request, and its route; `None`
+/// when it belongs to an earlier one.
+fn requested_service<'a>(tables: &'a Tables, segment: &Segment) -> Option<(Id, &'a Route)> {
     let flow = tables.tracked_flows.get(&segment.addrs);
+    let route = tables.snapshot.routes.get(&segment.addrs.vip);
     if segment.is_opening() {
         let is_known = flow.is_some_and(|flow| flow.initial_seq == Some(segment.seq));
-        let targets = &tables.snapshot.routes.get(&segment.addrs.vip)?.targets;
-        let service = targets.iter().map(|(id, _)| *id).next()?;
-        return (!is_known).then_some(service);
+        let service = route?.targets.iter().map(|(id, _)| *id).next()?;
+        return (!is_known).then_some((service, route?));
     }
     let is_new = flow.is_none_or(|flow| {
         flow.unanswered_since.is_none()
@@ -152,5 +219,5 @@
     let endpoint = tables.cookies.find(segment.cookie)?;
     let row = tables.endpoints.get(endpoint.id)?;
     let starts_request = segment.kind == SegmentKind::Data && segment.len > 0 && is_new;
-    (starts_request && row.down.is_none()).then_some(row.service)
+    (starts_request && row.down.is_none()).then_some((row.service, route?))
 }
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -109,6 +109,8 @@
     /// Requests whose callers gave up while the requests waited.
     #[serde(rename = "overdue")]
     pub abandoned_requests: u64,
+    /// Openings refused because they could not have been answered in time.
+    pub refused_capacity: u64,
     /// Flows reset because their endpoint is no longer listed.
     pub gone_resets: u64,
     /// Flows reset because their endpoint is down.
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -30,7 +30,7 @@
 pub use self::ended_requests::ENDED_RETENTION;
 pub use self::endpoints::{DownState, EndpointRow, Endpoints, StalledFlow};
 pub use self::flows::{Flow, FlowState, Flows};
-pub use self::held::{HeldRequest, HeldRequests};
+pub use self::held::{HeldRequest, HeldRequests, Refusal, ReleaseHistory, ServiceLimit};
 pub use self::inbox::{Arrival, Stage, StageQueues};
 pub use self::recent::RecentCounts;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -265,6 +265,25 @@
     assert_eq!(route.target_latency, Duration::from_millis(250));
 }
 
+#[test]
+fn route_without_time_out_gets_four_times_its_target() {
+    let mut host = host();
+    let mut state = desired_state(7, &["adserve"]);
+    let cases = [
+        (7, json!(null), 1_000),
+        (8, json!(1_300), 1_300),
+        (9, json!(0), 1_000),
+    ];
+    for (version, timeout, expected) in cases {
+        state["Version"] = json!(version);
+        state["Routes"][0]["TimeoutMs"] = timeout;
+        let values = [("op/config", Some(state.to_string()))];
+        let snapshot = set_values(&mut host, version, &values).expect("a snapshot");
+        let route = &snapshot.routes[&"198.18.0.1:8440".parse().expect("an address")];
+        assert_eq!(route.timeout, Duration::from_millis(expected));
+    }
+}
+
 #[test]
 fn weighted_route_has_all_its_services_as_targets() {
     let mut host = host();
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -1,6 +1,8 @@
 //! Harness for the tests of relayed flows: one lane with a manual clock.
 #![allow(dead_code, missing_docs)]
 
+pub mod load;
+
 use std::collections::HashMap;
 
 use jacinthhinge::control::message::HostInfo;
@@ -61,6 +63,7 @@
         targets: smallvec![(Id::of("adserve"), 1)],
         kind: RequestKind::Idempotent,
         target_latency: ms(250),
+        timeout: ms(1_000),
         shed_rank: 2,
         allowed_regions: smallvec![],
     };
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -11,6 +11,11 @@
   10.8 sv-a-1 {"time":"T10.801","host":"sv-a-1","event":"reset","cause":"endpoint_down","caller":"192.0.2.8:1","front":"198.18.0.1:443","endpoint":"i-2","repeats":1,"waited_ms":412}
   10.2 sv-a-1 {"time":"T10.200","host":"sv-a-1","event":"placed","caller":"192.0.2.8:1","front":"198.18.0.1:443","endpoint":"i-2","copies":0}
   10.9 sv-a-1 {"time":"T10.900","host":"sv-a-1","event":"reset","cause":"no_endpoint","caller":"192.0.2.9:1","front":"198.18.0.2:443","copies":0}
+  11.0 sv-a-1 {"time":"T11.000","host":"sv-a-1","event":"held","caller":"192.0.2.11:1","front":"198.18.0.1:443","running":6,"waiting":4}
+  11.0 sv-a-1 {"time":"T11.000","host":"sv-a-1","event":"held","caller":"192.0.2.12:1","front":"198.18.0.1:443","running":6,"waiting":5}
+  11.1 sv-a-1 {"time":"T11.100","host":"sv-a-1","event":"released","caller":"192.0.2.12:1","front":"198.18.0.1:443","waited_ms":100}
+  11.0 sv-a-1 {"time":"T11.000","host":"sv-a-1","event":"held","caller":"192.0.2.13:1","front":"198.18.0.1:443","running":6,"waiting":6}
+  11.2 sv-a-1 {"time":"T11.200","host":"sv-a-1","event":"refused","cause":"no_capacity","caller":"192.0.2.13:1","front":"198.18.0.1:443","ahead":31,"waited_ms":200}
   not a log line, and { not one either
 "#;
 
@@ -51,6 +56,22 @@
     );
 }
 
+#[test]
+fn flow_that_waited_for_capacity() {
+    assert_eq!(
+        trace_flow("192.0.2.11:1").1,
+        "The flow waits on sv-a-1: its service has 6 requests of this host in progress, and 4 others wait."
+    );
+    assert_eq!(
+        trace_flow("192.0.2.12:1").1,
+        "A request of the flow waited 100 ms on sv-a-1 for capacity and was then forwarded."
+    );
+    assert_eq!(
+        trace_flow("192.0.2.13:1").1,
+        "The flow was refused by sv-a-1 after 200 ms for lack of capacity: 31 requests were ahead of it."
+    );
+}
+
 #[test]
 fn flow_without_log_lines() {
     assert_eq!(
