Divide the capacity of a service by demand while it is short

Each host could use an even part of a service's capacity, so that the hosts of a hot zone refused requests while other hosts left their parts unused.

Hosts that lack capacity report their demand, and the others answer with theirs; a host without a shortage around it reports nothing. Each host takes a share in proportion to its demand.

--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -28,6 +28,7 @@
 mod sync;
 
 pub use self::policies::{Admit, NextRequest, PlaceFlow, PlaceRequest, Policies, Retry, Tuning};
+pub use self::relay::capacity_share;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -165,8 +165,8 @@
 /// service.
 ///
 /// This is what the endpoints can process within [`Tuning::latency_share`] of the target
-/// latency, or [`Tuning::relay_depth`] requests per slot if that is more, divided by the
-/// number of hosts. Each lane of a host gets the host's whole share.
+/// latency, or [`Tuning::relay_depth`] requests per slot if that is more, divided among the
+/// hosts evenly or by demand. Each lane of a host gets the host's whole share.
 pub(super) fn relay_limit(tables: &Tables, tuning: &Tuning, service: Id, now: Duration) -> f64 {
     let rows = tables.endpoints.of_service(service);
     let usable = rows.filter(|row| row.accepts_work(now) && row.down.is_none());
@@ -185,8 +185,10 @@
     };
     // Hosts that share the load, including some that are expected but not known yet.
     let hosts = tables.snapshot.expected_hosts;
+    let capacity = slots * requests_per_slot.max(tuning.relay_depth);
+    let share = tables.demand.get(service).share_factor / f64::from(hosts);
     // At least one request, or the lanes of a large group of hosts would send none.
-    (slots * requests_per_slot.max(tuning.relay_depth) / f64::from(hosts)).max(1.0)
+    (capacity * share).max(1.0)
 }
 
 /// Returns the mean answer time of a service's endpoints in seconds, or zero if none is
--- /dev/null
+++ b/src/systems/relay/capacity_share.rs
@@ -0,0 +1,160 @@
+//! The part of a service's capacity that this host may use.
+//!
+//! Hosts split the capacity of a service evenly as long as none of them lacks it. When a host
+//! does, all hosts report their demand, and each takes a share in proportion to its demand. The
+//! shares are computed by each host for itself, from reports that may be old or lost, so three
+//! rules keep their sum within 1.5 times the capacity: a report counts for less the older it is,
+//! a share rises slowly, and a host without a recent report keeps its part of an even split.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::id::Id;
+use crate::report::{LaneReport, ServiceReport};
+use crate::tables::Tables;
+
+/// Age from which a report does not count.
+pub const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
+
+/// Age at which a report of low demand counts as a demand equal to this host's. With
+/// [`RISE_FACTOR`] it bounds the sum of all shares while reports are late.
+const TRUST_PERIOD: Duration = Duration::from_secs(2);
+
+/// Interval between two updates of the shares.
+pub const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Largest factor by which a share rises in [`UPDATE_INTERVAL`]. When the demand of all hosts
+/// rises at once, each still sees low reports of the others; at this rate a share has risen by
+/// half when these reports have lost enough of their weight.
+const RISE_FACTOR: f64 = 1.03;
+
+/// Smallest share relative to an even split, so that a host with little demand can start.
+const MIN_FACTOR: f64 = 0.25;
+
+/// Deviation from the mean demand up to which the demand counts as even.
+const EVEN_MARGIN: f64 = 0.25;
+
+/// Time after a shortage for which a host reports its demand: several heartbeats.
+const REPORT_PERIOD: Duration = Duration::from_secs(2);
+
+/// Age at which a report is made again while it is needed, so that the receivers know that it
+/// still holds; less than the interval between two heartbeats.
+const REFRESH_PERIOD: Duration = Duration::from_millis(250);
+
+/// Demand that another host reported.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportedDemand {
+    /// Requests that arrive in a second.
+    pub rate: f64,
+    /// Age of the report.
+    pub age: Duration,
+}
+
+/// Updates the shares of all services, and the report of this lane.
+pub(super) fn run(tables: &mut Tables, now: Duration) {
+    if now < tables.demand.last_update + UPDATE_INTERVAL {
+        return;
+    }
+    tables.demand.last_update = now;
+    let services: Vec<Id> = tables.snapshot.services.keys().copied().collect();
+    for service in services {
+        let others = reported_demands(tables, service, now);
+        let row = tables.demand.get(service);
+        let hosts = tables.snapshot.expected_hosts;
+        let target = target_factor(row.rate(now), &others, hosts);
+        tables.demand.get_mut(service).share_factor = next_factor(row.share_factor, target);
+    }
+    publish_report(tables, now);
+}
+
+/// Returns the load of the services that other hosts need to know: those that lack capacity here
+/// or at another host. A host whose services have capacity reports nothing.
+#[must_use]
+pub fn service_reports(tables: &Tables, now: Duration) -> Vec<ServiceReport> {
+    let services = tables.snapshot.services.keys().copied();
+    let mut reports: Vec<_> = services
+        .filter_map(|service| service_report(tables, service, now))
+        .collect();
+    reports.sort_unstable_by_key(|report| report.service);
+    reports
+}
+
+/// Returns the share that is due to this host, relative to an even split among `hosts` hosts.
+///
+/// `own` is the demand of this host, and `others` are the demands of those that have reported.
+#[must_use]
+pub fn target_factor(own: f64, others: &[ReportedDemand], hosts: u32) -> f64 {
+    let recent = others.iter().filter(|other| other.age < MAX_REPORT_AGE);
+    let (count, sum) = recent.fold((1_u32, own), |(count, sum), other| {
+        let doubt = (other.age.as_secs_f64() / TRUST_PERIOD.as_secs_f64()).min(1.0);
+        let missing = (own - other.rate).max(0.0);
+        (count + 1, sum + other.rate + missing * doubt)
+    });
+    let count = f64::from(count.min(hosts.max(1)));
+    let mean = sum / count;
+    if count < 2.0 || mean <= 0.0 || (own / mean - 1.0).abs() < EVEN_MARGIN {
+        return 1.0;
+    }
+    MIN_FACTOR + (1.0 - MIN_FACTOR) * own / mean
+}
+
+/// Returns the share after [`UPDATE_INTERVAL`]: it falls at once and rises slowly.
+#[must_use]
+pub fn next_factor(current: f64, target: f64) -> f64 {
+    target.min(current * RISE_FACTOR)
+}
+
+/// Returns the demands for a service that other hosts have reported.
+fn reported_demands(tables: &Tables, service: Id, now: Duration) -> Vec<ReportedDemand> {
+    let reports = tables.snapshot.reports.iter();
+    reports
+        .filter_map(|host| {
+            let rows = host.report.services.iter();
+            let rows = rows.filter(|row| row.service == service);
+            let rates: Vec<f64> = rows.map(|row| row.demand).collect();
+            let age = now.saturating_sub(host.taken_at);
+            (!rates.is_empty()).then(|| ReportedDemand {
+                rate: rates.iter().sum(),
+                age,
+            })
+        })
+        .collect()
+}
+
+fn service_report(tables: &Tables, service: Id, now: Duration) -> Option<ServiceReport> {
+    let demand = tables.demand.get(service);
+    let waiting = tables.held_requests.iter();
+    let waiting = waiting.filter(|row| row.service == service).count();
+    let is_recent = |time: Duration| now < time + REPORT_PERIOD;
+    let is_short = demand.last_shortage.is_some_and(is_recent);
+    let others_wait = tables.snapshot.reports.iter().any(|host| {
+        let mut rows = host.report.services.iter();
+        now < host.taken_at + MAX_REPORT_AGE
+            && rows.any(|row| row.service == service && row.waiting > 0)
+    });
+    let reported = ServiceReport {
+        service,
+        demand: demand.rate(now),
+        running: tables.endpoints.own_requests(service),
+        // A host that lacks capacity has at least one request waiting now or a moment ago.
+        waiting: u32::try_from(waiting)
+            .unwrap_or(u32::MAX)
+            .max(u32::from(is_short)),
+    };
+    (is_short || waiting > 0 || others_wait).then_some(reported)
+}
+
+/// Replaces the services in the report of this lane while there are any.
+fn publish_report(tables: &mut Tables, now: Duration) {
+    let services = service_reports(tables, now);
+    let report = &tables.report;
+    let is_fresh = now < report.taken_at + REFRESH_PERIOD;
+    if services.is_empty() && report.services.is_empty() || is_fresh {
+        return;
+    }
+    tables.report = Arc::new(LaneReport {
+        taken_at: now,
+        services,
+        ..LaneReport::clone(report)
+    });
+}
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -5,6 +5,7 @@
 //! retransmissions and acknowledgements of callers show which endpoints answer.
 
 mod admission;
+pub mod capacity_share;
 mod established;
 mod failure_detector;
 mod liveness;
@@ -58,6 +59,7 @@
 pub(super) fn run_timers(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     failure_detector::run(tables, now, out);
     timeouts::run(tables, now);
+    capacity_share::run(tables, now);
     overload_queue::run_timers(tables, now);
     for flow in tables.tracked_flows.expire(now) {
         uncount_flow(tables, &flow);
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -56,9 +56,11 @@
     let (rank, kind) = (route.shed_rank, route.kind);
     let (target_latency, timeout) = (route.target_latency, route.timeout);
     let bucket = tables.held_requests.note_caller(&segment.addrs, now);
+    tables.demand.note_arrival(service, now);
     if !is_at_limit(tables, service) {
         return smallvec![segment];
     }
+    tables.demand.note_shortage(service, now);
     let waiting = HeldRequest {
         service,
         rank,
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod cookies;
 mod counters;
+mod demand;
 mod ended_requests;
 mod endpoints;
 mod flows;
@@ -27,6 +28,7 @@
 pub use self::budget::{RETRY_BURST, RetryBudgets};
 pub use self::cookies::{CookieEndpoint, Cookies, cookie_of};
 pub use self::counters::Counters;
+pub use self::demand::{Demand, ServiceDemand};
 pub use self::ended_requests::ENDED_RETENTION;
 pub use self::endpoints::{DownState, EndpointRow, Endpoints, StalledFlow};
 pub use self::flows::{Flow, FlowState, Flows};
@@ -63,6 +65,8 @@
     pub tracked_flows: TrackedFlows,
     /// Requests of those flows that wait until their service has capacity.
     pub held_requests: HeldRequests,
+    /// Demand for each service, and this lane's share of its capacity.
+    pub demand: Demand,
     /// Recent answers and retransmissions of those flows.
     pub recent_counts: RecentCounts,
     /// What this lane last reported about endpoints and load.
@@ -110,6 +114,7 @@
             cookies: Cookies::default(),
             tracked_flows: TrackedFlows::default(),
             held_requests: HeldRequests::default(),
+            demand: Demand::default(),
             recent_counts: RecentCounts::default(),
             report: Arc::default(),
             flows: Flows::default(),
@@ -173,6 +178,7 @@
                 "requests": self.requests,
                 "tracks": self.tracked_flows,
                 "held": self.held_requests,
+                "demand": self.demand,
                 "snapshot": self.dump_snapshot(),
             })),
             Some("counters") => Some(json!(self.counters)),
@@ -181,6 +187,7 @@
             Some("requests") => Some(json!(self.requests)),
             Some("tracks") => Some(json!(self.tracked_flows)),
             Some("held") => Some(json!(self.held_requests)),
+            Some("demand") => Some(json!(self.demand)),
             Some("snapshot") => Some(self.dump_snapshot()),
             Some(_) => None,
         }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -43,6 +43,23 @@
     assert_eq!(load.lanes[0].tables.counters.refused_capacity, 0);
 }
 
+/// Load: half of the capacity, then twice the capacity for a second, then half of it. Guards
+/// against a quiet host that adds bytes to heartbeats, and against a short one that reports
+/// nothing.
+#[test]
+fn only_a_host_that_lacks_capacity_reports_its_demand() {
+    let mut load = warm_host(&[route(0, RequestKind::Idempotent)]);
+    assert!(load.lanes[0].tables.report.services.is_empty());
+    load.run(ms(1_000), &[demand(0, CAPACITY * 2.0)]);
+    let report = load.lanes[0].tables.report.services.clone();
+    assert!(
+        matches!(report[..], [row] if row.waiting > 0 && row.demand > CAPACITY),
+        "{report:?}"
+    );
+    load.run(ms(4_000), &[demand(0, CAPACITY * 0.5)]);
+    assert!(load.lanes[0].tables.report.services.is_empty());
+}
+
 /// Load: three times the capacity, a fifth of it at the highest priority. Guards against
 /// a shortage that reaches the most important route, and against capacity lost to refusals.
 #[test]
