Let a measured share of new flows leave a zone that lacks capacity

A local endpoint lost its preference as soon as its expected wait passed a limit, so all hosts of a zone sent their flows away together, and came back together.

Each host now plans the share of a service's flows that leaves its zone from the times to open flows and to answer requests in each zone, the requests in progress and waiting, and the reports of other hosts. Zones that are cut off, evacuated, down, warming up or short get nothing. Before answer times are known, placement is as before.

--- a/examples/swing/baselines.rs
+++ b/examples/swing/baselines.rs
@@ -101,6 +101,7 @@
         }),
         place_relayed: Policies::with_defaults().place_relayed,
         relay_limit: Policies::with_defaults().relay_limit,
+        zone_cost: Policies::with_defaults().zone_cost,
         place_request: Box::new(move |tables, service, _, now| {
             let is_candidate =
                 |row: &EndpointRow| row.load.incarnation != 0 && row.own_requests < row.spec.slots;
--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -17,10 +17,11 @@
 
 use super::relay as relay_host;
 use super::serve;
-use super::settings::{Flags, Settings, flags};
+use super::settings::{self, Flags, Settings, flags};
 use super::trace::{self, Subject};
 use crate::config::{Config, Difference, KEYS};
 use crate::error::{Error, Result};
+use crate::systems::Tuning;
 
 /// Exit status of a command that failed.
 const FAILURE_STATUS: u8 = 1;
@@ -77,6 +78,10 @@
     /// Port of the operators' server for metrics, dumps and probes, 9464 by default
     #[bpaf(argument("PORT"), fallback(DEFAULT_OPS_PORT))]
     ops_port: u16,
+    /// Delay in milliseconds that sending a flow to another zone must save, overrides
+    /// `JACINTHHINGE_ZONE_COST`; 20 by default
+    #[bpaf(argument("MS"))]
+    zone_cost: Option<String>,
     /// Log level, or a list of levels by module; info by default
     #[bpaf(argument("LEVEL"), fallback("info".to_owned()))]
     log: String,
@@ -150,7 +155,7 @@
     };
     let result = match command {
         Command::Serve(flags) => run_serve(*flags),
-        Command::Relay(flags) => relay_host::run(flags.settings, flags.ops_port, &flags.log),
+        Command::Relay(flags) => run_relay(flags),
         Command::Check(check) => run_check(&check),
         Command::Trace(trace) => run_trace(&trace),
         Command::Dump(dump) => run_dump(&dump),
@@ -186,6 +191,16 @@
     serve::run(&settings)
 }
 
+fn run_relay(flags: RelayFlags) -> Result<(), Report<Error>> {
+    let variable = || std::env::var(settings::ZONE_COST_VARIABLE).ok();
+    let zone_cost = flags.zone_cost.or_else(variable);
+    let zone_cost = match zone_cost.filter(|text| !text.is_empty()) {
+        Some(text) => settings::parse_zone_cost(&text)?,
+        None => Tuning::DEFAULT.zone_cost,
+    };
+    relay_host::run(flags.settings, flags.ops_port, zone_cost, &flags.log)
+}
+
 fn run_check(check: &Check) -> Result<(), Report<Error>> {
     let config = read_config(&check.file)?;
     if let Some(scope) = &check.explain {
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -26,7 +26,7 @@
 use crate::report::LaneReport;
 use crate::segment::RelayAction;
 use crate::snapshot::Snapshot;
-use crate::systems::{self, BATCH_SIZE, TICK_INTERVAL};
+use crate::systems::{self, BATCH_SIZE, Policies, TICK_INTERVAL};
 use crate::tables::{Arrival, Counters, LatencyHistograms, Outbox, Tables};
 use crate::ticket::Home;
 use crate::wire;
@@ -34,6 +34,8 @@
 /// State that the control thread shares with the lanes.
 #[derive(Debug)]
 pub struct SharedState {
+    /// Policies of all lanes.
+    pub policies: Arc<Policies>,
     /// Current snapshot, replaced by the control thread.
     pub snapshot: ArcSwap<Snapshot>,
 }
@@ -149,7 +151,8 @@
             .map_err(|e| Error::io("set the socket of a lane to non-blocking", e))?;
         let stats = Arc::new(LaneStats::default());
         let (commands, queue) = mpsc::channel(COMMAND_QUEUE_SIZE);
-        let tables = Tables::new(home, shared.snapshot.load_full(), seed);
+        let mut tables = Tables::new(home, shared.snapshot.load_full(), seed);
+        tables.policies = Arc::clone(&shared.policies);
         let lane_stats = Arc::clone(&stats);
         let histograms = tables.histograms.clone();
         let thread = std::thread::Builder::new()
--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -25,6 +25,7 @@
 use crate::platform::settings::{self, HostSettings};
 use crate::platform::store::Store;
 use crate::platform::{self, header, readiness};
+use crate::systems::Tuning;
 use crate::ticket::TicketKeys;
 use crate::wire::PeerKey;
 
@@ -47,13 +48,21 @@
 ///
 /// Returns an error when the settings cannot be read, a socket cannot be opened or a
 /// thread cannot be started.
-pub fn run(file: Option<PathBuf>, ops_port: u16, log_level: &str) -> Result<(), Report<Error>> {
+pub fn run(
+    file: Option<PathBuf>,
+    ops_port: u16,
+    zone_cost: Duration,
+    log_level: &str,
+) -> Result<(), Report<Error>> {
     ignore_early_sighup()?;
     let env_path = std::env::var_os(settings::PATH_VARIABLE).map(PathBuf::from);
     let path = file.or(env_path).ok_or_else(missing_path)?;
     let host_settings = settings::read(&path)?;
     logs::start(log_level, &host_settings.name)?;
-    let settings = daemon_settings(&host_settings, ops_port);
+    let settings = Settings {
+        zone_cost,
+        ..daemon_settings(&host_settings, ops_port)
+    };
     let front_end = front_end(&host_settings, &settings, path);
     serve::run_with(&settings, front_end)
 }
@@ -87,6 +96,7 @@
         ticket_keys: TicketKeys::new(SHARED_SECRET, SHARED_SECRET),
         peer_key: PeerKey::new(SHARED_SECRET),
         statsd_addr: None,
+        zone_cost: Tuning::DEFAULT.zone_cost,
         log_level: DEFAULT_LOG_LEVEL.to_owned(),
     }
 }
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -33,6 +33,7 @@
 use crate::platform::store::Store;
 use crate::report::LaneReport;
 use crate::snapshot::Snapshot;
+use crate::systems::{Policies, Tuning};
 use crate::ticket::Home;
 
 /// Prefix of the keys under which operators publish configuration values.
@@ -73,7 +74,12 @@
 async fn serve(settings: &Settings, front_end: FrontEnd) -> Result<()> {
     let clock = Clock::monotonic();
     let incarnation = incarnation();
+    let tuning = Tuning {
+        zone_cost: settings.zone_cost,
+        ..Tuning::DEFAULT
+    };
     let shared = Arc::new(SharedState {
+        policies: Arc::new(Policies::with_tuning(tuning)),
         snapshot: ArcSwap::from_pointee(Snapshot::empty(settings.ticket_keys.clone())),
     });
     let lanes = start_lanes(settings, incarnation, &shared, &clock, &front_end.codec)?;
--- a/src/front/settings.rs
+++ b/src/front/settings.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::time::Duration;
 
 use axum::http::Uri;
 use bpaf::Bpaf;
@@ -10,6 +11,7 @@
 
 use crate::error::{Error, Result};
 use crate::id::Name;
+use crate::systems::Tuning;
 use crate::ticket::TicketKeys;
 use crate::wire::PeerKey;
 
@@ -19,6 +21,12 @@
 /// Minimum length of a secret, in characters.
 const MIN_SECRET_LENGTH: usize = 16;
 
+/// Longest cost of sending a flow to another zone in milliseconds, which no flow is worth.
+const MAX_ZONE_COST_MS: u64 = 60_000;
+
+/// Environment variable for `--zone-cost`.
+pub(super) const ZONE_COST_VARIABLE: &str = "JACINTHHINGE_ZONE_COST";
+
 const DEFAULT_OPS_ADDR: &str = "127.0.0.1:9080";
 pub(super) const DEFAULT_LOG_LEVEL: &str = "info";
 
@@ -60,6 +68,9 @@
     /// Address of the statsd server; without it, no metrics are sent to statsd
     #[bpaf(long, argument("IP:PORT"))]
     pub statsd: Option<String>,
+    /// Delay in milliseconds that sending a flow to another zone must save, 20 by default
+    #[bpaf(long, argument("MS"))]
+    pub zone_cost: Option<String>,
     /// Log level, or a list of levels by module; info by default
     #[bpaf(long, argument("LEVEL"))]
     pub log: Option<String>,
@@ -90,6 +101,8 @@
     pub peer_key: PeerKey,
     /// Address of the statsd server, if metrics are sent to one.
     pub statsd_addr: Option<SocketAddr>,
+    /// Delay that sending a flow to another zone must save.
+    pub zone_cost: Duration,
     /// Log level, or a list of levels by module.
     pub log_level: String,
 }
@@ -148,6 +161,7 @@
         let statsd = single_value("--statsd", flags.statsd);
         let log_level =
             single_value("--log", flags.log).unwrap_or_else(|| DEFAULT_LOG_LEVEL.to_owned());
+        let zone_cost = single_value("--zone-cost", flags.zone_cost);
         check_distinct(peer_addr, &lanes, ops_addr)?;
         check_log_level(&log_level)?;
         Ok(Self {
@@ -164,6 +178,8 @@
             statsd_addr: statsd
                 .map(|text| parse_addr("--statsd", &text))
                 .transpose()?,
+            zone_cost: zone_cost
+                .map_or(Ok(Tuning::DEFAULT.zone_cost), |text| parse_zone_cost(&text))?,
             log_level,
         })
     }
@@ -270,6 +286,19 @@
     Ok(addr)
 }
 
+/// Parses the delay that sending a flow to another zone must save, in milliseconds.
+pub(super) fn parse_zone_cost(text: &str) -> Result<Duration> {
+    let millis = text
+        .parse()
+        .ok()
+        .filter(|millis| *millis <= MAX_ZONE_COST_MS);
+    millis.map(Duration::from_millis).ok_or_else(|| {
+        let fault = format!("`{text}` is not a number of milliseconds");
+        let remedy = "use a whole number up to 60000, as in 20";
+        Error::setting("--zone-cost", fault, remedy)
+    })
+}
+
 fn parse_lanes(texts: &[String]) -> Result<SmallVec<[SocketAddr; 4]>> {
     if texts.is_empty() {
         return Err(missing("--lane", "10.1.0.3:9100"));
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -342,6 +342,20 @@
         host.leaving.then(|| host.home_lane(hash)).flatten()
     }
 
+    /// Returns the availability zone of a host and the number of live hosts there; an empty name
+    /// and 1 if the host is not listed.
+    #[must_use]
+    pub fn zone_of(&self, id: Id) -> (Name, u32) {
+        let Some(host) = self.hosts.iter().find(|host| host.id == id) else {
+            return ("".into(), 1);
+        };
+        let zone = &host.availability_zone;
+        let neighbours = self.hosts.iter();
+        let neighbours = neighbours.filter(|other| other.availability_zone == *zone);
+        let count = u32::try_from(neighbours.count()).unwrap_or(u32::MAX);
+        (zone.clone(), count)
+    }
+
     /// Returns true when the host of `home` is alive in the incarnation that it names.
     #[must_use]
     pub fn is_live(&self, home: &Home) -> bool {
--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -18,7 +18,7 @@
 
 use super::policies::Tuning;
 use super::probe;
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::packet::{Body, Class};
 use crate::segment::Route;
 use crate::tables::{EndpointRow, Outbox, Tables};
@@ -74,20 +74,30 @@
 /// Share of its normal load that an endpoint gets while it reports that it is warming up.
 const WARMUP_SHARE: f64 = 0.5;
 
-/// An endpoint that may be chosen. Preferred ones go before fallbacks, then lower scores
-/// before higher ones.
+/// An endpoint that may be chosen. Lower tiers go before higher ones, then lower scores before
+/// higher ones.
 struct Candidate {
     id: Id,
-    /// As in [`Usage::fallback`].
-    fallback: bool,
+    /// As in [`Usage::tier`].
+    tier: u8,
     score: f64,
 }
 
+/// Endpoints that are preferred for a relayed flow.
+enum Preference {
+    /// Those of the own zone that answer soon, because no plan is known yet.
+    Unplanned,
+    /// Those of the own zone.
+    OwnZone,
+    /// Those of another zone.
+    Zone(Name),
+}
+
 /// Load of an endpoint with free capacity.
 struct Usage {
-    /// True if it is chosen only when no preferred endpoint has free capacity: it is in
-    /// another zone, or it is a local one that is loaded beyond a limit.
-    fallback: bool,
+    /// Zero for a preferred endpoint. One of a higher tier is chosen only when none of a lower
+    /// tier has free capacity: it is in another zone, or it is loaded beyond a limit.
+    tier: u8,
     /// Share of its capacity in use.
     used_share: f64,
     /// Share of its capacity that one more flow or request takes.
@@ -111,9 +121,9 @@
         let limit = f64::from(row.spec.max_conns);
         let used_share = f64::from(conns) / limit;
         let unit_share = 1.0 / limit;
-        let fallback = !row.spec.local || used_share + unit_share > tuning.preferred_share;
+        let is_full = used_share + unit_share > tuning.preferred_share;
         Some(Usage {
-            fallback,
+            tier: u8::from(!row.spec.local || is_full),
             used_share,
             unit_share,
         })
@@ -121,8 +131,9 @@
 }
 
 /// Returns the endpoint for a relayed flow: the least busy one by this lane's own
-/// observations, in the local zone while a request there is expected to be answered within
-/// [`Tuning::latency_share`] of the target latency.
+/// observations, in the local zone except for the share of the flows that is planned to leave
+/// it. Without a plan, it is in the local zone while a request there is expected to be answered
+/// within [`Tuning::latency_share`] of the target latency.
 pub(super) fn place_relayed(
     tables: &mut Tables,
     tuning: &Tuning,
@@ -136,6 +147,7 @@
         ..*tuning
     };
     let mean_time = mean_answer_time(tables, service);
+    let preference = choose_zone(tables, service, tried, now);
     let limit = tuning.latency_share * target_latency.as_secs_f64();
     pick_best(tables, &tuning, service, now, |row| {
         if tried.contains(&row.spec.id) || row.flow_count >= row.spec.max_conns {
@@ -154,13 +166,44 @@
         let slowness = (answer_time / mean_time.max(f64::MIN_POSITIVE)).clamp(1.0, MAX_SLOWNESS);
         let zone_penalty = if row.spec.local { 1.0 } else { REMOTE_PENALTY };
         Some(Usage {
-            fallback: !row.spec.local || wait > limit,
+            tier: match &preference {
+                Preference::Unplanned => u8::from(!row.spec.local || wait > limit),
+                Preference::OwnZone if row.spec.local => u8::from(wait > limit),
+                Preference::Zone(zone) if row.spec.zone == *zone => u8::from(wait > limit),
+                Preference::Zone(_) if row.spec.local => 1,
+                Preference::OwnZone | Preference::Zone(_) => 2,
+            },
             used_share: used_share * slowness * zone_penalty,
             unit_share: unit_share * slowness * zone_penalty,
         })
     })
 }
 
+/// Returns the zone whose endpoints are preferred for a relayed flow. A copy of an opening prefers
+/// the own zone: the plan has already decided about its first transmission.
+fn choose_zone(tables: &mut Tables, service: Id, tried: &[Id], now: Duration) -> Preference {
+    let draw = tables.rng.random_range(0.0..1.0);
+    let Some(plan) = tables.zone_spill.plan(service) else {
+        return Preference::Unplanned;
+    };
+    if !has_local_endpoint(tables, service, now) {
+        let zone = plan.choose(draw, true).cloned();
+        return zone.map_or(Preference::Unplanned, Preference::Zone);
+    }
+    let zone = plan.choose(draw, false).filter(|_| tried.is_empty());
+    zone.cloned().map_or(Preference::OwnZone, Preference::Zone)
+}
+
+/// Returns true if a service has an endpoint in the zone of this host that may get new flows.
+pub(super) fn has_local_endpoint(tables: &Tables, service: Id, now: Duration) -> bool {
+    let evacuated = &tables.snapshot.evacuated_zones;
+    let mut rows = tables.endpoints.of_service(service);
+    rows.any(|row| {
+        let is_usable = row.accepts_work(now) && row.down.is_none();
+        row.spec.local && is_usable && !evacuated.contains(&row.spec.zone)
+    })
+}
+
 /// Returns how many requests of relayed flows this lane may have in progress at a
 /// service.
 ///
@@ -168,9 +211,11 @@
 /// latency, or [`Tuning::relay_depth`] requests per slot if that is more, divided among the
 /// hosts evenly or by demand. Each lane of a host gets the host's whole share.
 pub(super) fn relay_limit(tables: &Tables, tuning: &Tuning, service: Id, now: Duration) -> f64 {
-    let rows = tables.endpoints.of_service(service);
-    let usable = rows.filter(|row| row.accepts_work(now) && row.down.is_none());
-    let slots: f64 = usable.map(|row| f64::from(row.spec.slots)).sum();
+    let usable = |row: &&EndpointRow| row.accepts_work(now) && row.down.is_none();
+    let rows = || tables.endpoints.of_service(service).filter(usable);
+    let slots: f64 = rows().map(|row| f64::from(row.spec.slots)).sum();
+    let local_rows = rows().filter(|row| row.spec.local);
+    let local_slots: f64 = local_rows.map(|row| f64::from(row.spec.slots)).sum();
     let leads_here = |route: &&Route| route.targets.iter().any(|(id, _)| *id == service);
     let routes = tables.snapshot.routes.values().filter(leads_here);
     let target_latency = routes
@@ -185,10 +230,19 @@
     };
     // Hosts that share the load, including some that are expected but not known yet.
     let hosts = tables.snapshot.expected_hosts;
-    let capacity = slots * requests_per_slot.max(tuning.relay_depth);
-    let share = tables.demand.get(service).share_factor / f64::from(hosts);
+    let demand = tables.demand.get(service);
+    let depth = requests_per_slot.max(tuning.relay_depth);
+    let even_share = slots * depth / f64::from(hosts);
+    // What exceeds an even share is for the part of the own zone and for the flows that may leave
+    // it. More would only overrun the endpoints of the own zone.
+    let (_, zone_hosts) = tables.snapshot.zone_of(tables.home.host);
+    let zone_share = local_slots * depth * demand.zone_factor / f64::from(zone_hosts);
+    let plan = tables.zone_spill.plan(service);
+    let remote: f64 = plan.map_or(0.0, |plan| plan.zones.iter().map(|row| row.1).sum());
+    let reachable = even_share.max(zone_share + remote);
+    let limit = (even_share * demand.share_factor).min(reachable);
     // At least one request, or the lanes of a large group of hosts would send none.
-    (capacity * share).max(1.0)
+    limit.max(1.0)
 }
 
 /// Returns the mean answer time of a service's endpoints in seconds, or zero if none is
@@ -229,7 +283,7 @@
             row.recent_busy_slots(now) * f64::from(lanes) * tuning.recent_weight;
         let slots = f64::from(row.spec.slots);
         Some(Usage {
-            fallback: !row.spec.local,
+            tier: u8::from(!row.spec.local),
             used_share: (f64::from(busy) + recent_busy_slots) / slots,
             unit_share: 1.0 / slots,
         })
@@ -339,13 +393,13 @@
             let usage = usage_of(row)?;
             Some(Candidate {
                 id: row.spec.id,
-                fallback: usage.fallback,
+                tier: usage.tier,
                 score: score(row, &usage, tuning, now),
             })
         })
         .min_by(|a, b| {
-            (a.fallback, a.score)
-                .partial_cmp(&(b.fallback, b.score))
+            (a.tier, a.score)
+                .partial_cmp(&(b.tier, b.score))
                 .unwrap_or(std::cmp::Ordering::Equal)
         })
         .map(|candidate| candidate.id)
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -47,6 +47,8 @@
     pub place_flow: PlaceFlow,
     /// Chooses the endpoint of a relayed flow.
     pub place_relayed: PlaceRelayed,
+    /// Delay that sending a flow to another zone must save.
+    pub zone_cost: Duration,
     /// Limits the requests of relayed flows in progress.
     pub relay_limit: RelayLimit,
     /// Chooses the endpoint of a request.
@@ -83,12 +85,15 @@
     /// zones.
     pub preferred_share: f64,
     /// Share of the target latency within which a request of a relayed flow should be
-    /// answered. A local endpoint that would take longer loses its preference to those in
-    /// other zones, and requests beyond what the endpoints can answer within it wait.
+    /// answered. Until answer times are known to plan with, a local endpoint that would take
+    /// longer loses its preference to those in other zones. Requests beyond what the endpoints
+    /// can answer within it wait.
     pub latency_share: f64,
     /// Requests in progress per slot above which requests of relayed flows wait, unless
     /// the target latency allows for more.
     pub relay_depth: f64,
+    /// Delay that sending a relayed flow to another zone must save.
+    pub zone_cost: Duration,
     /// Number of endpoints compared for a relayed flow.
     pub relay_sample: usize,
     /// Longest accepted wait in the queue, as a share of the slack before the deadline.
@@ -108,6 +113,7 @@
         preferred_share: 0.8,
         latency_share: 0.6,
         relay_depth: 3.0,
+        zone_cost: Duration::from_millis(20),
         relay_sample: 256,
         slack_share: 0.5,
     };
@@ -130,6 +136,7 @@
             place_relayed: Box::new(move |tables, service, target_latency, tried, now| {
                 placement::place_relayed(tables, &tuning, service, target_latency, tried, now)
             }),
+            zone_cost: tuning.zone_cost,
             relay_limit: Box::new(move |tables, service, now| {
                 placement::relay_limit(tables, &tuning, service, now)
             }),
--- a/src/systems/relay/capacity_share.rs
+++ b/src/systems/relay/capacity_share.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::report::{LaneReport, ServiceReport};
 use crate::tables::Tables;
 
@@ -58,11 +58,16 @@
     tables.demand.last_update = now;
     let services: Vec<Id> = tables.snapshot.services.keys().copied().collect();
     for service in services {
-        let others = reported_demands(tables, service, now);
         let row = tables.demand.get(service);
+        let own = row.rate(now);
         let hosts = tables.snapshot.expected_hosts;
-        let target = target_factor(row.rate(now), &others, hosts);
-        tables.demand.get_mut(service).share_factor = next_factor(row.share_factor, target);
+        let target = target_factor(own, &reported_demands(tables, service, None, now), hosts);
+        let (zone, zone_hosts) = tables.snapshot.zone_of(tables.home.host);
+        let neighbours = reported_demands(tables, service, Some(&zone), now);
+        let zone_target = target_factor(own, &neighbours, zone_hosts);
+        let row = tables.demand.get_mut(service);
+        row.share_factor = next_factor(row.share_factor, target);
+        row.zone_factor = next_factor(row.zone_factor, zone_target);
     }
     publish_report(tables, now);
 }
@@ -104,9 +109,15 @@
     target.min(current * RISE_FACTOR)
 }
 
-/// Returns the demands for a service that other hosts have reported.
-fn reported_demands(tables: &Tables, service: Id, now: Duration) -> Vec<ReportedDemand> {
+/// Returns the demands for a service that other hosts have reported, those of one zone or all.
+fn reported_demands(
+    tables: &Tables,
+    service: Id,
+    zone: Option<&Name>,
+    now: Duration,
+) -> Vec<ReportedDemand> {
     let reports = tables.snapshot.reports.iter();
+    let reports = reports.filter(|host| zone.is_none_or(|zone| host.zone == *zone));
     reports
         .filter_map(|host| {
             let rows = host.report.services.iter();
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -88,10 +88,15 @@
 fn record_progress(tables: &mut Tables, flow: &mut TrackedFlow, segment: &Segment, now: Duration) {
     if flow.state == TrackedState::Opening {
         flow.state = TrackedState::Open;
-        observe(
-            &tables.histograms.open_time,
-            now.saturating_sub(flow.first_seen),
-        );
+        let open_time = now.saturating_sub(flow.first_seen);
+        observe(&tables.histograms.open_time, open_time);
+        if let Some(row) = tables.endpoints.get(flow.endpoint)
+            && flow.tried_endpoints.is_empty()
+        {
+            tables
+                .zone_spill
+                .note_open_time(&row.spec.zone, open_time, now);
+        }
         flow.next_seq = segment.seq;
     } else if let Some(sent_at) = flow.unanswered_since.take() {
         let answer_time = now.saturating_sub(sent_at);
@@ -101,6 +106,10 @@
             .add_slot_time(flow.endpoint, answer_time, now);
         if let Some(row) = tables.endpoints.get_mut(flow.endpoint) {
             row.note_answer_time(answer_time);
+            let (service, zone) = (row.service, row.spec.zone.clone());
+            tables
+                .zone_spill
+                .note_answer_time(service, &zone, answer_time, now);
         }
         remove_load(tables, flow);
     }
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -12,6 +12,7 @@
 mod open;
 mod overload_queue;
 mod timeouts;
+pub mod zone_spill;
 
 use std::time::Duration;
 
@@ -61,6 +62,7 @@
     timeouts::run(tables, now);
     capacity_share::run(tables, now);
     overload_queue::run_timers(tables, now);
+    zone_spill::run(tables, now);
     for flow in tables.tracked_flows.expire(now) {
         uncount_flow(tables, &flow);
     }
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 use smallvec::SmallVec;
 
-use super::super::placement::is_unresponsive;
+use super::super::placement::{has_local_endpoint, is_unresponsive};
 use super::{add_load, count_flow, forward, reset_flow, uncount_flow};
 use crate::id::Id;
 use crate::segment::{Route, Segment};
@@ -90,6 +90,7 @@
     };
     tables.counters.forwarded_opens += 1;
     log_placement(tables, segment, route, &endpoint, now);
+    count_placement(tables, &endpoint, !flow.tried_endpoints.is_empty(), now);
     flow.endpoint = endpoint.id;
     count_flow(tables, endpoint.id);
     add_load(tables, &mut flow, now);
@@ -101,6 +102,28 @@
     forward(segment, &endpoint, Some(cookie), out);
 }
 
+/// Counts a new flow, and by its reason if it goes to another zone.
+fn count_placement(tables: &mut Tables, endpoint: &CookieEndpoint, is_copy: bool, now: Duration) {
+    let Some(row) = tables.endpoints.get(endpoint.id) else {
+        return;
+    };
+    let service = row.service;
+    if !is_copy {
+        tables.demand.note_placement(service, now);
+    }
+    if row.spec.local {
+        return;
+    }
+    let is_trial = row.down.is_some() || is_unresponsive(row, now);
+    if is_copy || is_trial {
+        tables.counters.remote_retries += 1;
+    } else if has_local_endpoint(tables, service, now) {
+        tables.counters.remote_spill += 1;
+    } else {
+        tables.counters.remote_no_local += 1;
+    }
+}
+
 /// Logs the endpoint of a new flow and the state on which the choice was based.
 fn log_placement(
     tables: &Tables,
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -60,7 +60,7 @@
     if !is_at_limit(tables, service) {
         return smallvec![segment];
     }
-    tables.demand.note_shortage(service, now);
+    tables.demand.note_wait(service, now);
     let waiting = HeldRequest {
         service,
         rank,
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -111,6 +111,12 @@
     pub abandoned_requests: u64,
     /// Openings refused because they could not have been answered in time.
     pub refused_capacity: u64,
+    /// New flows sent to another zone because the own one has no usable endpoint.
+    pub remote_no_local: u64,
+    /// New flows sent to another zone because the own one lacks capacity.
+    pub remote_spill: u64,
+    /// Copies of openings, and trials, sent to another zone.
+    pub remote_retries: u64,
     /// Flows reset because their endpoint is no longer listed.
     pub gone_resets: u64,
     /// Flows reset because their endpoint is down.
--- a/src/tables/demand.rs
+++ b/src/tables/demand.rs
@@ -11,28 +11,59 @@
 /// enough that a few arrivals more or less do not matter.
 const ARRIVAL_DECAY: Duration = Duration::from_secs(1);
 
+/// A number of events that decays with [`ARRIVAL_DECAY`].
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct DecayingCount {
+    count: f64,
+    #[serde(rename = "faded")]
+    last_decay: Duration,
+}
+
+impl DecayingCount {
+    fn add(&mut self, now: Duration) {
+        self.count = self.rate(now) * ARRIVAL_DECAY.as_secs_f64() + 1.0;
+        self.last_decay = now;
+    }
+
+    /// Returns the number of events in a second.
+    fn rate(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.last_decay).as_secs_f64();
+        let span = ARRIVAL_DECAY.as_secs_f64();
+        self.count * (-age / span).exp() / span
+    }
+}
+
 /// Demand for a service at this lane.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct ServiceDemand {
-    /// Decaying number of requests that arrived, with retries of refused ones.
-    arrivals: f64,
-    #[serde(rename = "faded")]
-    last_decay: Duration,
+    /// Requests that arrived, with retries of refused ones.
+    arrivals: DecayingCount,
+    /// New flows sent to an endpoint.
+    #[serde(rename = "placed")]
+    placements: DecayingCount,
     /// Time at which a request last had to wait, was refused or left the zone for lack of capacity.
     #[serde(rename = "short")]
     pub last_shortage: Option<Duration>,
+    /// Time at which a request last had to wait or was refused.
+    #[serde(rename = "waited")]
+    pub last_wait: Option<Duration>,
     /// Share of the capacity relative to an even split among hosts.
     #[serde(rename = "share")]
     pub share_factor: f64,
+    /// The same for the endpoints of the own zone, among the hosts of the zone.
+    #[serde(rename = "zone_share")]
+    pub zone_factor: f64,
 }
 
 impl Default for ServiceDemand {
     fn default() -> Self {
         Self {
-            arrivals: 0.0,
-            last_decay: Duration::ZERO,
+            arrivals: DecayingCount::default(),
+            placements: DecayingCount::default(),
             last_shortage: None,
+            last_wait: None,
             share_factor: 1.0,
+            zone_factor: 1.0,
         }
     }
 }
@@ -41,9 +72,13 @@
     /// Returns the number of requests that arrive in a second.
     #[must_use]
     pub fn rate(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.last_decay).as_secs_f64();
-        let span = ARRIVAL_DECAY.as_secs_f64();
-        self.arrivals * (-age / span).exp() / span
+        self.arrivals.rate(now)
+    }
+
+    /// Returns the number of new flows sent to an endpoint in a second.
+    #[must_use]
+    pub fn placed_rate(&self, now: Duration) -> f64 {
+        self.placements.rate(now)
     }
 }
 
@@ -70,9 +105,18 @@
 
     /// Counts a request that arrives.
     pub fn note_arrival(&mut self, service: Id, now: Duration) {
-        let row = self.get_mut(service);
-        row.arrivals = row.rate(now) * ARRIVAL_DECAY.as_secs_f64() + 1.0;
-        row.last_decay = now;
+        self.get_mut(service).arrivals.add(now);
+    }
+
+    /// Counts a new flow that is sent to an endpoint.
+    pub fn note_placement(&mut self, service: Id, now: Duration) {
+        self.get_mut(service).placements.add(now);
+    }
+
+    /// Records that a request had to wait or was refused.
+    pub fn note_wait(&mut self, service: Id, now: Duration) {
+        self.get_mut(service).last_wait = Some(now);
+        self.note_shortage(service, now);
     }
 
     /// Records that a service lacks capacity.
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -17,6 +17,7 @@
 mod requests;
 mod timings;
 mod tracks;
+mod zone_spill;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +39,7 @@
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::timings::{LatencyHistograms, observe};
 pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
+pub use self::zone_spill::{SpillPlan, ZoneSpill};
 
 use crate::packet::{Body, Packet};
 use crate::report::LaneReport;
@@ -67,6 +69,8 @@
     pub held_requests: HeldRequests,
     /// Demand for each service, and this lane's share of its capacity.
     pub demand: Demand,
+    /// Shares of the new flows that leave the zone.
+    pub zone_spill: ZoneSpill,
     /// Recent answers and retransmissions of those flows.
     pub recent_counts: RecentCounts,
     /// What this lane last reported about endpoints and load.
@@ -115,6 +119,7 @@
             tracked_flows: TrackedFlows::default(),
             held_requests: HeldRequests::default(),
             demand: Demand::default(),
+            zone_spill: ZoneSpill::default(),
             recent_counts: RecentCounts::default(),
             report: Arc::default(),
             flows: Flows::default(),
@@ -179,6 +184,7 @@
                 "tracks": self.tracked_flows,
                 "held": self.held_requests,
                 "demand": self.demand,
+                "spill": self.zone_spill,
                 "snapshot": self.dump_snapshot(),
             })),
             Some("counters") => Some(json!(self.counters)),
@@ -188,6 +194,7 @@
             Some("tracks") => Some(json!(self.tracked_flows)),
             Some("held") => Some(json!(self.held_requests)),
             Some("demand") => Some(json!(self.demand)),
+            Some("spill") => Some(json!(self.zone_spill)),
             Some("snapshot") => Some(self.dump_snapshot()),
             Some(_) => None,
         }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -197,6 +197,14 @@
     assert!(!format!("{settings:?}").contains(SECRET));
 }
 
+#[test]
+fn zone_cost_is_in_milliseconds() {
+    let default = parse_settings("LOG", "info").unwrap().zone_cost;
+    assert_eq!(default, Duration::from_millis(20));
+    let set = parse_settings("ZONE_COST", "35").unwrap().zone_cost;
+    assert_eq!(set, Duration::from_millis(35));
+}
+
 #[test]
 fn flags_override_the_environment() {
     let flags = Flags {
@@ -226,6 +234,8 @@
         ("KEY", "open-sesame"),
         ("OTHER_KEY", "open-sesame"),
         ("STATSD", "localhost"),
+        ("ZONE_COST", "20ms"),
+        ("ZONE_COST", "60001"),
         ("LOG", "loud"),
         ("LOG", "info,control=loud"),
     ];
@@ -252,6 +262,8 @@
     --key: the secret has fewer than 16 characters; generate one with `openssl rand -hex 32` and use it on all hosts
     --other-key: the secret has fewer than 16 characters; generate one with `openssl rand -hex 32` and use it on all hosts
     --statsd: `localhost` is not an address; use an IP address and a port, as in 127.0.0.1:9000
+    --zone-cost: `20ms` is not a number of milliseconds; use a whole number up to 60000, as in 20
+    --zone-cost: `60001` is not a number of milliseconds; use a whole number up to 60000, as in 20
     --log: `loud` is not a log level; use error, warn, info, debug or trace
     --log: `info,control=loud` is not a log level; use error, warn, info, debug or trace
     "#);
--- a/tests/regression/pause_after_clock_read.rs
+++ b/tests/regression/pause_after_clock_read.rs
@@ -81,6 +81,7 @@
         now
     });
     let shared = Arc::new(SharedState {
+        policies: Arc::new(jacinthhinge::systems::Policies::with_defaults()),
         snapshot: Arc::new(snapshot).into(),
     });
     let running_lane =
--- a/tests/relaying/load.rs
+++ b/tests/relaying/load.rs
@@ -5,7 +5,7 @@
 //! answer an opening at once, run as many requests as they have slots, queue eight and refuse
 //! the rest.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use jacinthhinge::control::message::Timestamp;
 use jacinthhinge::prelude::*;
@@ -77,6 +77,7 @@
     ask_at: Option<Duration>,
     asked_at: Option<Duration>,
     is_repeated: bool,
+    overruns: u32,
 }
 
 /// Totals over the requests of one kind.
@@ -88,6 +89,8 @@
     pub refused: u32,
     pub abandoned: u32,
     pub remote: u32,
+    /// Attempts that the endpoints refused because their queue was full.
+    pub overruns: u32,
 }
 
 impl Totals {
@@ -110,6 +113,8 @@
     pub servers: Vec<Server>,
     pub requests: Vec<Request>,
     pub routes: Vec<Route>,
+    /// Zones that operators have evacuated.
+    pub evacuated: BTreeSet<Name>,
     /// Lanes whose reports reach no other lane, and that get none.
     pub cut_off: Vec<usize>,
     /// True if callers leave the flow as soon as it is open, without a request.
@@ -161,6 +166,7 @@
             servers: servers.collect(),
             requests: Vec::new(),
             routes: routes.to_vec(),
+            evacuated: BTreeSet::new(),
             cut_off: Vec::new(),
             callers_leave: false,
             active: Vec::new(),
@@ -221,6 +227,7 @@
                     .collect(),
             );
             snapshot.hosts = Arc::clone(&hosts);
+            snapshot.evacuated_zones = Arc::new(self.evacuated.clone());
             snapshot.expected_hosts = u32::try_from(hosts.len()).expect("few");
             let is_heard = |other: usize| {
                 other != at && !self.cut_off.contains(&other) && !self.cut_off.contains(&at)
@@ -260,6 +267,7 @@
         };
         for request in self.requests.iter().filter(settled) {
             totals.sent += 1;
+            totals.overruns += request.overruns;
             match request.outcome {
                 Outcome::Answered(time) => {
                     totals.answered += 1;
@@ -316,6 +324,7 @@
             ask_at: None,
             asked_at: None,
             is_repeated: false,
+            overruns: 0,
         });
         self.active.push(id);
         self.start_attempt(id);
@@ -463,6 +472,7 @@
             } else if server.queue.len() < ENDPOINT_QUEUE {
                 server.queue.push_back(id);
             } else {
+                self.requests[id].overruns += 1;
                 self.fail_attempt(id, Outcome::Refused);
             }
         }
