--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Interval, MissedTickBehavior, interval};
+use tokio::time::{Interval, MissedTickBehavior, interval, sleep};
 
 use crate::clock::Clock;
 use crate::error::{Error, Result};
@@ -26,7 +26,7 @@
 use crate::report::LaneReport;
 use crate::segment::RelayAction;
 use crate::snapshot::Snapshot;
-use crate::systems::{self, BATCH_SIZE, TICK_INTERVAL};
+use crate::systems::{self, BATCH_SIZE, Policies, TICK_INTERVAL};
 use crate::tables::{Arrival, Counters, LatencyHistograms, Outbox, Tables};
 use crate::ticket::Home;
 use crate::wire;
@@ -34,6 +34,8 @@
 /// State that the control thread shares with the lanes.
 #[derive(Debug)]
 pub struct SharedState {
+    /// Policies of all lanes.
+    pub policies: Arc<Policies>,
     /// Current snapshot, replaced by the control thread.
     pub snapshot: ArcSwap<Snapshot>,
 }
@@ -119,6 +121,10 @@
 /// [`LaneStats`].
 const STATS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Longest time between two ticks while requests wait for capacity: callers learn of a refusal
+/// within a tenth of their target latency, which is at least 250 ms.
+const HELD_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Maximum number of batches that a stopping lane reads: more than fit into a socket's buffer.
 const MAX_LAST_BATCHES: usize = 256;
 
@@ -145,7 +151,8 @@
             .map_err(|e| Error::io("set the socket of a lane to non-blocking", e))?;
         let stats = Arc::new(LaneStats::default());
         let (commands, queue) = mpsc::channel(COMMAND_QUEUE_SIZE);
-        let tables = Tables::new(home, shared.snapshot.load_full(), seed);
+        let mut tables = Tables::new(home, shared.snapshot.load_full(), seed);
+        tables.policies = Arc::clone(&shared.policies);
         let lane_stats = Arc::clone(&stats);
         let histograms = tables.histograms.clone();
         let thread = std::thread::Builder::new()
@@ -236,6 +243,7 @@
             let timers_due = tokio::select! {
                 _ = self.socket.readable() => false,
                 _ = timer.tick() => true,
+                () = sleep(HELD_INTERVAL), if !self.tables.held_requests.is_empty() => false,
                 command = commands.recv() => match command {
                     None | Some(Command::Stop) => {
                         self.finish();
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -4,6 +4,8 @@
 //! segments are routed by their cookie, even if this lane has no state of the flow. The
 //! retransmissions and acknowledgements of callers show which endpoints answer.
 
+mod admission;
+pub mod capacity_share;
 mod eligibility;
 mod established;
 mod evidence;
@@ -17,6 +19,7 @@
 mod timeouts;
 pub(super) mod warmup;
 mod zone_evidence;
+pub mod zone_spill;
 
 use std::time::Duration;
 
@@ -35,16 +38,21 @@
             // is dropped, and the caller retransmits it.
             continue;
         }
-        if !overload_queue::queue_if_full(tables, &segment, now, out) {
-            process_segment(tables, &segment, now, out);
+        for ready in overload_queue::admit(tables, segment, now, out) {
+            process_segment(tables, &ready, now, out);
         }
     }
-    overload_queue::release_queued(tables, now, out);
+    while let Some(segment) = overload_queue::release_next(tables, now) {
+        process_segment(tables, &segment, now, out);
+    }
+    overload_queue::refuse_due(tables, now, out);
 }
 
 /// Forwards or refuses the segments that still wait for their service when the lane stops.
 pub(super) fn finish(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    overload_queue::release_all(tables, now, out);
+    for segment in overload_queue::take_all(tables) {
+        process_segment(tables, &segment, now, out);
+    }
 }
 
 fn process_segment(tables: &mut Tables, segment: &Segment, now: Duration, out: &mut Outbox) {
@@ -60,8 +68,10 @@
     failure_detector::run(tables, now, out);
     timeouts::run(tables, now);
     shared_health::run(tables, now, out);
+    capacity_share::run(tables, now);
     report::run(tables, now);
     overload_queue::run_timers(tables, now);
+    zone_spill::run(tables, now);
     for flow in tables.tracked_flows.expire(now) {
         uncount_flow(tables, &flow);
     }
--- a/src/systems/relay/report.rs
+++ b/src/systems/relay/report.rs
@@ -1,4 +1,4 @@
-//! Builds the report of this lane about the endpoints that it suspects, for other hosts.
+//! Builds the report of this lane for other hosts: the endpoints that it suspects, and its load.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,18 +26,20 @@
     }
     tables.shared_health.last_check = now;
     let rows = endpoint_rows(tables, now);
-    let is_empty = rows.is_empty();
-    if is_empty && tables.report.endpoints.is_empty() {
+    let has_rows = !rows.is_empty();
+    let services = tables.demand.reported.clone();
+    let is_empty = rows.is_empty() && services.is_empty();
+    if is_empty && tables.report.endpoints.is_empty() && tables.report.services.is_empty() {
         return;
     }
     let (used_endpoints, suspected_endpoints) = evidence::count_endpoints(tables, now);
     let report = LaneReport {
         taken_at: now,
         endpoints: rows,
-        services: tables.report.services.clone(),
+        services,
         used_endpoints,
         suspected_endpoints,
-        is_impaired: !is_empty && failure_detector::is_host_impaired(tables, now),
+        is_impaired: has_rows && failure_detector::is_host_impaired(tables, now),
     };
     let is_old = !is_empty && now >= tables.report.taken_at + REFRESH_PERIOD;
     if is_old || !report.has_same_content(&tables.report) {
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod cookies;
 mod counters;
+mod demand;
 mod ended_requests;
 mod endpoints;
 mod flows;
@@ -18,6 +19,7 @@
 mod timings;
 mod tracks;
 mod warmup;
+mod zone_spill;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,10 +31,11 @@
 pub use self::budget::{RETRY_BURST, RetryBudgets};
 pub use self::cookies::{CookieEndpoint, Cookies, cookie_of};
 pub use self::counters::Counters;
+pub use self::demand::{Demand, ServiceDemand};
 pub use self::ended_requests::ENDED_RETENTION;
 pub use self::endpoints::{DownState, EndpointRow, Endpoints, StalledFlow, Suspicion};
 pub use self::flows::{Flow, FlowState, Flows};
-pub use self::held::{HeldRequest, HeldRequests};
+pub use self::held::{HeldRequest, HeldRequests, Refusal, ReleaseHistory, ServiceLimit};
 pub use self::inbox::{Arrival, Stage, StageQueues};
 pub use self::recent::RecentCounts;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
@@ -40,6 +43,7 @@
 pub use self::timings::{LatencyHistograms, observe};
 pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
 pub use self::warmup::Warmups;
+pub use self::zone_spill::{SpillPlan, ZoneSpill};
 
 use crate::packet::{Body, Packet};
 use crate::report::LaneReport;
@@ -69,6 +73,10 @@
     pub held_requests: HeldRequests,
     /// Endpoints that warm up, if their service limits new flows to them.
     pub warmups: Warmups,
+    /// Demand for each service, and this lane's share of its capacity.
+    pub demand: Demand,
+    /// Shares of the new flows that leave the zone.
+    pub zone_spill: ZoneSpill,
     /// Recent answers and retransmissions of those flows.
     pub recent_counts: RecentCounts,
     /// Evidence of this lane about endpoints, for reports to other hosts.
@@ -119,6 +127,8 @@
             tracked_flows: TrackedFlows::default(),
             held_requests: HeldRequests::default(),
             warmups: Warmups::default(),
+            demand: Demand::default(),
+            zone_spill: ZoneSpill::default(),
             recent_counts: RecentCounts::default(),
             shared_health: SharedHealth::default(),
             report: Arc::default(),
@@ -185,6 +195,8 @@
                 "held": self.held_requests,
                 "health": self.shared_health,
                 "report": self.report,
+                "demand": self.demand,
+                "spill": self.zone_spill,
                 "snapshot": self.dump_snapshot(),
             })),
             Some("counters") => Some(json!(self.counters)),
@@ -195,6 +207,8 @@
             Some("held") => Some(json!(self.held_requests)),
             Some("health") => Some(json!(self.shared_health)),
             Some("report") => Some(json!(self.report)),
+            Some("demand") => Some(json!(self.demand)),
+            Some("spill") => Some(json!(self.zone_spill)),
             Some("snapshot") => Some(self.dump_snapshot()),
             Some(_) => None,
         }
--- a/tests/evacuation_capacity.rs
+++ b/tests/evacuation_capacity.rs
@@ -51,7 +51,13 @@
 fn evacuated_endpoints_are_no_capacity() {
     let mut harness = LaneHarness::new(&endpoints_in(&["a", "b"], 2));
     harness.advance(ms(50));
-    let limit = |harness: &LaneHarness| harness.tables.held_requests.capacity(service());
+    let limit = |harness: &LaneHarness| {
+        harness
+            .tables
+            .held_requests
+            .limit(service())
+            .map(|limit| limit.requests)
+    };
     let before = limit(&harness).expect("a limit");
     evacuate(&mut harness, &["a"]);
     harness.advance(ms(50));
