Show demand and capacity as metrics, and test a partition during a spill

The gauges demand, capacity and requests_waiting show a shortage before requests are refused. The harness of tests/zone_spill.rs can cut the endpoints of a zone off; a zone at 1.3 times its capacity answers more than 97% of its requests from 1.5 s after one of the two zones that it sends flows to is partitioned.

--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -43,6 +43,10 @@
 /// Counts that a lane publishes for other threads.
 #[derive(Debug, Default)]
 pub struct LaneStats {
+    /// Number of requests that wait for capacity.
+    pub waiting: AtomicUsize,
+    /// Requests that arrive in a second, and those that may be in progress, over all services.
+    pub load: ArcSwap<(f64, f64)>,
     /// Number of unfinished requests and unopened flows.
     pub in_flight: AtomicUsize,
     /// Number of open flows.
@@ -364,6 +368,17 @@
         self.stats
             .down_endpoints
             .store(down_endpoints.count(), Ordering::Relaxed);
+        let waiting = self.tables.held_requests.len();
+        self.stats.waiting.store(waiting, Ordering::Relaxed);
+        let services = self.tables.snapshot.services.keys();
+        let load = services.fold((0.0, 0.0), |(demand, capacity), service| {
+            let limit = self.tables.held_requests.limit(*service);
+            (
+                demand + self.tables.demand.get(*service).rate(now),
+                capacity + limit.unwrap_or_default().requests,
+            )
+        });
+        self.stats.load.store(Arc::new(load));
         self.stats.counters.store(Arc::new(self.tables.counters));
     }
 }
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -369,7 +369,11 @@
         .services
         .values()
         .map(|service| service.endpoints.len());
+    let loads = || lanes.iter().map(|lane| **lane.stats.load.load());
     let gauges = vec![
+        ("requests_waiting", sum(|lane| &lane.stats.waiting)),
+        ("demand", loads().map(|load| load.0).sum()),
+        ("capacity", loads().map(|load| load.1).sum()),
         ("flows", sum(|lane| &lane.stats.flows)),
         ("tracked_flows", sum(|lane| &lane.stats.tracked_flows)),
         ("endpoints_down", sum(|lane| &lane.stats.down_endpoints)),
--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -255,26 +255,35 @@
     let mut own_host = own_host.filter(|host| host.id == tables.home.host);
     let own_zone = own_host.next().map(|host| &host.availability_zone);
     let mut zones: BTreeMap<&Name, ZoneState> = BTreeMap::new();
+    let mut local_zone = None;
     for row in tables.endpoints.of_service(service) {
         let state = if row.spec.local {
+            local_zone = Some(&row.spec.zone);
             &mut input.own
         } else {
             zones.entry(&row.spec.zone).or_default()
         };
-        let (spill, zone) = (&tables.zone_spill, &row.spec.zone);
-        state.open_time = spill.open_time(zone, now);
-        state.answer_time = spill.answer_time(service, zone, now);
         if is_usable(tables, row, now) {
             state.slots += f64::from(row.spec.slots);
         }
     }
+    let spill = &tables.zone_spill;
+    let add_times = |zone: &Name, state: &mut ZoneState| {
+        state.open_time = spill.open_time(zone, now);
+        state.answer_time = spill.answer_time(service, zone, now);
+    };
+    if let Some(zone) = local_zone {
+        add_times(zone, &mut input.own);
+    }
     input.own.running = f64::from(tables.endpoints.own_requests(service));
     input.own.is_short = waiting > 0
         || demand
             .last_wait
             .is_some_and(|time| now < time + SHORTAGE_PERIOD);
-    let zones = zones.into_iter();
-    input.others = zones.map(|(zone, state)| (zone.clone(), state)).collect();
+    for (zone, mut state) in zones {
+        add_times(zone, &mut state);
+        input.others.push((zone.clone(), state));
+    }
     add_reports(tables, service, own_zone, &mut input, now);
     input
 }
--- a/tests/zone_spill.rs
+++ b/tests/zone_spill.rs
@@ -150,6 +150,22 @@
     assert!(to_zone("c") > 0);
 }
 
+/// Load: zone `a` gets 1.3 times its capacity, and zone `b` is partitioned while it takes flows of
+/// zone `a`. Guards against a spill that goes on into the partition.
+#[test]
+fn partition_ends_the_spill_into_it() {
+    let mut load = three_zones(SERVICE_TIME);
+    load.run(ms(2_000), &demands(0.4, 0.1, 0.1));
+    load.run(ms(4_000), &demands(1.3, 0.1, 0.1));
+    load.cut_off = vec![2, 3];
+    load.silent = vec!["b"];
+    let since = load.now() + ms(1_500);
+    load.run(ms(8_000), &demands(1.3, 0.1, 0.1));
+    let totals = totals_of(&load, since, "a");
+    assert!(totals.answered_share() > 0.97, "{totals:?}");
+    assert!(totals.remote > 0, "{totals:?}");
+}
+
 /// Load: zone `a` gets twice its capacity and zone `b` is evacuated. Guards against flows that are
 /// sent into an evacuated zone.
 #[test]
