--- a/src/systems/relay/admission.rs
+++ b/src/systems/relay/admission.rs
@@ -9,6 +9,8 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use crate::id::Id;
 use crate::segment::{FlowAddrs, RequestKind, Segment};
 use crate::tables::{HeldRequest, HeldRequests, ServiceLimit};
@@ -49,6 +51,9 @@
     of_rank: usize,
 }
 
+/// Numbers of expected retries, by rank and by whether their callers ask for more than their part.
+type Retries = SmallVec<[((u32, bool), usize); 8]>;
+
 /// Returns the position of a request in the order of release.
 pub(super) fn order_key(
     held: &HeldRequests,
@@ -115,16 +120,18 @@
     rows.sort_unstable_by_key(|row| (row.1.service, row.0));
     let mut due = Vec::new();
     let mut ahead = Ahead::default();
+    let mut retries = Retries::new();
     let mut last: Option<&HeldRequest> = None;
     for (_, waiting, limit) in rows {
         if last.is_none_or(|last| last.service != waiting.service) {
             ahead = Ahead::default();
+            retries = expected_retries(held, waiting.service);
         }
         if last.is_none_or(|last| last.rank != waiting.rank) {
             ahead.of_rank = 0;
         }
         last = Some(waiting);
-        let shortage = find_shortage(held, waiting, ahead, limit, now);
+        let shortage = find_shortage(held, waiting, ahead, &retries, limit, now);
         if let Some(shortage) = shortage.filter(|_| waiting.segment.is_opening()) {
             due.push((waiting.segment.addrs, shortage));
         } else {
@@ -143,6 +150,7 @@
 ) -> Option<Shortage> {
     let limit = held.limit(arriving.service)?;
     let own_key = order_key(held, arriving, limit, now);
+    let retries = expected_retries(held, arriving.service);
     let mut ahead = Ahead::default();
     for row in held.iter().filter(|row| row.service == arriving.service) {
         if order_key(held, row, limit, now) < own_key {
@@ -150,7 +158,7 @@
             ahead.of_rank += usize::from(row.rank == arriving.rank);
         }
     }
-    find_shortage(held, arriving, ahead, limit, now)
+    find_shortage(held, arriving, ahead, &retries, limit, now)
 }
 
 /// Returns how long ago the first copy of a segment was sent, as far as its count of copies
@@ -173,6 +181,19 @@
     }
 }
 
+/// Counts the refused openings of a service whose callers are expected to retry.
+fn expected_retries(held: &HeldRequests, service: Id) -> Retries {
+    let mut retries = Retries::new();
+    for refusal in held.refusals(service) {
+        let class = (refusal.rank, held.is_heavy(refusal.bucket));
+        match retries.iter_mut().find(|row| row.0 == class) {
+            Some(row) => row.1 += 1,
+            None => retries.push((class, 1)),
+        }
+    }
+    retries
+}
+
 /// Returns the reason why a request with `ahead` requests before it cannot be answered in time.
 ///
 /// Refused openings whose callers are expected to retry count as well, unless they would go after it.
@@ -182,6 +203,7 @@
     held: &HeldRequests,
     waiting: &HeldRequest,
     mut ahead: Ahead,
+    retries: &Retries,
     limit: ServiceLimit,
     now: Duration,
 ) -> Option<Shortage> {
@@ -189,10 +211,10 @@
         return None;
     }
     let own_class = (waiting.rank, held.is_heavy(waiting.bucket));
-    for refusal in held.refusals(waiting.service) {
-        if (refusal.rank, held.is_heavy(refusal.bucket)) <= own_class {
-            ahead.all += 1;
-            ahead.of_rank += usize::from(refusal.rank == waiting.rank);
+    for (class, count) in retries {
+        if *class <= own_class {
+            ahead.all += count;
+            ahead.of_rank += if class.0 == waiting.rank { *count } else { 0 };
         }
     }
     // A rank that is passed over gets every eighth release.
