Count only the time in slots against the free capacity of other zones

A request takes no slot while it is on its way to another zone, but its whole answer time counted against the free slots there.

--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -25,6 +25,10 @@
 /// Largest fall of a share in [`UPDATE_INTERVAL`].
 pub const MAX_FALL: f64 = 0.05;
 
+/// Smallest part of its answer time for which a request takes a slot, in case opening a flow was
+/// slow for another reason.
+const MIN_SLOT_SHARE: f64 = 0.5;
+
 /// Largest share: the rest of the flows measures how the own zone answers.
 const MAX_SHARE: f64 = 0.9;
 
@@ -149,7 +153,9 @@
         let best = decision.time_there.get_or_insert(their_time);
         *best = best.min(their_time);
         let allowed = free * SPARE_SHARE / input.spilling_hosts.max(1.0);
-        let part = allowed / (input.placed * answer_there).max(f64::MIN_POSITIVE);
+        // A request does not take a slot while it is on its way, which opening a flow measures.
+        let slot_time = (answer_there - open_there).max(answer_there * MIN_SLOT_SHARE);
+        let part = allowed / (input.placed * slot_time).max(f64::MIN_POSITIVE);
         if own.slots > 0.0 && their_time > own_time * (1.0 - MIN_GAIN) {
             slower.push((zone.clone(), allowed));
             max_slower += part;
