--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -7,8 +7,10 @@
 
 use jacinthhinge::prelude::*;
 use jacinthhinge::segment::RequestKind;
+use jacinthhinge::systems;
+use jacinthhinge::tables::Outbox;
 use relaying::load::{Demand, LoadTest, Outcome, route};
-use relaying::ms;
+use relaying::{LaneHarness, is_reset, local_endpoints, ms, opening_segment};
 
 const SERVICE_TIME: Duration = Duration::from_millis(40);
 const CAPACITY: f64 = 200.0;
@@ -210,3 +212,33 @@
         high.outcome
     );
 }
+
+/// Load: all capacity taken, and one opening that waits. Guards against a refusal later than a
+/// tenth of the target latency (25 ms) after it is due: with answers of 100 ms and a time-out of
+/// 1 s, after 900 ms.
+#[test]
+fn refusal_is_sent_soon_after_it_is_due() {
+    let mut harness = LaneHarness::new(&local_endpoints(2));
+    let number = harness.establish_flow(99);
+    harness.advance(ms(400));
+    harness.send_request(99, number);
+    harness.now += ms(100);
+    harness.acknowledge_answer(99, number);
+    harness.advance(ms(100));
+    for port in 1..=18 {
+        harness.receive(opening_segment(port, 0));
+    }
+    assert_eq!(harness.receive(opening_segment(30, 0)), []);
+    let start = harness.now;
+    let refused_at = (0..300).find_map(|_| {
+        harness.now += ms(5);
+        let mut out = Outbox::default();
+        systems::run(&mut harness.tables, harness.now, &mut out);
+        let mut actions = out.relay_actions.iter();
+        let is_refused = actions.any(|action| is_reset(action, 30));
+        is_refused.then(|| harness.now.saturating_sub(start))
+    });
+    let refused_at = refused_at.expect("a refusal");
+    assert!((ms(895)..=ms(925)).contains(&refused_at), "{refused_at:?}");
+    assert_eq!(harness.tables.counters.refused_capacity, 1);
+}
