--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -25,6 +25,10 @@
 /// Largest fall of a share in [`UPDATE_INTERVAL`].
 pub const MAX_FALL: f64 = 0.05;
 
+/// Smallest part of its answer time for which a request takes a slot, in case opening a flow was
+/// slow for another reason.
+const MIN_SLOT_SHARE: f64 = 0.5;
+
 /// Largest share: the rest of the flows measures how the own zone answers.
 const MAX_SHARE: f64 = 0.9;
 
@@ -149,7 +153,9 @@
         let best = decision.time_there.get_or_insert(their_time);
         *best = best.min(their_time);
         let allowed = free * SPARE_SHARE / input.spilling_hosts.max(1.0);
-        let part = allowed / (input.placed * answer_there).max(f64::MIN_POSITIVE);
+        // A request does not take a slot while it is on its way, which opening a flow measures.
+        let slot_time = (answer_there - open_there).max(answer_there * MIN_SLOT_SHARE);
+        let part = allowed / (input.placed * slot_time).max(f64::MIN_POSITIVE);
         if own.slots > 0.0 && their_time > own_time * (1.0 - MIN_GAIN) {
             slower.push((zone.clone(), allowed));
             max_slower += part;
@@ -255,26 +261,35 @@
     let mut own_host = own_host.filter(|host| host.id == tables.home.host);
     let own_zone = own_host.next().map(|host| &host.availability_zone);
     let mut zones: BTreeMap<&Name, ZoneState> = BTreeMap::new();
+    let mut local_zone = None;
     for row in tables.endpoints.of_service(service) {
         let state = if row.spec.local {
+            local_zone = Some(&row.spec.zone);
             &mut input.own
         } else {
             zones.entry(&row.spec.zone).or_default()
         };
-        let (spill, zone) = (&tables.zone_spill, &row.spec.zone);
-        state.open_time = spill.open_time(zone, now);
-        state.answer_time = spill.answer_time(service, zone, now);
         if is_usable(tables, row, now) {
             state.slots += f64::from(row.spec.slots);
         }
     }
+    let spill = &tables.zone_spill;
+    let add_times = |zone: &Name, state: &mut ZoneState| {
+        state.open_time = spill.open_time(zone, now);
+        state.answer_time = spill.answer_time(service, zone, now);
+    };
+    if let Some(zone) = local_zone {
+        add_times(zone, &mut input.own);
+    }
     input.own.running = f64::from(tables.endpoints.own_requests(service));
     input.own.is_short = waiting > 0
         || demand
             .last_wait
             .is_some_and(|time| now < time + SHORTAGE_PERIOD);
-    let zones = zones.into_iter();
-    input.others = zones.map(|(zone, state)| (zone.clone(), state)).collect();
+    for (zone, mut state) in zones {
+        add_times(zone, &mut state);
+        input.others.push((zone.clone(), state));
+    }
     add_reports(tables, service, own_zone, &mut input, now);
     input
 }
