Forget the requests in progress when a pause of the process ends

The copies that it read together after the pause looked like retransmissions, so the requests went on counting, their service was at its limit, and requests of other callers waited for 1.4 s and were dropped. Requests from before a pause no longer count.

--- a/examples/soak/hosts.rs
+++ b/examples/soak/hosts.rs
@@ -78,11 +78,33 @@
             bin: bin.to_owned(),
             checker,
         };
-        host.write_settings(seeds, store)?;
+        std::fs::write(&host.settings_file, host.settings_text(seeds, store))?;
         Ok(host)
     }
 
-    pub fn write_settings(&self, seeds: &[Ipv4Addr], store: SocketAddr) -> std::io::Result<()> {
+    /// Replaces the settings by valid ones.
+    pub async fn write_settings(
+        &self,
+        seeds: &[Ipv4Addr],
+        store: SocketAddr,
+    ) -> std::io::Result<()> {
+        self.write_file(self.settings_text(seeds, store)).await
+    }
+
+    /// Replaces the settings by an incomplete file, as an interrupted writer leaves it.
+    pub async fn truncate_settings(&self) -> std::io::Result<()> {
+        self.write_file("{\"NodeName\": ".to_owned()).await
+    }
+
+    /// Writes the settings file in another thread: closing a file that was truncated can wait for
+    /// the disk. That took 9.5 s beside running builds, in which the soak itself stood still.
+    async fn write_file(&self, text: String) -> std::io::Result<()> {
+        let file = self.settings_file.clone();
+        let written = tokio::task::spawn_blocking(move || std::fs::write(file, text));
+        written.await.map_err(std::io::Error::other)?
+    }
+
+    fn settings_text(&self, seeds: &[Ipv4Addr], store: SocketAddr) -> String {
         let at = |port| SocketAddr::from((self.spec.ip, port));
         let seeds: Vec<_> = seeds
             .iter()
@@ -94,12 +116,7 @@
             "Listen": {"DatagramAddr": at(LANE_PORT), "ReadyAddr": at(READY_PORT), "Control": at(CONTROL_PORT)},
             "Bounds": {"GraceS": GRACE_PERIOD.as_secs()}, "platform": {"Address": store},
         });
-        std::fs::write(&self.settings_file, settings.to_string())
-    }
-
-    /// Replaces the settings by an incomplete file, as an interrupted writer leaves it.
-    pub fn truncate_settings(&self) -> std::io::Result<()> {
-        std::fs::write(&self.settings_file, "{\"NodeName\": ")
+        settings.to_string()
     }
 
     pub fn start(&mut self) -> std::io::Result<()> {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -67,6 +67,11 @@
 /// Time for which a host's settings file is left invalid.
 const INVALID_SETTINGS_TIME: Duration = Duration::from_millis(200);
 
+/// Interval at which the soak checks whether it stood still, and the delay above which it reports
+/// that: callers retransmit after 200 ms.
+const PAUSE_CHECK_PERIOD: Duration = Duration::from_millis(50);
+const MAX_PAUSE: Duration = Duration::from_millis(200);
+
 /// Minimum share of requests that must be served in the measured period.
 const MIN_SERVED_SHARE: f64 = 0.98;
 
@@ -141,6 +146,24 @@
     })
 }
 
+/// Prints when the soak itself stood still: callers, endpoints and the store run in this process,
+/// so requests fail then without a fault of the hosts.
+async fn report_pauses() {
+    let started_at = Instant::now();
+    loop {
+        let due = Instant::now() + PAUSE_CHECK_PERIOD;
+        sleep_until(due).await;
+        let late = due.elapsed();
+        if late > MAX_PAUSE {
+            let at = started_at.elapsed().saturating_sub(STARTUP_TIME);
+            println!(
+                "{:6.1} s  the soak itself stood still for {late:?}",
+                at.as_secs_f64()
+            );
+        }
+    }
+}
+
 fn vips() -> [Vip; 3] {
     let addr = |last, port| SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, last), port);
     [
@@ -318,6 +341,7 @@
 
     /// Injects the faults and returns true if no guarantee was violated.
     async fn run(&mut self) -> std::io::Result<bool> {
+        tokio::spawn(report_pauses());
         sleep(STARTUP_TIME).await;
         let fault_time = Duration::from_secs(self.options.seconds);
         let started_at = Instant::now();
@@ -436,12 +460,12 @@
         let host = &self.hosts[host];
         // A signal ends a process whose program has not installed its handlers yet.
         sleep(EXEC_TIME).await;
-        if let Err(err) = host.truncate_settings() {
+        if let Err(err) = host.truncate_settings().await {
             println!("cannot write the settings of a host: {err}");
         }
         host.signal(Signal::HUP);
         sleep(INVALID_SETTINGS_TIME).await;
-        if let Err(err) = host.write_settings(&seeds, self.proxy_addr) {
+        if let Err(err) = host.write_settings(&seeds, self.proxy_addr).await {
             println!("cannot write the settings of a host: {err}");
         }
         host.signal(Signal::HUP);
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -22,6 +22,7 @@
 
 /// Processes the segments received in this tick.
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    timeouts::forget_before_pause(tables, now);
     for segment in std::mem::take(&mut tables.segments) {
         tables.counters.received_segments += 1;
         tables.tracked_flows.note_segment(now);
@@ -52,6 +53,7 @@
 
 /// Runs the parts that are driven by time alone.
 pub(super) fn run_timers(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    timeouts::forget_before_pause(tables, now);
     failure_detector::run(tables, now, out);
     timeouts::run(tables, now);
     overload_queue::run_timers(tables, now);
--- a/src/systems/relay/timeouts.rs
+++ b/src/systems/relay/timeouts.rs
@@ -58,6 +58,27 @@
     }
 }
 
+/// Stops counting the requests from before a pause of this process, if one has just ended.
+///
+/// Routers have moved their flows to other hosts meanwhile, so this host would not see that they
+/// are answered. Their copies, read together after the pause, would look like retransmissions.
+pub(super) fn forget_before_pause(tables: &mut Tables, now: Duration) {
+    if tables.last_resume != now || now.is_zero() {
+        return;
+    }
+    let pending = tables.tracked_flows.iter();
+    let pending: Vec<TrackedFlow> = pending
+        .filter(|flow| flow.state != TrackedState::Opening && flow.unanswered_since.is_some())
+        .cloned()
+        .collect();
+    for mut flow in pending {
+        remove_load(tables, &mut flow);
+        flow.unanswered_since = None;
+        flow.retransmissions = 0;
+        tables.tracked_flows.insert(flow);
+    }
+}
+
 /// Stops counting a request as load when its load time is over, and as in progress
 /// when it counts as answered.
 fn expire_request(tables: &mut Tables, flow: &mut TrackedFlow, now: Duration) {
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -36,6 +36,7 @@
 mod removed_after_restart;
 mod reopen_at_removed_endpoint;
 mod replayed_heartbeat;
+mod requests_before_pause;
 mod restored_store;
 mod resumed_host;
 mod retries_at_leaving_home;
