--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -51,10 +51,6 @@
 /// Largest window, as a multiple of the endpoint's slots.
 const MAX_WINDOW: f64 = 2.0;
 
-/// Largest number of random positions drawn for one choice. With two of three endpoints
-/// excluded, 4% of the choices still begin at one of them.
-const MAX_START_DRAWS: usize = 8;
-
 /// Largest number of endpoints asked for their load at once.
 const MAX_LOAD_REQUESTS: usize = 16;
 
@@ -156,7 +152,11 @@
     let limit = tuning.latency_share * route.target_latency.as_secs_f64();
     let is_allowed = |row: &EndpointRow| route.allows_region(&row.spec.region);
     let barred = warmup::barred_endpoints(tables, service, now);
-    pick_allowed(tables, &tuning, service, now, is_allowed, |row| {
+    let is_preferred = |row: &EndpointRow| match &preference {
+        Preference::Zone(zone) => row.spec.zone == *zone,
+        Preference::Unplanned | Preference::OwnZone => row.spec.local,
+    };
+    let usage_of = |row: &EndpointRow| {
         let is_barred = barred.binary_search(&row.spec.id).is_ok();
         if is_barred || tried.contains(&row.spec.id) || row.flow_count >= row.spec.max_conns {
             return None;
@@ -184,7 +184,16 @@
             used_share: used_share * slowness * zone_penalty,
             unit_share: unit_share * slowness * zone_penalty,
         })
-    })
+    };
+    pick_allowed(
+        tables,
+        &tuning,
+        service,
+        now,
+        is_allowed,
+        is_preferred,
+        usage_of,
+    )
 }
 
 /// Returns the zone whose endpoints are preferred for a relayed flow. A copy of an opening prefers
@@ -394,20 +403,23 @@
     now: Duration,
     usage_of: impl Fn(&EndpointRow) -> Option<Usage>,
 ) -> Option<Id> {
-    pick_allowed(tables, tuning, service, now, |_| true, usage_of)
+    pick_allowed(tables, tuning, service, now, |_| true, |_| true, usage_of)
 }
 
-/// Returns what [`pick_best`] does, but only of the endpoints that `is_allowed` accepts.
+/// Returns what [`pick_best`] does, but only of the endpoints that `is_allowed` accepts. Equal
+/// ones take turns among those that `is_preferred` accepts.
 fn pick_allowed(
     tables: &mut Tables,
     tuning: &Tuning,
     service: Id,
     now: Duration,
     is_allowed: impl Fn(&EndpointRow) -> bool,
+    is_preferred: impl Fn(&EndpointRow) -> bool,
     usage_of: impl Fn(&EndpointRow) -> Option<Usage>,
 ) -> Option<Id> {
-    let is_excluded = |row: &EndpointRow| row.evacuated || !is_allowed(row);
-    let start = random_start(tables, service, is_excluded);
+    let is_first =
+        |row: &EndpointRow| row.accepts_work(now) && is_allowed(row) && is_preferred(row);
+    let start = random_start(tables, service, is_first);
     let candidates = || {
         tables
             .endpoints
@@ -434,26 +446,26 @@
         .map(|candidate| candidate.id)
 }
 
-/// Returns a random start position among the endpoints of a service, if possible at one that
-/// is not excluded.
+/// Returns the position of a random endpoint of a service among those that `is_first` accepts, or
+/// among all if it accepts none.
 ///
-/// Otherwise the first endpoint after a group of excluded ones, which is often of the same
-/// zone each time, would get their share.
+/// A choice that began elsewhere would favour the first accepted endpoint after a group of others,
+/// which is the same one each time.
 fn random_start(
     tables: &mut Tables,
     service: Id,
-    is_excluded: impl Fn(&EndpointRow) -> bool,
+    is_first: impl Fn(&EndpointRow) -> bool,
 ) -> usize {
-    let count = tables.endpoints.count(service).max(1);
-    let mut start = tables.rng.random_range(0..count);
-    for _ in 1..MAX_START_DRAWS {
-        let first = tables.endpoints.of_service_from(service, start).next();
-        if !first.is_some_and(&is_excluded) {
-            break;
-        }
-        start = tables.rng.random_range(0..count);
+    let rows = tables.endpoints.of_service(service);
+    let count = rows.filter(|row| is_first(row)).count();
+    if count == 0 {
+        let count = tables.endpoints.count(service).max(1);
+        return tables.rng.random_range(0..count);
     }
-    start
+    let skipped = tables.rng.random_range(0..count);
+    let rows = tables.endpoints.of_service(service).enumerate();
+    let mut accepted = rows.filter(|(_, row)| is_first(row));
+    accepted.nth(skipped).map_or(0, |(position, _)| position)
 }
 
 /// Returns the score of an endpoint, which is lower the more load it should get.
@@ -523,7 +535,7 @@
 
 /// Requests new load reports from some endpoints of a service whose reports are old.
 pub(super) fn refresh_loads(tables: &mut Tables, service: Id, now: Duration, out: &mut Outbox) {
-    let start = random_start(tables, service, |_| false);
+    let start = random_start(tables, service, |_| true);
     let old: SmallVec<[Id; 16]> = tables
         .endpoints
         .of_service_from(service, start)
