Report the slots that requests keep busy, not the requests that count as in progress

Cause: with one zone at ten times its load, hosts refused openings while the other zones were idle. A request whose answer is not acknowledged counts as in progress for three mean answer times, so that idle zones looked half full; and the limit of a host added the slots that it may use elsewhere without the requests that each slot may hold.

Change: `ServiceReport::busy_slots` is the rate of requests times the time for which one takes a slot, at most the requests in progress. The limit counts the slots elsewhere like those of the own zone.

--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -274,7 +274,7 @@
     {
         Some(sum) => {
             sum.demand += service.demand;
-            sum.running = sum.running.saturating_add(service.running);
+            sum.busy_slots += service.busy_slots;
             sum.waiting = sum.waiting.saturating_add(service.waiting);
         }
         None => services.push(*service),
--- a/src/report.rs
+++ b/src/report.rs
@@ -65,8 +65,9 @@
     pub service: Id,
     /// New requests a second, as a moving average.
     pub demand: f64,
-    /// Requests in progress.
-    pub running: u32,
+    /// Slots that its requests keep busy.
+    #[serde(rename = "busy")]
+    pub busy_slots: f64,
     /// Requests that wait for room.
     pub waiting: u32,
 }
--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -263,7 +263,8 @@
     let (_, zone_hosts) = tables.snapshot.zone_of(tables.home.host);
     let zone_share = local_slots * requests_per_slot * demand.zone_factor / f64::from(zone_hosts);
     let plan = tables.zone_spill.plan(service);
-    let remote: f64 = plan.map_or(0.0, |plan| plan.zones.iter().map(|row| row.1).sum());
+    let remote_slots: f64 = plan.map_or(0.0, |plan| plan.zones.iter().map(|row| row.1).sum());
+    let remote = remote_slots * requests_per_slot;
     let reachable = even_share.max(zone_share + remote);
     let limit = (even_share * demand.share_factor).min(reachable);
     // At least one request, or the lanes of a large group of hosts would send none.
--- a/src/systems/relay/capacity_share.rs
+++ b/src/systems/relay/capacity_share.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use super::busy_slots::busy_slots;
 use crate::id::{Id, Name};
 use crate::report::ServiceReport;
 use crate::tables::Tables;
@@ -145,7 +146,7 @@
     let reported = ServiceReport {
         service,
         demand: demand.rate(now),
-        running: tables.endpoints.own_requests(service),
+        busy_slots: busy_slots(tables, service, now),
         // A host that lacks capacity has at least one request waiting now or a moment ago.
         waiting: u32::try_from(waiting)
             .unwrap_or(u32::MAX)
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -5,6 +5,7 @@
 //! retransmissions and acknowledgements of callers show which endpoints answer.
 
 mod admission;
+mod busy_slots;
 pub mod capacity_share;
 mod eligibility;
 mod established;
--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -10,6 +10,7 @@
 
 use smallvec::SmallVec;
 
+use super::busy_slots::{busy_slots, slot_time};
 use super::capacity_share::MAX_REPORT_AGE;
 use crate::clock::millis;
 use crate::id::{Id, Name};
@@ -25,10 +26,6 @@
 /// Largest fall of a share in [`UPDATE_INTERVAL`].
 pub const MAX_FALL: f64 = 0.05;
 
-/// Smallest part of its answer time for which a request takes a slot, in case opening a flow was
-/// slow for another reason.
-const MIN_SLOT_SHARE: f64 = 0.5;
-
 /// Largest share: the rest of the flows measures how the own zone answers.
 const MAX_SHARE: f64 = 0.9;
 
@@ -66,7 +63,7 @@
 pub struct ZoneState {
     /// Slots of the endpoints that may get flows.
     pub slots: f64,
-    /// Requests in progress of the hosts there, whatever the zone of their endpoints.
+    /// Slots that the requests of the hosts there keep busy, whatever the zone of their endpoints.
     pub running: f64,
     /// True if requests wait for capacity there.
     pub is_short: bool,
@@ -153,8 +150,7 @@
         let best = decision.time_there.get_or_insert(their_time);
         *best = best.min(their_time);
         let allowed = free * SPARE_SHARE / input.spilling_hosts.max(1.0);
-        // A request does not take a slot while it is on its way, which opening a flow measures.
-        let slot_time = (answer_there - open_there).max(answer_there * MIN_SLOT_SHARE);
+        let slot_time = slot_time(answer_there, open_there);
         let part = allowed / (input.placed * slot_time).max(f64::MIN_POSITIVE);
         if own.slots > 0.0 && their_time > own_time * (1.0 - MIN_GAIN) {
             slower.push((zone.clone(), allowed));
@@ -281,7 +277,7 @@
     if let Some(zone) = local_zone {
         add_times(zone, &mut input.own);
     }
-    input.own.running = f64::from(tables.endpoints.own_requests(service));
+    input.own.running = busy_slots(tables, service, now);
     input.own.is_short = waiting > 0
         || demand
             .last_wait
@@ -312,7 +308,7 @@
             .filter(|host: &&Host| host.availability_zone == *zone)
             .count()
     };
-    let mut reported: BTreeMap<&Name, (u32, bool)> = BTreeMap::new();
+    let mut reported: BTreeMap<&Name, (f64, bool)> = BTreeMap::new();
     for host in tables.snapshot.reports.iter() {
         let mut rows = host.report.services.iter();
         let Some(row) = rows.find(|row| row.service == service) else {
@@ -322,7 +318,7 @@
             continue;
         }
         let zone = reported.entry(&host.zone).or_default();
-        zone.0 = zone.0.saturating_add(row.running);
+        zone.0 += row.busy_slots;
         zone.1 |= row.waiting > 0;
         if row.waiting > 0 {
             input.spilling_hosts += 1.0;
@@ -338,12 +334,12 @@
         return;
     }
     if let Some((running, _)) = own_zone.and_then(|zone| reported.get(zone)) {
-        input.own.running += f64::from(*running);
+        input.own.running += running;
     }
     for (zone, state) in &mut input.others {
         match reported.get(zone) {
             Some((running, is_short)) => {
-                state.running += f64::from(*running);
+                state.running += running;
                 state.is_short = *is_short;
             }
             None if hosts_in(zone) > 0 => state.is_short = true,
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -53,8 +53,8 @@
     id: u64,
     #[prost(float, tag = "2")]
     demand: f32,
-    #[prost(uint32, tag = "3")]
-    running: u32,
+    #[prost(float, tag = "3")]
+    busy: f32,
     #[prost(uint32, tag = "4")]
     waiting: u32,
 }
@@ -134,19 +134,20 @@
     WireService {
         id: row.service.0,
         demand: row.demand as f32,
-        running: row.running,
+        busy: row.busy_slots as f32,
         waiting: row.waiting,
     }
 }
 
 fn decode_service(wire: &WireService) -> Result<ServiceReport> {
-    if !wire.demand.is_finite() || wire.demand < 0.0 {
-        return Err(Error::malformed("demand in a report"));
+    let is_valid = |number: f32| number.is_finite() && number >= 0.0;
+    if !is_valid(wire.demand) || !is_valid(wire.busy) {
+        return Err(Error::malformed("load in a report"));
     }
     Ok(ServiceReport {
         service: Id(wire.id),
         demand: wire.demand.into(),
-        running: wire.running,
+        busy_slots: wire.busy.into(),
         waiting: wire.waiting,
     })
 }
--- a/tests/decoding.rs
+++ b/tests/decoding.rs
@@ -253,7 +253,7 @@
             services: vec![ServiceReport {
                 service: Id::of("adserve"),
                 demand: 1.5,
-                running: 2,
+                busy_slots: 2.0,
                 waiting: 3,
             }],
             used_endpoints: 150,
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -101,7 +101,7 @@
         services: vec![ServiceReport {
             service: Id(5),
             demand: 2.5,
-            running: 3,
+            busy_slots: 3.0,
             waiting: 1,
         }],
         ..LaneReport::default()
@@ -333,7 +333,7 @@
     let service = |number: u64| ServiceReport {
         service: Id(u64::MAX - number),
         demand: 1e9,
-        running: u32::MAX,
+        busy_slots: 1e9,
         waiting: u32::MAX,
     };
     let update = |info: Option<HostInfo>| MemberUpdate {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -205,14 +205,13 @@
 }
 
 fn lane_report() -> impl Strategy<Value = LaneReport> {
-    let service = any::<(u64, u16, u32, u32)>().prop_map(|(service, demand, running, waiting)| {
-        ServiceReport {
+    let service =
+        any::<(u64, u16, u16, u32)>().prop_map(|(service, demand, busy, waiting)| ServiceReport {
             service: Id(service),
             demand: demand.into(),
-            running,
+            busy_slots: busy.into(),
             waiting,
-        }
-    });
+        });
     let rows = (vec(endpoint_report(), 0..=MAX_ROWS), vec(service, 0..=8));
     (rows, any::<(u32, u32, bool)>()).prop_map(
         |((endpoints, services), (used, suspected, impaired))| LaneReport {
