Count a zone as full only if a third of its hosts have waiting requests

Cause: one host with a waiting request made its whole zone count as full for the others.

Change: the share of hosts with waiting requests decides. The own zone is judged by requests in progress, as before the reports of busy slots; a slot in another zone allows for two requests in progress, since more overran the queues of the own zone's endpoints in tests/zone_spill.rs.

--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -72,6 +72,10 @@
 /// endpoints in other zones by this factor.
 const REMOTE_PENALTY: f64 = 1.5;
 
+/// Requests in progress for each slot that this host may use in another zone: one that runs and one
+/// that is on its way.
+const REMOTE_DEPTH: f64 = 2.0;
+
 /// Share of its normal load that an endpoint gets while it reports that it is warming up.
 const WARMUP_SHARE: f64 = 0.5;
 
@@ -264,7 +268,7 @@
     let zone_share = local_slots * requests_per_slot * demand.zone_factor / f64::from(zone_hosts);
     let plan = tables.zone_spill.plan(service);
     let remote_slots: f64 = plan.map_or(0.0, |plan| plan.zones.iter().map(|row| row.1).sum());
-    let remote = remote_slots * requests_per_slot;
+    let remote = remote_slots * REMOTE_DEPTH;
     let reachable = even_share.max(zone_share + remote);
     let limit = (even_share * demand.share_factor).min(reachable);
     // At least one request, or the lanes of a large group of hosts would send none.
--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -10,7 +10,7 @@
 
 use smallvec::SmallVec;
 
-use super::busy_slots::{busy_slots, slot_time};
+use super::busy_slots::slot_time;
 use super::capacity_share::MAX_REPORT_AGE;
 use crate::clock::millis;
 use crate::id::{Id, Name};
@@ -48,6 +48,10 @@
 /// callers, whose demand may rise before this is reported.
 const SPARE_SHARE: f64 = 0.5;
 
+/// Share of a zone's hosts with waiting requests from which on the zone counts as full. Requests
+/// wait at single hosts now and then although their zone has free slots.
+const MIN_WAITING_SHARE: f64 = 1.0 / 3.0;
+
 /// Time for which the own zone counts as short after a request had to wait.
 const SHORTAGE_PERIOD: Duration = Duration::from_millis(500);
 
@@ -277,7 +281,7 @@
     if let Some(zone) = local_zone {
         add_times(zone, &mut input.own);
     }
-    input.own.running = busy_slots(tables, service, now);
+    input.own.running = f64::from(tables.endpoints.own_requests(service));
     input.own.is_short = waiting > 0
         || demand
             .last_wait
@@ -290,6 +294,20 @@
     input
 }
 
+/// What the hosts of a zone report about a service.
+#[derive(Default)]
+struct ZoneReport {
+    busy_slots: f64,
+    hosts: u32,
+    waiting_hosts: u32,
+}
+
+impl ZoneReport {
+    fn is_short(&self) -> bool {
+        f64::from(self.waiting_hosts) >= MIN_WAITING_SHARE * f64::from(self.hosts)
+    }
+}
+
 /// Adds what other hosts report about the service.
 ///
 /// A zone with live hosts of which none has reported, while others have, may be cut off and
@@ -308,7 +326,7 @@
             .filter(|host: &&Host| host.availability_zone == *zone)
             .count()
     };
-    let mut reported: BTreeMap<&Name, (f64, bool)> = BTreeMap::new();
+    let mut reported: BTreeMap<&Name, ZoneReport> = BTreeMap::new();
     for host in tables.snapshot.reports.iter() {
         let mut rows = host.report.services.iter();
         let Some(row) = rows.find(|row| row.service == service) else {
@@ -318,9 +336,10 @@
             continue;
         }
         let zone = reported.entry(&host.zone).or_default();
-        zone.0 += row.busy_slots;
-        zone.1 |= row.waiting > 0;
+        zone.busy_slots += row.busy_slots;
+        zone.hosts += 1;
         if row.waiting > 0 {
+            zone.waiting_hosts += 1;
             input.spilling_hosts += 1.0;
         }
     }
@@ -333,14 +352,14 @@
         input.spilling_hosts = zone_hosts;
         return;
     }
-    if let Some((running, _)) = own_zone.and_then(|zone| reported.get(zone)) {
-        input.own.running += running;
+    if let Some(report) = own_zone.and_then(|zone| reported.get(zone)) {
+        input.own.running += report.busy_slots;
     }
     for (zone, state) in &mut input.others {
         match reported.get(zone) {
-            Some((running, is_short)) => {
-                state.running += running;
-                state.is_short = *is_short;
+            Some(report) => {
+                state.running += report.busy_slots;
+                state.is_short = report.is_short();
             }
             None if hosts_in(zone) > 0 => state.is_short = true,
             None => {}
