--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -20,10 +20,10 @@
 /// Interval between two updates of the shares.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Largest rise of a share in [`UPDATE_INTERVAL`].
+/// Largest rise of a share in 100 ms.
 pub const MAX_RISE: f64 = 0.1;
 
-/// Largest fall of a share in [`UPDATE_INTERVAL`].
+/// Largest fall of a share in 100 ms.
 pub const MAX_FALL: f64 = 0.05;
 
 /// Largest share: the rest of the flows measures how the own zone answers.
