Use the fleet's defaults and the keys that operators publish

Cause: each published value is checked on its own, and the fleet and the keys were checked like a whole configuration, which needs a service. Hosts with the project's own configuration refused both and went on without them.

Change: a section that is no service is read alone.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -171,7 +171,23 @@
                 Error::config(key, err.to_string(), remedy)
             });
         }
-        Self::from_values([(key, text)]).map(drop)
+        match parse_key(key) {
+            Some(Section::TopLevel(name)) => Self::check_section(name, text),
+            _ => Self::from_values([(key, text)]).map(drop),
+        }
+    }
+
+    /// Checks a section without the services that it applies to.
+    fn check_section(name: &str, text: &str) -> Result<()> {
+        let mut faults = Faults::new(PLATFORM, HashMap::new());
+        if let Ok(value) = serde_json::from_str(text) {
+            let root = Map::from_iter([(name.to_owned(), value)]);
+            read::read_config(&Value::Object(root), &mut faults);
+        } else {
+            let remedy = "publish values that `jacinthhinge check` accepts";
+            faults.add(name, "the value is not JSON", remedy);
+        }
+        faults.into_result()
     }
 
     /// Returns the values for the platform, as pairs of a key and a JSON value.
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -17,6 +17,7 @@
 mod cancel_after_restart;
 mod deadline_outlives_record;
 mod duplicate_probe_answer;
+mod fleet_value;
 mod former_home_closes_flows;
 mod held_removal;
 mod ignored_readers;
