--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use super::{admit, dispatch, placement, retry};
+use super::{admit, dispatch, placement, relay, retry};
 use crate::id::Id;
 use crate::packet::Class;
 use crate::segment::Route;
@@ -135,11 +135,11 @@
                 placement::place_flow(tables, &tuning, service, refused, now)
             }),
             place_relayed: Box::new(move |tables, service, route, tried, now| {
-                placement::place_relayed(tables, &tuning, service, route, tried, now)
+                relay::placement::place_relayed(tables, &tuning, service, route, tried, now)
             }),
             zone_cost: tuning.zone_cost,
             relay_limit: Box::new(move |tables, service, now| {
-                placement::relay_limit(tables, &tuning, service, now)
+                relay::placement::relay_limit(tables, &tuning, service, now)
             }),
             place_request: Box::new(move |tables, service, class, now| {
                 placement::place_request(tables, &tuning, service, class, now)
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -15,6 +15,7 @@
 mod liveness;
 mod open;
 mod overload_queue;
+pub(super) mod placement;
 mod report;
 mod shared_health;
 mod timeouts;
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -10,8 +10,9 @@
 use rand::RngExt;
 use smallvec::SmallVec;
 
-use super::super::placement::{has_local_endpoint, is_unresponsive};
+use super::super::placement::is_unresponsive;
 use super::eligibility::{is_excluded, refusal_cause};
+use super::placement::has_local_endpoint;
 use super::{
     add_load, count_flow, evidence, forward, reset_flow, shared_health, uncount_flow, warmup,
 };
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -11,9 +11,9 @@
 
 use smallvec::{SmallVec, smallvec};
 
-use super::super::placement::mean_answer_time;
 use super::admission::{self, Shortage};
 use super::eligibility::is_exempt_from_limit;
+use super::placement::mean_answer_time;
 use super::warmup;
 use crate::clock::millis;
 use crate::id::Id;
