Let at most an eighth of the releases exceed the limit for requests whose time is nearly over

Cause: under a real shortage every request on an open flow that had waited for almost all of its time was passed on beyond the limit. Late answers took the capacity of requests that were still in time, and of the route of the highest priority, whose openings waited while the limit was exceeded.

Change: such requests are at most one of eight releases. The others are dropped when their callers have given up, and counted as abandoned.

--- a/src/systems/relay/admission.rs
+++ b/src/systems/relay/admission.rs
@@ -99,11 +99,18 @@
 
 /// Returns the flow of a request on an open flow that has waited for almost all of its time. It
 /// is passed on whatever the limit, because an open flow is not reset to save capacity.
+///
+/// At most one of [`AGING_INTERVAL`] releases is such a request: its answer comes late at best, and
+/// more of them would take the capacity from requests that can still be answered in time.
 pub(super) fn next_overdue(held: &HeldRequests, now: Duration) -> Option<FlowAddrs> {
     let is_overdue = |waiting: &&HeldRequest| {
         let limit = held.limit(waiting.service).unwrap_or_default();
         let answer_time = Duration::from_secs_f64(limit.answer_time);
-        !waiting.segment.is_opening() && now + answer_time + RELEASE_MARGIN >= give_up_time(waiting)
+        let history = held.releases(waiting.service);
+        let may_pass =
+            history.is_none_or(|history| history.overdue * AGING_INTERVAL <= history.count);
+        let is_late = now + answer_time + RELEASE_MARGIN >= give_up_time(waiting);
+        !waiting.segment.is_opening() && may_pass && is_late
     };
     let overdue = held.iter().find(is_overdue)?;
     Some(overdue.segment.addrs)
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -92,12 +92,13 @@
     let may_go = |waiting: &HeldRequest| {
         !is_at_limit(tables, waiting.service) || is_exempt_from_limit(tables, &waiting.segment, now)
     };
-    let addrs = admission::next_overdue(held, now)
-        .or_else(|| admission::next_release(held, may_go, now))?;
+    let overdue = admission::next_overdue(held, now);
+    let is_overdue = overdue.is_some();
+    let addrs = overdue.or_else(|| admission::next_release(held, may_go, now))?;
     let waiting = tables.held_requests.remove(&addrs)?;
     tables
         .held_requests
-        .note_release(waiting.service, waiting.rank, now);
+        .note_release(waiting.service, waiting.rank, is_overdue, now);
     log::info!(
         caller:% = addrs.caller, front:% = addrs.vip, rank = waiting.rank,
         waited_ms = millis(now.saturating_sub(waiting.arrived));
@@ -127,7 +128,7 @@
     }
 }
 
-/// Updates the limit of each service, and drops openings that their callers have abandoned.
+/// Updates the limit of each service, and drops requests that their callers have abandoned.
 pub(super) fn run_timers(tables: &mut Tables, now: Duration) {
     let policies = Arc::clone(&tables.policies);
     let services: Vec<Id> = tables.snapshot.services.keys().copied().collect();
@@ -140,7 +141,6 @@
     tables.held_requests.forget_refusals(now);
     let rows = tables.held_requests.iter();
     let abandoned: Vec<FlowAddrs> = rows
-        .filter(|waiting| waiting.segment.is_opening())
         .filter(|waiting| now >= admission::give_up_time(waiting))
         .map(|waiting| waiting.segment.addrs)
         .collect();
--- a/src/tables/held.rs
+++ b/src/tables/held.rs
@@ -75,6 +75,8 @@
 pub struct ReleaseHistory {
     /// Number of requests released.
     pub count: u64,
+    /// Number of those that were released beyond the limit, since their time was nearly over.
+    pub overdue: u64,
     /// Time from which each rank has waited without a release.
     pub unserved_since: HashMap<u32, Duration>,
 }
@@ -160,11 +162,12 @@
     }
 
     /// Records that a request was released, after it was removed.
-    pub fn note_release(&mut self, service: Id, rank: u32, now: Duration) {
+    pub fn note_release(&mut self, service: Id, rank: u32, is_overdue: bool, now: Duration) {
         let mut rows = self.rows.values();
         let others_wait = rows.any(|row| row.service == service && row.rank == rank);
         let history = self.releases.entry(service).or_default();
         history.count += 1;
+        history.overdue += u64::from(is_overdue);
         if others_wait {
             history.unserved_since.insert(rank, now);
         } else {
