Declare no endpoint down while its service lacks capacity

Cause: under a real shortage endpoints with full queues answered so late that flows were retransmitted twice, and hosts declared them down by their own evidence and reset flows.

Change: own evidence against a single endpoint declares nothing down while requests of its service have waited at two hosts or more, and for 2 s after that, as reports already did.

--- a/src/systems/relay/capacity_share.rs
+++ b/src/systems/relay/capacity_share.rs
@@ -10,7 +10,7 @@
 
 use super::busy_slots::busy_slots;
 use crate::id::{Id, Name};
-use crate::report::ServiceReport;
+use crate::report::{HostReport, ServiceReport};
 use crate::tables::Tables;
 
 /// Age from which a report does not count.
@@ -41,6 +41,13 @@
 /// still holds; less than the interval between two heartbeats.
 const REFRESH_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time after a shortage of capacity for which silence proves nothing: longer than the evidence that
+/// it causes counts after the last retransmission.
+const SHORTAGE_TIME: Duration = Duration::from_secs(2);
+
+/// Minimum number of hosts at which requests have waited in that case.
+const MIN_SHORT_HOSTS: usize = 2;
+
 /// Demand that another host reported.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportedDemand {
@@ -84,6 +91,25 @@
     reports
 }
 
+/// Returns true if requests of a service have waited for capacity at several hosts, this one
+/// included.
+///
+/// Endpoints with full queues then answer late, which hosts may take for silence. At one
+/// host alone the silent endpoint itself may be the cause.
+pub(super) fn lacks_capacity(tables: &Tables, service: Id, now: Duration) -> bool {
+    let demand = tables.demand.get(service);
+    let is_recent = |at: Option<Duration>| at.is_some_and(|at| now < at + SHORTAGE_TIME);
+    let waits_elsewhere = |host: &HostReport| {
+        let mut rows = host.report.services.iter();
+        now < host.taken_at + SHORTAGE_TIME
+            && rows.any(|row| row.service == service && row.waiting > 0)
+    };
+    let waits_here = is_recent(demand.last_wait) || is_recent(demand.last_shortage);
+    let others = tables.snapshot.reports.iter();
+    let others = others.filter(|host| waits_elsewhere(host)).count();
+    others + usize::from(waits_here) >= MIN_SHORT_HOSTS
+}
+
 /// Returns the share that is due to this host, relative to an even split among `hosts` hosts.
 ///
 /// `own` is the demand of this host, and `others` are the demands of those that have reported.
--- a/src/systems/relay/failure_detector.rs
+++ b/src/systems/relay/failure_detector.rs
@@ -20,6 +20,9 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
+use super::capacity_share::lacks_capacity;
 use super::{is_idempotent, reset_down_flow, uncount_flow, zone_evidence};
 use crate::clock::millis;
 use crate::id::Id;
@@ -105,11 +108,19 @@
     stalled >= MIN_LOCAL_ENDPOINTS && ratio(stalled, total) >= MIN_LOCAL_SHARE
 }
 
-/// Marks single endpoints as down and returns them.
+/// Marks single endpoints as down and returns them, except those of services that lack capacity:
+/// with full queues they answer late although they are alive.
 fn detect_down_endpoints(tables: &mut Tables, now: Duration) -> Vec<Id> {
     let answers = last_two_answering(tables);
+    let services = tables.snapshot.services.keys().copied();
+    let short: SmallVec<[Id; 4]> = services
+        .filter(|service| lacks_capacity(tables, *service, now))
+        .collect();
     let mut down_ids = Vec::new();
     for row in tables.endpoints.iter_mut() {
+        if short.contains(&row.service) {
+            continue;
+        }
         let others = answers.iter().filter(|(id, _)| *id != row.spec.id);
         let others_answer = others
             .map(|(_, time)| *time)
--- a/src/systems/relay/shared_health.rs
+++ b/src/systems/relay/shared_health.rs
@@ -9,6 +9,7 @@
 
 use smallvec::SmallVec;
 
+use super::capacity_share::lacks_capacity;
 use super::evidence::{self, OwnEvidence};
 use super::findings::{self, Finding, Observation, OwnState};
 use super::{is_idempotent, reset_down_flow, uncount_flow};
@@ -44,13 +45,6 @@
 /// a lane's report period and a delay.
 const CONFIRM_TIME: Duration = Duration::from_millis(150);
 
-/// Time after a shortage of capacity for which reports alone confirm nothing: longer than the
-/// evidence that it causes counts after the last retransmission.
-const SHORTAGE_TIME: Duration = Duration::from_secs(2);
-
-/// Minimum number of hosts at which requests have waited in that case.
-const MIN_SHORT_HOSTS: usize = 2;
-
 /// Updates suspicions, marks endpoints as down or up, and resets flows that wait for them.
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
     let has_rows = |report: &HostReport| !report.report.endpoints.is_empty();
@@ -193,25 +187,6 @@
     has_quorum && now >= quorum_since + CONFIRM_TIME && mark_down(tables, id, now)
 }
 
-/// Returns true if requests of a service have waited for capacity at several hosts, this one
-/// included.
-///
-/// Endpoints with full queues then answer late, which several hosts may take for silence. At one
-/// host alone the silent endpoint itself may be the cause.
-fn lacks_capacity(tables: &Tables, service: Id, now: Duration) -> bool {
-    let demand = tables.demand.get(service);
-    let is_recent = |at: Option<Duration>| at.is_some_and(|at| now < at + SHORTAGE_TIME);
-    let waits_elsewhere = |host: &HostReport| {
-        let mut rows = host.report.services.iter();
-        now < host.taken_at + SHORTAGE_TIME
-            && rows.any(|row| row.service == service && row.waiting > 0)
-    };
-    let waits_here = is_recent(demand.last_wait) || is_recent(demand.last_shortage);
-    let others = tables.snapshot.reports.iter();
-    let others = others.filter(|host| waits_elsewhere(host)).count();
-    others + usize::from(waits_here) >= MIN_SHORT_HOSTS
-}
-
 fn count_evidence(others: &[&Observation], own_counts: bool, own: OwnEvidence) -> u32 {
     let own = if own_counts { own.count() } else { 0 };
     let counts = others.iter().map(|seen| seen.evidence);
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -19,6 +19,7 @@
 mod duplicate_probe_answer;
 mod fleet_value;
 mod former_home_closes_flows;
+mod full_queues;
 mod held_removal;
 mod ignored_readers;
 mod late_response_copy;
