Apply configuration changes in place and carry values across zones once

In a large group most hosts heard of a change from another zone first and fetched it there. Change: values are merged in place and restored if they are refused; a lane whose endpoints are the same updates their properties; cookies change only where endpoints do.

--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -10,10 +10,10 @@
 use super::heartbeat::HEARTBEAT_PERIOD;
 use super::message::{FetchRequest, FetchResponse, MemberUpdate, Status, ValueChange, ValueUpdate};
 use super::tables::{Member, Tables};
-use super::{Action, Outbox, apply, members, readers, removals, voters};
+use super::{Action, Outbox, apply, members, readers, removals, voters, zone_fetch};
 use crate::clock::millis;
 use crate::error::Result;
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::revision::Revision;
 
 /// Time after which a fetch without a response is abandoned.
@@ -44,6 +44,7 @@
 pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     let views_differ = compare_views(tables, now);
     compare_revisions(tables, now);
+    zone_fetch::run(tables, now);
     let progress = &mut tables.fetch;
     if progress
         .pending_since
@@ -54,7 +55,7 @@
     if progress.pending_since.is_some() || now < progress.next_fetch {
         return;
     }
-    if let Some((id, request)) = choose_peer(tables, views_differ, wants_values(tables, now)) {
+    if let Some((id, request)) = choose_peer(tables, now, views_differ) {
         start(tables, now, id, request, outbox);
     }
 }
@@ -75,7 +76,8 @@
     match result {
         Ok(fetched) => {
             tables.fetch.failed_peer = None;
-            tables.fetch.next_fetch = now + tables.jitter(MAX_FETCH_PAUSE);
+            let pause = zone_fetch::values_pause(tables) + tables.jitter(MAX_FETCH_PAUSE);
+            tables.fetch.next_fetch = now + pause;
             apply_response(tables, now, fetched);
         }
         Err(err) => {
@@ -156,9 +158,12 @@
 
 fn choose_peer(
     tables: &mut Tables,
+    now: Duration,
     views_differ: bool,
-    with_values: bool,
 ) -> Option<(Id, FetchRequest)> {
+    let with_values = wants_values(tables, now);
+    let from_far = zone_fetch::is_allowed(tables, now);
+    let own_zone = Name::clone(&tables.me.info.availability_zone);
     let has_members = tables.fetch.has_members;
     let request_for = |member: &Member| FetchRequest {
         known_revision: if with_values {
@@ -175,7 +180,8 @@
         .filter(|member| member.status == Status::Alive && member.last_timestamp.is_some())
         .map(|member| (member, request_for(member)))
         .filter(|(member, request)| {
-            let newer = with_values && member.revision > tables.values.revision;
+            let is_reachable = from_far || member.info.availability_zone == own_zone;
+            let newer = with_values && is_reachable && member.revision > tables.values.revision;
             request.voters || request.members || newer
         })
         .map(|(member, request)| (member.id, request))
@@ -191,8 +197,7 @@
         let newest = candidates.iter().map(|(id, _)| revision_of(id)).max();
         candidates.retain(|(id, _)| Some(revision_of(id)) == newest);
     }
-    let own_zone = &tables.me.info.availability_zone;
-    let is_near = |id: &Id| tables.members[id].info.availability_zone == *own_zone;
+    let is_near = |id: &Id| tables.members[id].info.availability_zone == own_zone;
     if candidates.iter().any(|(id, _)| is_near(id)) {
         candidates.retain(|(id, _)| is_near(id));
     }
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -288,6 +288,9 @@
     /// Since when another host has had a newer revision.
     #[serde(rename = "behind")]
     pub(super) behind_since: Option<Duration>,
+    /// Newest known revision when this host last had all that it knew of.
+    #[serde(skip)]
+    pub(super) missing: Option<MissingRevision>,
     /// True once all members have been fetched from another host.
     #[serde(rename = "joined")]
     pub(super) has_members: bool,
@@ -301,6 +304,14 @@
     pub(super) request: FetchRequest,
 }
 
+/// A revision that this host does not have yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MissingRevision {
+    pub(super) revision: Revision,
+    /// Time at which this host heard of it.
+    pub(super) since: Duration,
+}
+
 /// Reports of this host's lanes and of other hosts.
 #[derive(Debug, Default, Serialize)]
 pub struct ReportTable {
--- a/src/control/values.rs
+++ b/src/control/values.rs
@@ -146,16 +146,20 @@
     /// Fails if the merged values are invalid; the active values remain unchanged.
     pub fn merge(&mut self, update: &ValueUpdate, builder: &ConfigBuilder) -> Result<BuiltConfig> {
         self.highest_revision = self.highest_revision.max(update.revision);
-        let mut values = self.values.clone();
-        merge_values(&mut values, &self.refused_changes);
-        merge_changes(&mut values, update);
-        match builder.call(&values) {
+        let mut replaced = Vec::new();
+        for (key, value) in &self.refused_changes {
+            merge_value(&mut self.values, key, value, &mut replaced);
+        }
+        merge_changes(&mut self.values, update, &mut replaced);
+        match builder.call(&self.values) {
             Ok(config) => {
-                self.accept(values, update);
+                self.refused_changes.clear();
+                self.accept(update);
                 Ok(config)
             }
             Err(err) => {
-                merge_changes(&mut self.refused_changes, update);
+                restore(&mut self.values, replaced);
+                merge_changes(&mut self.refused_changes, update, &mut Vec::new());
                 self.note_completeness(update);
                 Err(err)
             }
@@ -172,14 +176,15 @@
         update: &ValueUpdate,
         builder: &ConfigBuilder,
     ) -> Result<BuiltConfig> {
-        let mut values = self.values.clone();
-        merge_changes(&mut values, update);
-        let config = builder.call(&values)?;
+        let mut replaced = Vec::new();
+        merge_changes(&mut self.values, update, &mut replaced);
+        let config = builder.call(&self.values).inspect_err(|_| {
+            restore(&mut self.values, replaced);
+        })?;
+        let values = &self.values;
         self.refused_changes
             .retain(|key, value| values.get(key).is_none_or(|v| v.revision < value.revision));
-        let refused_changes = std::mem::take(&mut self.refused_changes);
-        self.accept(values, update);
-        self.refused_changes = refused_changes;
+        self.accept(update);
         Ok(config)
     }
 
@@ -220,9 +225,7 @@
         }
     }
 
-    fn accept(&mut self, values: Values, update: &ValueUpdate) {
-        self.values = values;
-        self.refused_changes.clear();
+    fn accept(&mut self, update: &ValueUpdate) {
         self.revision = self.revision.max(update.revision);
         self.highest_revision = self.highest_revision.max(update.revision);
         self.note_completeness(update);
@@ -235,21 +238,29 @@
     }
 }
 
-fn merge_values(values: &mut Values, newer: &Values) {
-    for (key, value) in newer {
-        merge_value(values, key, value);
-    }
-}
+/// Values that a merge replaced, in order; `None` for keys that were not there.
+type Replaced = Vec<(Name, Option<Value>)>;
 
-fn merge_changes(values: &mut Values, update: &ValueUpdate) {
+fn merge_changes(values: &mut Values, update: &ValueUpdate, replaced: &mut Replaced) {
     for change in &update.values {
-        merge_value(values, &change.key, &change.value);
+        merge_value(values, &change.key, &change.value, replaced);
     }
 }
 
-fn merge_value(values: &mut Values, key: &Name, value: &Value) {
+fn merge_value(values: &mut Values, key: &Name, value: &Value, replaced: &mut Replaced) {
     if values.get(key).is_none_or(|known| replaces(value, known)) {
-        values.insert(Arc::clone(key), value.clone());
+        let known = values.insert(Arc::clone(key), value.clone());
+        replaced.push((Arc::clone(key), known));
+    }
+}
+
+/// Undoes a merge.
+fn restore(values: &mut Values, replaced: Replaced) {
+    for (key, value) in replaced.into_iter().rev() {
+        match value {
+            Some(value) => drop(values.insert(key, value)),
+            None => drop(values.remove(&key)),
+        }
     }
 }
 
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -25,8 +25,10 @@
     refused: u64,
 }
 
+#[derive(Default)]
 struct CachedEntry {
-    revision: Revision,
+    /// Revision that was decoded last.
+    revision: Option<Revision>,
     /// Endpoint that the entry names, draining if only an earlier revision could be decoded.
     entry: Option<Entry>,
 }
@@ -60,7 +62,6 @@
         if let Some(value) = values.get(desired::KEY) {
             self.apply_desired(value);
         }
-        self.entries.retain(|key, _| values.contains_key(key));
         let mut services: HashMap<Name, Service> = HashMap::new();
         for name in self.desired.max_conns.keys() {
             let mut service = Service::new(name);
@@ -69,13 +70,15 @@
             service.warmup_limit = rate.map(|rate| WarmupLimit::exact(*rate));
             services.insert(Arc::clone(name), service);
         }
+        let mut entry_count = 0;
         let entries = values
             .iter()
             .filter(|(key, _)| key.starts_with(entry::PREFIX));
         for (key, value) in entries {
-            self.update_entry(key, value, &regions.zone);
-            let cached = self.entries.get(key);
-            let Some(entry) = cached.and_then(|cached| cached.entry.as_ref()) else {
+            entry_count += 1;
+            let cached = self.entries.entry(Arc::clone(key)).or_default();
+            self.refused += u64::from(!cached.update(key, value, &regions.zone));
+            let Some(entry) = &cached.entry else {
                 continue;
             };
             let Some(service) = services.get_mut(&entry.service) else {
@@ -86,6 +89,9 @@
             endpoint.region = regions.region_of(&endpoint.zone);
             service.endpoints.push(endpoint);
         }
+        if self.entries.len() > entry_count {
+            self.entries.retain(|key, _| values.contains_key(key));
+        }
         BuiltConfig {
             services: services.into_values().collect(),
             routes: self.desired.routes.clone(),
@@ -95,34 +101,6 @@
         }
     }
 
-    /// Decodes an entry unless its revision is the cached one.
-    fn update_entry(&mut self, key: &Name, value: &Value, zone: &str) {
-        let cached = self.entries.get(key);
-        if cached.is_some_and(|cached| cached.revision == value.revision) {
-            return;
-        }
-        let decoded = value
-            .json
-            .as_deref()
-            .map(|json| entry::decode(key, json, zone));
-        let entry = match decoded {
-            Some(Ok(entry)) => Some(entry),
-            Some(Err(err)) => {
-                self.refused += 1;
-                log::warn!(key:%, revision = value.revision.number, cause:% = err; "entry_refused");
-                let mut last = self.entries.remove(key).and_then(|cached| cached.entry);
-                if let Some(entry) = &mut last {
-                    entry.endpoint.draining = true;
-                }
-                last
-            }
-            None => None,
-        };
-        let revision = value.revision;
-        self.entries
-            .insert(Arc::clone(key), CachedEntry { revision, entry });
-    }
-
     fn apply_desired(&mut self, value: &Value) {
         let Some(json) = value.json.as_deref() else {
             return;
@@ -152,3 +130,26 @@
         }
     }
 }
+
+impl CachedEntry {
+    /// Decodes a value unless its revision was decoded last; returns false if it is refused.
+    fn update(&mut self, key: &Name, value: &Value, zone: &str) -> bool {
+        if self.revision.replace(value.revision) == Some(value.revision) {
+            return true;
+        }
+        let json = value.json.as_deref();
+        match json.map(|json| entry::decode(key, json, zone)) {
+            Some(Err(err)) => {
+                log::warn!(key:%, revision = value.revision.number, cause:% = err; "entry_refused");
+                if let Some(last) = &mut self.entry {
+                    last.endpoint.draining = true;
+                }
+                false
+            }
+            decoded => {
+                self.entry = decoded.and_then(Result::ok);
+                true
+            }
+        }
+    }
+}
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -313,10 +313,11 @@
             .into_iter()
             .map(|service| (service.id, Arc::new(service)))
             .collect();
-        let addresses = services
-            .values()
-            .flat_map(|service| service.endpoints.iter().map(|e| (e.addr, service.id)))
-            .collect();
+        let count = services.values().map(|service| service.endpoints.len());
+        let mut addresses = HashMap::with_capacity(count.sum());
+        for service in services.values() {
+            addresses.extend(service.endpoints.iter().map(|e| (e.addr, service.id)));
+        }
         self.services = Arc::new(services);
         self.addresses = Arc::new(addresses);
         self
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -87,7 +87,7 @@
         tables.counters.replaced_endpoints += 1;
         log::warn!(endpoint:% = endpoint.name, addr:% = endpoint.addr; "endpoint_replaced");
     }
-    for name in tables.cookies.sync(&tables.snapshot, now) {
+    for name in tables.cookies.sync(&tables.endpoints, now) {
         log::info!(endpoint:% = name; "endpoint_gone");
     }
 }
--- a/src/systems/sync.rs
+++ b/src/systems/sync.rs
@@ -21,8 +21,9 @@
         }
         return;
     }
-    tables.endpoints.sync(&tables.snapshot, now);
-    relay::sync(tables, now);
+    if tables.endpoints.sync(&tables.snapshot, now) {
+        relay::sync(tables, now);
+    }
     let unknown: Vec<_> = tables
         .endpoints
         .iter()
--- a/src/tables/cookies.rs
+++ b/src/tables/cookies.rs
@@ -6,15 +6,16 @@
 //! flows to it may exist, so that they are reset and not forwarded to another endpoint
 //! that received its address.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
 use smallvec::SmallVec;
 
+use super::Endpoints;
 use crate::id::{Id, Name};
-use crate::snapshot::{Endpoint, Snapshot};
+use crate::snapshot::Endpoint;
 
 /// Time for which the row of an endpoint that is no longer listed is kept: the longest
 /// lifetime of a flow.
@@ -76,30 +77,24 @@
         is_own.then_some(cookie)
     }
 
-    /// Updates the table from a snapshot; returns the names of endpoints that are no
+    /// Updates the table from the listed endpoints; returns the names of those that are no
     /// longer listed.
-    pub fn sync(&mut self, snapshot: &Snapshot, now: Duration) -> Vec<Name> {
+    pub fn sync(&mut self, endpoints: &Endpoints, now: Duration) -> Vec<Name> {
         let mut removed = Vec::new();
-        let listed: HashMap<Id, (Id, &Endpoint)> = snapshot
-            .services
-            .values()
-            .flat_map(|service| service.endpoints.iter().map(|e| (e.id, (service.id, e))))
-            .collect();
         // An endpoint may be listed under two ids, since other writers may copy its entry.
-        let running: HashSet<(SocketAddr, u64)> = listed
-            .values()
-            .map(|(_, endpoint)| (endpoint.addr, endpoint.relay_number))
-            .collect();
+        let is_running = |row: &CookieEndpoint| {
+            let mut listed = endpoints.iter().map(|listed| &listed.spec);
+            listed.any(|spec| spec.addr == row.addr && spec.relay_number == row.number)
+        };
         for row in self.rows.values_mut().flatten() {
-            let is_gone =
-                !listed.contains_key(&row.id) && !running.contains(&(row.addr, row.number));
-            if row.removed_at.is_none() && is_gone {
+            let is_known = row.removed_at.is_some() || endpoints.get(row.id).is_some();
+            if !is_known && !is_running(row) {
                 row.removed_at = Some(now);
                 removed.push(Name::clone(&row.name));
             }
         }
-        for (service, endpoint) in listed.values() {
-            self.add(*service, endpoint);
+        for row in endpoints.iter() {
+            self.add(row.service, &row.spec);
         }
         self.expire(now);
         removed
@@ -107,6 +102,17 @@
 
     fn add(&mut self, service: Id, endpoint: &Endpoint) {
         let rows = self.rows.entry(cookie_of(endpoint.id)).or_default();
+        let is_current = |row: &CookieEndpoint| {
+            row.id == endpoint.id
+                && row.service == service
+                && row.addr == endpoint.addr
+                && row.number == endpoint.relay_number
+                && row.started_ms == endpoint.started_ms
+                && row.removed_at.is_none()
+        };
+        if rows.iter().any(is_current) {
+            return;
+        }
         let holder = CookieEndpoint {
             id: endpoint.id,
             name: endpoint.name.clone(),
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -10,7 +10,7 @@
 use crate::id::{Id, Name};
 use crate::packet::Load;
 use crate::segment::FlowAddrs;
-use crate::snapshot::{Endpoint, Snapshot};
+use crate::snapshot::{Endpoint, Service, Snapshot};
 use crate::ticket::Target;
 
 /// Weight of the latest event in the moving averages of [`EndpointRow`].
@@ -281,29 +281,78 @@
 
 impl Endpoints {
     /// Replaces the endpoints by those of a snapshot, and keeps the observations of the
-    /// endpoints that are still listed.
-    pub fn sync(&mut self, snapshot: &Snapshot, now: Duration) {
-        let mut old = std::mem::take(self);
-        let owners: HashMap<_, _> = old.rows.iter().map(|r| (r.spec.addr, r.service)).collect();
-        let mut services: Vec<_> = snapshot.services.values().collect();
+    /// endpoints that are still listed. Returns false if the same endpoints are listed as
+    /// before, and only their properties have changed.
+    pub fn sync(&mut self, snapshot: &Snapshot, now: Duration) -> bool {
+        let mut services: Vec<&Service> = snapshot.services.values().map(|s| &**s).collect();
         services.sort_unstable_by_key(|service| service.id);
+        let is_replaced = !self.lists_same(&services);
+        if is_replaced {
+            self.replace(&services, now);
+        } else {
+            let specs = services.iter().flat_map(|service| &service.endpoints);
+            for (row, spec) in self.rows.iter_mut().zip(specs) {
+                row.update_spec(spec, now);
+            }
+        }
+        self.mark_evacuated(&snapshot.evacuated_zones);
+        is_replaced
+    }
+
+    /// Returns true if the rows are of these services and endpoints, in the same order.
+    fn lists_same(&self, services: &[&Service]) -> bool {
+        let known_services = services
+            .iter()
+            .all(|service| self.services.contains_key(&service.id));
+        let rows = self.rows.iter().map(|row| (row.service, &row.spec));
+        let specs = services
+            .iter()
+            .flat_map(|service| service.endpoints.iter().map(|spec| (service.id, spec)));
+        known_services
+            && services.len() == self.services.len()
+            && rows
+                .map(|(service, spec)| (service, identity(spec)))
+                .eq(specs.map(|(service, spec)| (service, identity(spec))))
+    }
+
+    /// Replaces all rows, and keeps those of endpoints that are still listed.
+    fn replace(&mut self, services: &[&Service], now: Duration) {
+        let old = std::mem::take(self);
+        let owners = old.address_owners(services);
+        let mut old_rows: Vec<_> = old.rows.into_iter().map(Some).collect();
         for service in services {
-            let last_shortage = old.last_slot_shortage(service.id);
-            self.services.entry(service.id).or_default().last_shortage = last_shortage;
+            let known = old.services.get(&service.id);
+            let group = self.services.entry(service.id).or_default();
+            group.last_shortage = known.and_then(|known| known.last_shortage);
             for spec in &service.endpoints {
-                let mut row = old.take_or_create(spec, service.id, now);
-                let owner = owners.get(&spec.addr);
+                let slot = old.index.get(&spec.id);
+                let existing = slot.and_then(|slot| old_rows[*slot].take()).filter(|row| {
+                    row.service == service.id && identity(&row.spec) == identity(spec)
+                });
+                let mut row =
+                    existing.unwrap_or_else(|| EndpointRow::new(spec.clone(), service.id, now));
+                row.update_spec(spec, now);
                 // Segments carry the number of their endpoint, so another endpoint at the
                 // same address does not take them and no quarantine is needed.
+                let owner = owners.get(&spec.addr);
                 if spec.relay_number == 0 && owner.is_some_and(|owner| *owner != service.id) {
                     row.blocked_until = now + ADDRESS_QUARANTINE;
                 }
-                row.evacuated = snapshot.evacuated_zones.contains(&spec.zone);
                 self.push(row);
             }
         }
     }
 
+    /// Returns the services by the addresses of their endpoints, if one of `services` has an
+    /// endpoint to which segments are not addressed by number.
+    fn address_owners(&self, services: &[&Service]) -> HashMap<SocketAddr, Id> {
+        let mut specs = services.iter().flat_map(|service| &service.endpoints);
+        if specs.all(|spec| spec.relay_number != 0) {
+            return HashMap::new();
+        }
+        self.rows.iter().map(|r| (r.spec.addr, r.service)).collect()
+    }
+
     /// Marks the endpoints of the evacuated zones, after a change of these alone.
     pub fn mark_evacuated(&mut self, zones: &BTreeSet<Name>) {
         for group in self.services.values_mut() {
@@ -478,34 +527,36 @@
         }
     }
 
-    fn take_or_create(&mut self, spec: &Endpoint, service: Id, now: Duration) -> EndpointRow {
-        let existing = self
-            .get(spec.id)
-            .filter(|row| row.service == service && row.spec.addr == spec.addr)
-            .filter(|row| row.spec.started_ms == spec.started_ms)
-            .cloned();
-        let mut row = existing.unwrap_or_else(|| EndpointRow::new(spec.clone(), service, now));
-        row.spec = spec.clone();
-        if !spec.draining && !row.load.draining {
-            row.draining_since = None;
-        }
-        if spec.draining {
-            row.draining_since.get_or_insert(now);
-        }
-        row
-    }
-
     fn push(&mut self, row: EndpointRow) {
         let slot = self.rows.len();
         self.index.insert(row.spec.id, slot);
-        let group = self.services.entry(row.service).or_default();
-        group.rows.push(slot);
-        group.add(&row);
+        self.services
+            .entry(row.service)
+            .or_default()
+            .rows
+            .push(slot);
         self.rows.push(row);
     }
 }
 
+/// Returns what distinguishes one run of an endpoint from all others.
+fn identity(spec: &Endpoint) -> (Id, SocketAddr, u64, u64) {
+    (spec.id, spec.addr, spec.relay_number, spec.started_ms)
+}
+
 impl EndpointRow {
+    /// Applies the properties of an endpoint from the configuration.
+    fn update_spec(&mut self, spec: &Endpoint, now: Duration) {
+        if self.spec != *spec {
+            self.spec = spec.clone();
+        }
+        if spec.draining {
+            self.draining_since.get_or_insert(now);
+        } else if !self.load.draining {
+            self.draining_since = None;
+        }
+    }
+
     fn new(spec: Endpoint, service: Id, now: Duration) -> Self {
         let window = f64::from(spec.slots);
         Self {
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -117,13 +117,16 @@
     pub fn new(home: Home, snapshot: Arc<Snapshot>, seed: u64) -> Self {
         let mut endpoints = Endpoints::default();
         endpoints.sync(&snapshot, Duration::ZERO);
+        endpoints.mark_replaced();
+        let mut cookies = Cookies::default();
+        cookies.sync(&endpoints, Duration::ZERO);
         Self {
             home,
             snapshot,
             inbox: Vec::new(),
             stage_queues: StageQueues::default(),
             segments: Vec::new(),
-            cookies: Cookies::default(),
+            cookies,
             tracked_flows: TrackedFlows::default(),
             held_requests: HeldRequests::default(),
             warmups: Warmups::default(),
--- a/tests/values.rs
+++ b/tests/values.rs
@@ -204,6 +204,46 @@
     );
 }
 
+/// Returns the number of fetches between hosts of different availability zones.
+fn far_fetches(zone: &Zone) -> usize {
+    let fetches = zone.network.fetches.iter();
+    let is_far = |(from, to): &&(usize, usize)| from % zone.az_count != to % zone.az_count;
+    fetches.filter(is_far).count()
+}
+
+/// Guards against a change that crosses availability zones once for each host of a large group.
+#[test]
+fn change_crosses_zones_a_few_times() {
+    let mut zone = zone_with_few_readers(60);
+    zone.network.fetches.clear();
+    count_reads_of_ten_changes(&mut zone);
+    let far = far_fetches(&zone);
+    let limit = 10 * 3 * 3;
+    assert!(
+        far <= limit,
+        "{far} fetches; three hosts of each zone fetch each change"
+    );
+}
+
+/// Guards against a large zone that waits for its own hosts although none of them can fetch from
+/// other zones.
+#[test]
+fn change_reaches_a_zone_whose_forwarders_have_died() {
+    let mut zone = zone_with_few_readers(60);
+    let mut ids: Vec<usize> = (0..60).filter(|index| index % 3 == 0).collect();
+    ids.sort_by_key(|index| zone::host_id(*index));
+    for index in ids.into_iter().take(5) {
+        zone.kill(index);
+    }
+    let survivors = zone.nodes.keys().copied().filter(|index| index % 3 == 0);
+    for index in survivors.collect::<Vec<_>>() {
+        zone.nodes.get_mut(&index).expect("host").reaches_platform = false;
+    }
+    zone.set_value("fleet", Some("2"));
+    let elapsed = zone.run_until_condition(5 * SECOND, |zone| is_applied(zone, 2));
+    assert!(elapsed.is_some());
+}
+
 #[test]
 fn other_hosts_read_when_the_readers_die() {
     let mut zone = zone_with_few_readers(12);
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -85,6 +85,8 @@
     pub link_model: LinkModel,
     /// Number of the next fetches that get no response.
     pub unanswered_fetches: u32,
+    /// Senders and receivers of all fetches.
+    pub fetches: Vec<(usize, usize)>,
     pub count_traffic: bool,
     pub sent_messages: u64,
     pub sent_bytes: u64,
@@ -176,6 +178,7 @@
             network: Network {
                 link_model: Box::new(|_, _, _| vec![LATENCY]),
                 unanswered_fetches: 0,
+                fetches: Vec::new(),
                 count_traffic: false,
                 sent_messages: 0,
                 sent_bytes: 0,
@@ -477,6 +480,7 @@
             request,
             response_time,
         } => {
+            network.fetches.push((index, host_index(to)));
             let call = FetchCall {
                 number,
                 to: host_index(to),
