--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -31,7 +31,7 @@
 use std::time::Duration;
 
 use crate::error::Result;
-use crate::report::LaneReport;
+use crate::report::{LaneReport, PeerReports};
 use crate::revision::Revision;
 use crate::snapshot::Snapshot;
 
@@ -110,6 +110,8 @@
     ReadHosts,
     /// Replace the snapshot that the traffic lanes use.
     Publish(Arc<Snapshot>),
+    /// Replace the reports of other hosts that the traffic lanes use.
+    PublishReports(Arc<PeerReports>),
     /// End the process; the shutdown is complete.
     Exit,
 }
@@ -200,6 +202,6 @@
     lease::run(tables, now);
     evacuations::run(tables, now);
     majority::run(tables, now);
-    reports::publish(tables, now);
+    reports::publish(tables, now, outbox);
     publish::run(tables, now, outbox);
 }
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -1,8 +1,8 @@
 //! Exchange of reports about endpoints and load between hosts.
 //!
 //! The lanes of this host publish what they observe. Their sum is sent to other hosts in
-//! heartbeats, and the newest reports of other hosts go into the snapshot. A change of what the
-//! lanes observe of endpoints is sent to the own availability zone at once.
+//! heartbeats, and the newest reports of other hosts are published to the lanes. A change of what
+//! the lanes observe of endpoints is sent to the own availability zone at once.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -10,9 +10,9 @@
 
 use super::message::Heartbeat;
 use super::tables::{Member, Tables};
-use super::{Outbox, heartbeat};
+use super::{Action, Outbox, heartbeat};
 use crate::id::Id;
-use crate::report::{EndpointReport, HostReport, LaneReport, MAX_ROWS, ServiceReport};
+use crate::report::{EndpointReport, HostReport, LaneReport, MAX_ROWS, PeerReports, ServiceReport};
 
 /// Time for which heartbeats carry a report after its last row is gone, so that hosts that missed
 /// a message learn of the end.
@@ -25,8 +25,8 @@
 /// Time span to which [`MAX_ROUNDS`] applies.
 const ROUNDS_SPAN: Duration = Duration::from_secs(1);
 
-/// Minimum time between two snapshots with changed reports: many hosts report a failure within
-/// a short time, and each snapshot costs every lane some work.
+/// Minimum time between two publications of changed reports: many hosts report a failure within
+/// a short time, and each publication has every lane evaluate all of them.
 const PUBLISH_PERIOD: Duration = Duration::from_millis(100);
 
 /// Bytes that extra rounds may take at once: four rounds of a few rows to a zone of 36 hosts.
@@ -132,15 +132,17 @@
     }
 }
 
-/// Puts the reports of other hosts into the snapshot if they have changed, at most once in every
+/// Publishes the reports of other hosts to the lanes if they have changed, at most once in every
 /// [`PUBLISH_PERIOD`].
-pub(super) fn publish(tables: &mut Tables, now: Duration) {
+pub(super) fn publish(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     let reports = &mut tables.reports;
     if reports.others_changed && now >= reports.next_publish {
         reports.others_changed = false;
         reports.next_publish = now + PUBLISH_PERIOD;
-        tables.snapshot.reports = reports.others.values().cloned().collect();
-        tables.output.snapshot_changed = true;
+        let hosts = reports.others.values().cloned().collect();
+        let published = Arc::new(PeerReports::new(hosts));
+        tables.counters.reports_published += 1;
+        outbox.push(Action::PublishReports(published));
     }
 }
 
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -323,7 +323,7 @@
     /// Last member that got an extra heartbeat.
     #[serde(skip)]
     pub(super) last_target: Id,
-    /// Time from which the snapshot may be updated with `others` again.
+    /// Time from which `others` may be published again.
     #[serde(skip)]
     pub(super) next_publish: Duration,
     /// Bytes that extra rounds of heartbeats have taken beyond their long-run rate.
@@ -335,7 +335,7 @@
     /// Times of the latest extra rounds of heartbeats, oldest first.
     #[serde(skip)]
     pub(super) rounds: VecDeque<Duration>,
-    /// True if `others` has changed since the snapshot was last updated.
+    /// True if `others` has changed since it was last published.
     #[serde(skip)]
     pub(super) others_changed: bool,
 }
@@ -399,6 +399,8 @@
     pub dropped_rows: u64,
     /// Extra rounds of heartbeats for changed reports.
     pub report_rounds: u64,
+    /// Publications of changed reports of other hosts to the lanes.
+    pub reports_published: u64,
     /// Snapshots published.
     #[serde(rename = "published")]
     pub snapshots_published: u64,
--- a/src/front/control.rs
+++ b/src/front/control.rs
@@ -30,7 +30,7 @@
 };
 use crate::error::{Error, Result};
 use crate::platform::store::Store;
-use crate::report::LaneReport;
+use crate::report::{LaneReport, PeerReports};
 use crate::revision::Revision;
 use crate::snapshot::Snapshot;
 use crate::wire::{self, MAX_FETCH_BYTES, PeerKey};
@@ -124,6 +124,8 @@
 pub struct ControlChannels {
     /// Publishes a new snapshot to the lanes.
     pub publish_snapshot: Arc<dyn Fn(Arc<Snapshot>) + Send + Sync>,
+    /// Publishes new reports of other hosts to the lanes.
+    pub publish_reports: Arc<dyn Fn(Arc<PeerReports>) + Send + Sync>,
     /// Returns the number of unfinished requests and unopened flows of all lanes.
     pub count_in_flight: Arc<dyn Fn() -> usize + Send + Sync>,
     /// Becomes true when this host shall drain and leave.
@@ -282,6 +284,7 @@
                 } => self.watch(known_revision, max_wait, response_time),
                 Action::ReadHosts => self.read_hosts(),
                 Action::Publish(snapshot) => (self.channels.publish_snapshot)(snapshot),
+                Action::PublishReports(reports) => (self.channels.publish_reports)(reports),
                 Action::Exit => left = true,
             }
         }
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -23,7 +23,7 @@
 use crate::error::{Error, Result};
 use crate::id::Name;
 use crate::packet::{Body, MAX_PACKET_BYTES};
-use crate::report::LaneReport;
+use crate::report::{LaneReport, PeerReports};
 use crate::segment::RelayAction;
 use crate::snapshot::Snapshot;
 use crate::systems::{self, BATCH_SIZE, Policies, TICK_INTERVAL};
@@ -38,6 +38,8 @@
     pub policies: Arc<Policies>,
     /// Current snapshot, replaced by the control thread.
     pub snapshot: ArcSwap<Snapshot>,
+    /// Current reports of other hosts, replaced by the control thread.
+    pub reports: ArcSwap<PeerReports>,
 }
 
 /// Counts that a lane publishes for other threads.
@@ -273,6 +275,7 @@
         self.read_batch();
         let now = self.clock.now();
         self.update_snapshot(now);
+        self.update_reports();
         systems::run(&mut self.tables, now, &mut self.outbox);
         if timers_due {
             systems::run_timers(&mut self.tables, now, &mut self.outbox);
@@ -302,6 +305,13 @@
         }
     }
 
+    fn update_reports(&mut self) {
+        let reports = self.shared.reports.load();
+        if !Arc::ptr_eq(&reports, &self.tables.peer_reports) {
+            systems::apply_reports(&mut self.tables, Arc::clone(&reports));
+        }
+    }
+
     fn read_batch(&mut self) {
         self.batch_size = 0;
         while self.tables.pending_input() < BATCH_SIZE {
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -34,6 +34,7 @@
 use crate::id::{Id, Incarnation, Name};
 use crate::platform::store::Store;
 use crate::report::LaneReport;
+use crate::report::PeerReports;
 use crate::snapshot::Snapshot;
 use crate::systems::{Policies, Tuning};
 use crate::ticket::Home;
@@ -83,12 +84,14 @@
     let shared = Arc::new(SharedState {
         policies: Arc::new(Policies::with_tuning(tuning)),
         snapshot: ArcSwap::from_pointee(Snapshot::empty(settings.ticket_keys.clone())),
+        reports: ArcSwap::default(),
     });
     let lanes = start_lanes(settings, incarnation, &shared, &clock, &front_end.codec)?;
     let (dump_sender, dump_requests) = ControlChannels::dump_channel();
     let (leave, leaving) = watch::channel(false);
     let channels = ControlChannels {
         publish_snapshot: snapshot_publisher(&shared),
+        publish_reports: reports_publisher(&shared),
         count_in_flight: in_flight_counter(&lanes),
         leave: leaving.clone(),
         lane_reports: lane_reports(&lanes),
@@ -163,6 +166,11 @@
     }
 }
 
+fn reports_publisher(shared: &Arc<SharedState>) -> Arc<dyn Fn(Arc<PeerReports>) + Send + Sync> {
+    let shared = Arc::clone(shared);
+    Arc::new(move |reports| shared.reports.store(reports))
+}
+
 fn snapshot_publisher(shared: &Arc<SharedState>) -> Arc<dyn Fn(Arc<Snapshot>) + Send + Sync> {
     let shared = Arc::clone(shared);
     Arc::new(move |snapshot| shared.snapshot.store(snapshot))
--- a/src/report.rs
+++ b/src/report.rs
@@ -89,6 +89,47 @@
     pub report: Arc<LaneReport>,
 }
 
+/// Newest reports of the other live hosts, which the control thread publishes to the lanes beside
+/// the snapshot: they change often, and nothing else depends on them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PeerReports {
+    /// Reports by host.
+    pub hosts: Vec<HostReport>,
+    /// True if one of them has the load of a service.
+    has_services: bool,
+}
+
+impl PeerReports {
+    /// Creates the set of these reports.
+    #[must_use]
+    pub fn new(hosts: Vec<HostReport>) -> Self {
+        let has_services = hosts.iter().any(|host| !host.report.services.is_empty());
+        Self {
+            hosts,
+            has_services,
+        }
+    }
+
+    /// Returns true if no host reports the load of a service.
+    #[must_use]
+    pub fn lacks_services(&self) -> bool {
+        !self.has_services
+    }
+
+    /// Iterates over the reported load of a service at each host.
+    pub fn service_rows(
+        &self,
+        service: Id,
+    ) -> impl Iterator<Item = (&HostReport, &ServiceReport)> + '_ {
+        let hosts = self.hosts.iter().filter(|_| self.has_services);
+        hosts.filter_map(move |host| {
+            let mut rows = host.report.services.iter();
+            let row = rows.find(|row| row.service == service)?;
+            Some((host, row))
+        })
+    }
+}
+
 impl LaneReport {
     /// Returns true if the observations of both reports are the same, apart from the passing of
     /// time.
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -13,7 +13,6 @@
 
 use crate::id::{FlowKey, Id, Incarnation, Name, rendezvous_weight};
 use crate::packet::Class;
-use crate::report::HostReport;
 use crate::revision::Revision;
 use crate::segment::Route;
 use crate::ticket::{Home, TicketKeys};
@@ -52,8 +51,6 @@
     pub leaving: bool,
     /// Availability zones whose endpoints get no new flows, by order of the operators.
     pub evacuated_zones: Arc<BTreeSet<Name>>,
-    /// Newest reports of the other live hosts.
-    pub reports: Arc<[HostReport]>,
     /// True while this host sees more than half of the hosts that it has seen lately.
     pub has_majority: bool,
     /// Time at which this host last read a large configuration change, which keeps its
@@ -300,7 +297,6 @@
             earlier_views: Arc::from([]),
             leaving: false,
             evacuated_zones: Arc::default(),
-            reports: Arc::from([]),
             has_majority: true,
             large_update: None,
         }
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -35,6 +35,7 @@
 
 use crate::id::FlowKey;
 use crate::packet::{Body, Packet};
+use crate::report::PeerReports;
 use crate::snapshot::Snapshot;
 use crate::tables::{Outbox, Tables};
 
@@ -55,6 +56,13 @@
     out: &mut Outbox,
 ) {
     sync::run(tables, snapshot, now, out);
+    tables.shared_health.request_check();
+}
+
+/// Replaces the reports of other hosts that the lane decides from.
+pub fn apply_reports(tables: &mut Tables, reports: Arc<PeerReports>) {
+    tables.peer_reports = reports;
+    tables.shared_health.request_check();
 }
 
 /// Handles the packets in the inbox by running every packet system once.
--- a/src/systems/relay/capacity_share.rs
+++ b/src/systems/relay/capacity_share.rs
@@ -10,7 +10,7 @@
 
 use super::busy_slots::busy_slots;
 use crate::id::{Id, Name};
-use crate::report::{HostReport, ServiceReport};
+use crate::report::ServiceReport;
 use crate::tables::Tables;
 
 /// Age from which a report does not count.
@@ -64,14 +64,18 @@
     }
     tables.demand.last_update = now;
     let services: Vec<Id> = tables.snapshot.services.keys().copied().collect();
+    let is_reported = !tables.peer_reports.lacks_services();
+    let own_zone = is_reported.then(|| tables.snapshot.zone_of(tables.home.host));
     for service in services {
         let row = tables.demand.get(service);
         let own = row.rate(now);
-        let hosts = tables.snapshot.expected_hosts;
-        let target = target_factor(own, &reported_demands(tables, service, None, now), hosts);
-        let (zone, zone_hosts) = tables.snapshot.zone_of(tables.home.host);
-        let neighbours = reported_demands(tables, service, Some(&zone), now);
-        let zone_target = target_factor(own, &neighbours, zone_hosts);
+        let (mut target, mut zone_target) = (1.0, 1.0);
+        if let Some((zone, zone_hosts)) = &own_zone {
+            let hosts = tables.snapshot.expected_hosts;
+            target = target_factor(own, &reported_demands(tables, service, None, now), hosts);
+            let neighbours = reported_demands(tables, service, Some(zone), now);
+            zone_target = target_factor(own, &neighbours, *zone_hosts);
+        }
         let row = tables.demand.get_mut(service);
         row.share_factor = next_factor(row.share_factor, target);
         row.zone_factor = next_factor(row.zone_factor, zone_target);
@@ -99,14 +103,11 @@
 pub(super) fn lacks_capacity(tables: &Tables, service: Id, now: Duration) -> bool {
     let demand = tables.demand.get(service);
     let is_recent = |at: Option<Duration>| at.is_some_and(|at| now < at + SHORTAGE_TIME);
-    let waits_elsewhere = |host: &HostReport| {
-        let mut rows = host.report.services.iter();
-        now < host.taken_at + SHORTAGE_TIME
-            && rows.any(|row| row.service == service && row.waiting > 0)
-    };
     let waits_here = is_recent(demand.last_wait) || is_recent(demand.last_shortage);
-    let others = tables.snapshot.reports.iter();
-    let others = others.filter(|host| waits_elsewhere(host)).count();
+    let others = tables.peer_reports.service_rows(service);
+    let others =
+        others.filter(|(host, row)| now < host.taken_at + SHORTAGE_TIME && row.waiting > 0);
+    let others = others.count();
     others + usize::from(waits_here) >= MIN_SHORT_HOSTS
 }
 
@@ -142,20 +143,13 @@
     zone: Option<&Name>,
     now: Duration,
 ) -> Vec<ReportedDemand> {
-    let reports = tables.snapshot.reports.iter();
-    let reports = reports.filter(|host| zone.is_none_or(|zone| host.zone == *zone));
-    reports
-        .filter_map(|host| {
-            let rows = host.report.services.iter();
-            let rows = rows.filter(|row| row.service == service);
-            let rates: Vec<f64> = rows.map(|row| row.demand).collect();
-            let age = now.saturating_sub(host.taken_at);
-            (!rates.is_empty()).then(|| ReportedDemand {
-                rate: rates.iter().sum(),
-                age,
-            })
-        })
-        .collect()
+    let rows = tables.peer_reports.service_rows(service);
+    let rows = rows.filter(|(host, _)| zone.is_none_or(|zone| host.zone == *zone));
+    rows.map(|(host, row)| ReportedDemand {
+        rate: row.demand,
+        age: now.saturating_sub(host.taken_at),
+    })
+    .collect()
 }
 
 fn service_report(tables: &Tables, service: Id, now: Duration) -> Option<ServiceReport> {
@@ -164,11 +158,9 @@
     let waiting = waiting.filter(|row| row.service == service).count();
     let is_recent = |time: Duration| now < time + REPORT_PERIOD;
     let is_short = demand.last_shortage.is_some_and(is_recent);
-    let others_wait = tables.snapshot.reports.iter().any(|host| {
-        let mut rows = host.report.services.iter();
-        now < host.taken_at + MAX_REPORT_AGE
-            && rows.any(|row| row.service == service && row.waiting > 0)
-    });
+    let mut others = tables.peer_reports.service_rows(service);
+    let others_wait =
+        others.any(|(host, row)| now < host.taken_at + MAX_REPORT_AGE && row.waiting > 0);
     let reported = ServiceReport {
         service,
         demand: demand.rate(now),
--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -154,6 +154,7 @@
         return;
     }
     let own = collect(row, health, now);
+    tables.shared_health.request_check();
     row.last_alive = alive_at;
     let suspected_since = row
         .suspicion
--- a/src/systems/relay/findings.rs
+++ b/src/systems/relay/findings.rs
@@ -16,7 +16,7 @@
 use crate::tables::Tables;
 
 /// Maximum age of a report that counts: three of its regular repetitions.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
 /// What is known about an endpoint in this tick.
 #[derive(Default)]
@@ -70,26 +70,31 @@
             finding.own = evidence::collect(row, health, now);
         }
     }
-    for report in tables.snapshot.reports.iter() {
-        if is_credible(tables, report, now) {
-            add_report(tables, report, &mut findings);
+    if let Some(me) = own_host(tables) {
+        for report in &tables.peer_reports.hosts {
+            if is_credible(tables, report, me, now) {
+                add_report(tables, report, &mut findings);
+            }
         }
     }
     findings
 }
 
 /// Returns true if the observations of a host count.
-fn is_credible(tables: &Tables, report: &HostReport, now: Duration) -> bool {
-    let mut hosts = tables.snapshot.hosts.iter();
-    let is_live =
-        hosts.any(|host| host.id == report.host && host.incarnation == report.incarnation);
-    let is_own = own_host(tables)
-        .is_some_and(|me| me.availability_zone == report.zone && me.id != report.host);
-    is_live
-        && is_own
+///
+/// The list of live hosts is searched last, and only for reports with rows: it is long.
+fn is_credible(tables: &Tables, report: &HostReport, me: &Host, now: Duration) -> bool {
+    let is_live = || {
+        let mut hosts = tables.snapshot.hosts.iter();
+        hosts.any(|host| host.id == report.host && host.incarnation == report.incarnation)
+    };
+    !report.report.endpoints.is_empty()
+        && me.availability_zone == report.zone
+        && me.id != report.host
         && now < report.taken_at + MAX_REPORT_AGE
         && !report.report.is_impaired
         && !report.report.suspects_too_many()
+        && is_live()
 }
 
 fn add_report(tables: &Tables, report: &HostReport, findings: &mut BTreeMap<Id, Finding>) {
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -227,4 +227,5 @@
     if row.stalled_flows.len() < MAX_STALLED_FLOWS {
         row.stalled_flows.push(stall);
     }
+    tables.shared_health.request_check();
 }
--- a/src/systems/relay/report.rs
+++ b/src/systems/relay/report.rs
@@ -25,6 +25,11 @@
         return;
     }
     tables.shared_health.last_check = now;
+    let reports_nothing = tables.report.endpoints.is_empty() && tables.report.services.is_empty();
+    let is_idle = tables.shared_health.next_evaluation.is_none();
+    if is_idle && reports_nothing && tables.demand.reported.is_empty() {
+        return;
+    }
     let rows = endpoint_rows(tables, now);
     let has_rows = !rows.is_empty();
     let services = tables.demand.reported.clone();
--- a/src/systems/relay/shared_health.rs
+++ b/src/systems/relay/shared_health.rs
@@ -45,16 +45,28 @@
 /// a lane's report period and a delay.
 const CONFIRM_TIME: Duration = Duration::from_millis(150);
 
-/// Updates suspicions, marks endpoints as down or up, and resets flows that wait for them.
+/// Longest time between two evaluations while there is evidence. The state of this host, on which
+/// they also depend (its own impairment, the endpoints that it uses, a shortage of capacity),
+/// changes without an event.
+const MAX_EVALUATION_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Updates suspicions, marks endpoints as down or up, and resets flows that wait for them, if
+/// evidence or reports have changed or some of them expire.
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
+    let due = tables.shared_health.next_evaluation;
+    if due.is_none_or(|due| now < due) {
+        return;
+    }
+    tables.shared_health.next_evaluation = None;
     let has_rows = |report: &HostReport| !report.report.endpoints.is_empty();
     let is_idle = tables.shared_health.is_empty()
         && !tables.shared_health.any_suspected
-        && !tables.snapshot.reports.iter().any(has_rows)
+        && !tables.peer_reports.hosts.iter().any(has_rows)
         && !tables.endpoints.iter().any(evidence::has_stalls);
     if is_idle {
         return;
     }
+    tables.counters.health_evaluations += 1;
     expire(tables, now);
     let own = findings::own_state(tables, now);
     let mut down_ids = Vec::new();
@@ -68,6 +80,49 @@
     if !down_ids.is_empty() {
         reset_waiting_flows(tables, &down_ids, now, out);
     }
+    tables.shared_health.next_evaluation = next_evaluation(tables, now);
+}
+
+/// Returns the time at which the result of an evaluation may change by the passing of time; none
+/// if nothing is left to evaluate.
+fn next_evaluation(tables: &Tables, now: Duration) -> Option<Duration> {
+    let mut next = None;
+    let mut add = |time: Duration| {
+        if time > now {
+            next = Some(next.map_or(time, |known: Duration| known.min(time)));
+        }
+    };
+    for health in tables.shared_health.rows() {
+        let sole_time = match health.confirmed_evidence {
+            Some(_) => SOLE_TRIAL_TIME,
+            None => SOLE_SUSPICION_TIME,
+        };
+        let opens = health.opens.iter();
+        opens.for_each(|open| add(open.sent_at + evidence::OPEN_EVIDENCE_TIME));
+        let times = [
+            health.cleared.map(|known| known.at + CLEARED_TIME),
+            health.quorum_since.map(|since| since + CONFIRM_TIME),
+            health.sole_since.map(|since| since + sole_time),
+        ];
+        times.into_iter().flatten().for_each(&mut add);
+    }
+    for host in &tables.peer_reports.hosts {
+        if !host.report.endpoints.is_empty() {
+            add(host.taken_at + findings::MAX_REPORT_AGE);
+        }
+    }
+    for row in tables.endpoints.iter() {
+        if let Some(suspicion) = &row.suspicion {
+            add(suspicion.until);
+        }
+    }
+    let is_active = !tables.shared_health.is_empty()
+        || tables.shared_health.any_suspected
+        || tables.endpoints.iter().any(evidence::has_stalls);
+    if is_active {
+        add(now + MAX_EVALUATION_INTERVAL);
+    }
+    next
 }
 
 /// Returns true if this host may send a trial opening to an endpoint: one host of the zone tries
@@ -116,7 +171,9 @@
     };
     let last_alive = row.last_alive;
     let started_ms = row.spec.started_ms;
-    let lacks_capacity = lacks_capacity(tables, row.service, now);
+    // Only enough evidence of several hosts makes the answer matter.
+    let may_have_quorum = finding.reports.len() + usize::from(finding.own.count() > 0) >= MIN_HOSTS;
+    let lacks_capacity = may_have_quorum && lacks_capacity(tables, row.service, now);
     let health = tables.shared_health.row(id, started_ms);
     let known_elsewhere = health.alive_elsewhere;
     health.alive_elsewhere = known_elsewhere.max(finding.alive_elsewhere);
--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -221,7 +221,7 @@
     let tenths = (plan.share * 10.0).ceil() as u32;
     if tenths != plan.logged_tenths {
         plan.logged_tenths = tenths;
-        let reports = tables.snapshot.reports.iter();
+        let reports = tables.peer_reports.hosts.iter();
         let newest = reports.map(|host| host.taken_at).max();
         let seconds = |time: f64| millis(Duration::from_secs_f64(time.max(0.0)));
         log::info!(
@@ -327,11 +327,7 @@
             .count()
     };
     let mut reported: BTreeMap<&Name, ZoneReport> = BTreeMap::new();
-    for host in tables.snapshot.reports.iter() {
-        let mut rows = host.report.services.iter();
-        let Some(row) = rows.find(|row| row.service == service) else {
-            continue;
-        };
+    for (host, row) in tables.peer_reports.service_rows(service) {
         if now >= host.taken_at + MAX_REPORT_AGE {
             continue;
         }
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -141,6 +141,8 @@
     /// Of the flows reset because their endpoint is down, those for which reports decided.
     #[serde(rename = "reported_resets")]
     pub reported_resets: u64,
+    /// Evaluations of evidence and reports; none while there is neither.
+    pub health_evaluations: u64,
     /// Suspicions of other hosts that an answer to this host has contradicted.
     #[serde(rename = "contradictions")]
     pub contradicted_reports: u64,
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -46,7 +46,7 @@
 pub use self::zone_spill::{SpillPlan, ZoneSpill};
 
 use crate::packet::{Body, Packet};
-use crate::report::LaneReport;
+use crate::report::{LaneReport, PeerReports};
 use crate::segment::{RelayAction, Segment};
 use crate::snapshot::Snapshot;
 use crate::systems::Policies;
@@ -81,6 +81,8 @@
     pub recent_counts: RecentCounts,
     /// Evidence of this lane about endpoints, for reports to other hosts.
     pub shared_health: SharedHealth,
+    /// Latest reports of other hosts that the control thread published.
+    pub peer_reports: Arc<PeerReports>,
     /// What this lane last reported about endpoints and load.
     pub report: Arc<LaneReport>,
     /// Flows that this lane is the home of.
@@ -131,6 +133,7 @@
             zone_spill: ZoneSpill::default(),
             recent_counts: RecentCounts::default(),
             shared_health: SharedHealth::default(),
+            peer_reports: Arc::default(),
             report: Arc::default(),
             flows: Flows::default(),
             requests: Requests::new(&home),
--- a/src/tables/shared_health.rs
+++ b/src/tables/shared_health.rs
@@ -80,6 +80,9 @@
     pub any_suspected: bool,
     /// Time at which the report was last checked for changes.
     pub last_check: Duration,
+    /// Time at which the evidence is to be evaluated again although nothing has changed; none if
+    /// there is nothing to evaluate.
+    pub next_evaluation: Option<Duration>,
 }
 
 impl SharedHealth {
@@ -89,6 +92,11 @@
         self.rows.is_empty()
     }
 
+    /// Has the evidence evaluated in the next timer tick, since some of it has changed.
+    pub fn request_check(&mut self) {
+        self.next_evaluation = Some(Duration::ZERO);
+    }
+
     /// Returns the row of an endpoint.
     #[must_use]
     pub fn get(&self, id: Id) -> Option<&HealthRow> {
@@ -121,6 +129,7 @@
             opens.remove(0);
         }
         opens.push(open);
+        self.request_check();
     }
 
     /// Keeps the rows for which `keep` returns true.
@@ -128,6 +137,11 @@
         self.rows.retain(|id, row| keep(*id, row));
     }
 
+    /// Iterates over the rows.
+    pub fn rows(&self) -> impl Iterator<Item = &HealthRow> + '_ {
+        self.rows.values()
+    }
+
     /// Iterates over the ids of the endpoints with a row.
     pub fn ids(&self) -> impl Iterator<Item = Id> + '_ {
         self.rows.keys().copied()
--- a/tests/decoding.rs
+++ b/tests/decoding.rs
@@ -264,21 +264,22 @@
     }
 }
 
-/// Hands a heartbeat to a control thread and the reports in its snapshot to a lane.
+/// Hands a heartbeat to a control thread and the reports that it publishes to a lane.
 fn evaluate_report(heartbeat: Heartbeat) {
     let mut host = relay_control();
     let mut harness = LaneHarness::new(&local_endpoints(3));
     let mut outbox = host.handle(harness.now, Event::Heartbeat(Box::new(heartbeat)));
     outbox.extend(host.handle(harness.now + ms(100), Event::Tick));
-    let snapshots = outbox.into_iter().filter_map(|action| match action {
-        Action::Publish(snapshot) => Some(snapshot),
-        _ => None,
-    });
-    if let Some(published) = snapshots.last() {
-        let mut snapshot = (*harness.tables.snapshot).clone();
-        snapshot.hosts = published.hosts.clone();
-        snapshot.reports = published.reports.clone();
-        harness.publish(&Arc::new(snapshot));
+    for action in outbox {
+        match action {
+            Action::Publish(published) => {
+                let mut snapshot = (*harness.tables.snapshot).clone();
+                snapshot.hosts = published.hosts.clone();
+                harness.publish(&Arc::new(snapshot));
+            }
+            Action::PublishReports(reports) => harness.publish_reports(reports.hosts.clone()),
+            _ => {}
+        }
     }
     for port in 1..4 {
         harness.receive(opening_segment(port, 0));
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -49,6 +49,7 @@
         let channels = ControlChannels {
             lane_reports: Arc::new(Vec::new),
             publish_snapshot: Arc::new(move |snapshot| sink.lock().expect("lock").push(snapshot)),
+            publish_reports: Arc::new(drop),
             count_in_flight: Arc::new(|| 0),
             leave: leaving,
             dump_requests,
--- a/tests/regression/full_queues.rs
+++ b/tests/regression/full_queues.rs
@@ -5,7 +5,7 @@
 use jacinthhinge::report::{HostReport, LaneReport, ServiceReport};
 use jacinthhinge::segment::RelayAction;
 
-use super::relaying::{LaneHarness, data_segment, is_reset, local_endpoints, ms, snapshot};
+use super::relaying::{LaneHarness, data_segment, is_reset, local_endpoints, ms};
 
 /// Retransmits two requests at endpoint 1 twice while endpoint 2 answers; returns the actions.
 fn retransmit_twice(harness: &mut LaneHarness) -> Vec<RelayAction> {
@@ -34,8 +34,7 @@
         waiting: 1,
         ..ServiceReport::default()
     };
-    let mut published = (*snapshot(&local_endpoints(2))).clone();
-    published.reports = Arc::from([HostReport {
+    harness.publish_reports(vec![HostReport {
         host: Id::of("sv-a-2"),
         incarnation: 1,
         zone: "a".into(),
@@ -46,7 +45,6 @@
             ..LaneReport::default()
         }),
     }]);
-    harness.publish(&Arc::new(published));
     harness.tables.demand.note_wait(service, now);
 }
 
--- a/tests/relaying/load.rs
+++ b/tests/relaying/load.rs
@@ -236,11 +236,12 @@
             let is_heard = |other: usize| {
                 other != at && !self.cut_off.contains(&other) && !self.cut_off.contains(&at)
             };
-            snapshot.reports = (0..reports.len())
+            let heard = (0..reports.len())
                 .filter(|other| is_heard(*other))
                 .map(|other| reports[other].clone())
                 .collect();
             self.lanes[at].publish(&Arc::new(snapshot));
+            self.lanes[at].publish_reports(heard);
         }
     }
 
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -9,6 +9,7 @@
 use jacinthhinge::control::{Control, Heartbeat, LeaseTiming, ReadPacing, Settings, cap_slots};
 use jacinthhinge::platform;
 use jacinthhinge::prelude::*;
+use jacinthhinge::report::{HostReport, PeerReports};
 use jacinthhinge::segment::{FlowAddrs, RelayAction, RequestKind, Route, Segment, SegmentKind};
 use jacinthhinge::systems;
 use jacinthhinge::tables::{Outbox, Tables, cookie_of};
@@ -149,6 +150,11 @@
         systems::apply_snapshot(&mut self.tables, Arc::clone(snapshot), self.now, &mut out);
     }
 
+    /// Replaces the reports of other hosts.
+    pub fn publish_reports(&mut self, hosts: Vec<HostReport>) {
+        systems::apply_reports(&mut self.tables, Arc::new(PeerReports::new(hosts)));
+    }
+
     /// Receives a segment and returns the resulting actions.
     pub fn receive(&mut self, segment: Segment) -> Vec<RelayAction> {
         let mut out = Outbox::default();
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -60,7 +60,7 @@
 }
 
 fn report_at(zone: &Zone, index: usize, from: usize) -> Option<&HostReport> {
-    let mut reports = zone.nodes[&index].snapshot.reports.iter();
+    let mut reports = zone.nodes[&index].reports.hosts.iter();
     reports.find(|report| report.host == host_id(from))
 }
 
@@ -233,6 +233,30 @@
     assert_eq!(rounds, [1, 1, 2, 3, 3]);
 }
 
+/// Load: reports of many hosts change all the time. Guards against a new snapshot for each change,
+/// of which each lane compared services and hosts.
+#[test]
+fn changed_reports_are_published_without_a_snapshot() {
+    let mut zone = started_zone(9, 3);
+    let count = |zone: &Zone| {
+        let counters = counters(zone, 0);
+        (counters.snapshots_published, counters.reports_published)
+    };
+    let before = count(&zone);
+    zone.run_for(5 * SECOND);
+    let quiet = count(&zone);
+    assert_eq!(quiet.1, before.1, "nothing is published without reports");
+    for step in 0..50 {
+        for index in 1..9 {
+            publish(&mut zone, index, vec![row(1, 1 + step % 7)]);
+        }
+        zone.run_for(TICK_INTERVAL);
+    }
+    let busy = count(&zone);
+    assert!(busy.1 > quiet.1 + 10, "{busy:?}");
+    assert!(busy.0 - quiet.0 <= quiet.0 - before.0 + 1, "only the lease");
+}
+
 /// A zone without suspicions sends no report.
 #[test]
 fn quiet_zone_sends_no_report() {
@@ -431,8 +455,8 @@
             let published = &self.zone.nodes[&index].snapshot;
             let mut snapshot = (*lane.tables.snapshot).clone();
             snapshot.hosts = published.hosts.clone();
-            snapshot.reports = published.reports.clone();
             lane.publish(&Arc::new(snapshot));
+            lane.publish_reports(self.zone.nodes[&index].reports.hosts.clone());
             let actions = lane.advance(relaying::TICK_INTERVAL);
             let is_reset = |action: &RelayAction| matches!(action, RelayAction::Reset { .. });
             resets.extend(actions.into_iter().filter(is_reset));
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -51,11 +51,10 @@
         .count()
 }
 
-/// Publishes endpoints to a lane, and keeps its hosts and reports.
+/// Publishes endpoints to a lane, and keeps its hosts.
 fn publish_endpoints(lane: &mut LaneHarness, endpoints: &[Endpoint]) {
     let mut snapshot = (*relaying::snapshot(endpoints)).clone();
     snapshot.hosts = lane.tables.snapshot.hosts.clone();
-    snapshot.reports = lane.tables.snapshot.reports.clone();
     lane.publish(&Arc::new(snapshot));
 }
 
@@ -682,3 +681,32 @@
         prop_assert_eq!(resets, 0);
     }
 }
+
+/// Load: hosts and endpoints without a suspicion. Guards against work for reports in every tick of
+/// a lane, which grew with endpoints times hosts.
+#[test]
+fn lane_without_evidence_evaluates_nothing() {
+    let mut zone = zone_of_four();
+    let evaluations = |zone: &Zone| zone.lanes[3].tables.counters.health_evaluations;
+    run_answered(&mut zone, 20);
+    assert_eq!(evaluations(&zone), 0);
+    let report = report_of(&zone.hosts[0], &[row(1, 1, 0, 300)], zone.now());
+    zone.tell(3, report);
+    zone.lanes[3].advance(ms(50));
+    assert_eq!(evaluations(&zone), 1);
+    assert!(zone.is_suspected(3, 1));
+    for lane in &mut zone.lanes {
+        lane.advance(ms(1_000));
+    }
+    let passed = evaluations(&zone) - 1;
+    assert!((4..=8).contains(&passed), "{passed} in a second");
+    for lane in &mut zone.lanes {
+        lane.advance(ms(10_000));
+    }
+    let ended = evaluations(&zone);
+    assert!(!zone.is_suspected(3, 1));
+    for lane in &mut zone.lanes {
+        lane.advance(ms(10_000));
+    }
+    assert_eq!(evaluations(&zone), ended, "nothing is left to evaluate");
+}
--- a/tests/sharing/mod.rs
+++ b/tests/sharing/mod.rs
@@ -111,12 +111,10 @@
     /// Gives a lane a report in place of an earlier one of the same host.
     pub fn tell(&mut self, to: usize, report: HostReport) {
         let lane = &mut self.lanes[to];
-        let mut snapshot = (*lane.tables.snapshot).clone();
-        let mut reports: Vec<HostReport> = snapshot.reports.to_vec();
+        let mut reports = lane.tables.peer_reports.hosts.clone();
         reports.retain(|known| known.host != report.host);
         reports.push(report);
-        snapshot.reports = reports.into();
-        lane.publish(&Arc::new(snapshot));
+        lane.publish_reports(reports);
     }
 
     /// Advances the clock in ticks and delivers reports; returns the actions of each lane.
@@ -165,7 +163,7 @@
             .partition(|(at, _, _)| *at <= now + ms(1));
         self.in_flight = later;
         for (_, to, report) in due {
-            let known = self.lanes[to].tables.snapshot.reports.iter();
+            let known = self.lanes[to].tables.peer_reports.hosts.iter();
             let mut same = known.filter(|known| known.host == report.host);
             if same.all(|known| known.sent_at < report.sent_at) {
                 self.tell(to, report);
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -14,6 +14,7 @@
     Settings, Value, ValueChange, ValueUpdate, Values,
 };
 use jacinthhinge::prelude::*;
+use jacinthhinge::report::PeerReports;
 use jacinthhinge::wire::{PeerKey, encode_fetch_response, encode_heartbeat};
 
 /// Interval between the ticks of a host.
@@ -42,6 +43,7 @@
     pub index: usize,
     pub control: Control,
     pub snapshot: Arc<Snapshot>,
+    pub reports: Arc<PeerReports>,
     pub started_at: Duration,
     pub incarnation: Incarnation,
     pub reaches_platform: bool,
@@ -237,6 +239,7 @@
             index,
             control: Control::new(settings, Duration::ZERO),
             snapshot: Arc::new(Snapshot::empty(TicketKeys::new("current", "other"))),
+            reports: Arc::default(),
             started_at: self.now,
             incarnation,
             reaches_platform: true,
@@ -510,6 +513,7 @@
             network.schedule(now + LATENCY, Task::Event(index, run, Event::Hosts(answer)));
         }
         Action::Publish(snapshot) => node.snapshot = snapshot,
+        Action::PublishReports(reports) => node.reports = reports,
         Action::Exit => node.exited = true,
     }
 }
