Limit requests in progress by service and rank

The limit of a service bounded the requests of all ranks together, so requests of low rank in progress blocked openings of high rank for an answer time. An arriving request of low rank could also take a slot that became free in the same tick while one of high rank waited, on an open flow too.

Endpoints now count requests in progress by rank. A request may start while those of its rank and of higher ranks are below the limit, less what the arrivals of higher ranks need, and all together are below the limit plus one for each slot. An arrival waits while a higher rank waits. Early refusal uses the same counts. Metrics and log fields show the ranks.

--- a/src/front/exposition.rs
+++ b/src/front/exposition.rs
@@ -25,6 +25,8 @@
     pub counters: Map<String, Value>,
     /// Current values, by name.
     pub gauges: Vec<(&'static str, f64)>,
+    /// Current values of each rank, by name.
+    pub rank_gauges: Vec<(&'static str, Vec<(u32, f64)>)>,
     /// Latency histograms and address of each lane.
     pub histograms: Vec<(String, LatencyHistograms)>,
 }
@@ -50,6 +52,7 @@
         let collector = MetricsCollector {
             counters: self.counters,
             gauges: self.gauges,
+            rank_gauges: self.rank_gauges,
         };
         registry.register_collector(Box::new(collector));
         let mut out = String::new();
@@ -62,6 +65,7 @@
 struct MetricsCollector {
     counters: Map<String, Value>,
     gauges: Vec<(&'static str, f64)>,
+    rank_gauges: Vec<(&'static str, Vec<(u32, f64)>)>,
 }
 
 impl Collector for MetricsCollector {
@@ -83,6 +87,15 @@
                 .encode_descriptor(name, "Current value on this host", None, MetricType::Gauge)?
                 .encode_gauge(value)?;
         }
+        for (name, values) in &self.rank_gauges {
+            let help = "Current value on this host by rank";
+            let mut family = encoder.encode_descriptor(name, help, None, MetricType::Gauge)?;
+            for (rank, value) in values {
+                family
+                    .encode_family(&[("rank", *rank)])?
+                    .encode_gauge(value)?;
+            }
+        }
         Ok(())
     }
 }
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -5,6 +5,7 @@
 //! sends the contents of the outbox. Lanes and the control thread share only the
 //! [`SharedState`]; a lane publishes its own [`LaneStats`].
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -27,7 +28,7 @@
 use crate::segment::RelayAction;
 use crate::snapshot::Snapshot;
 use crate::systems::{self, BATCH_SIZE, Policies, TICK_INTERVAL};
-use crate::tables::{Arrival, Counters, LatencyHistograms, Outbox, Tables};
+use crate::tables::{Arrival, Counters, LatencyHistograms, Outbox, RankLoad, Tables};
 use crate::ticket::Home;
 use crate::wire;
 
@@ -40,6 +41,19 @@
     pub snapshot: ArcSwap<Snapshot>,
 }
 
+/// Requests of a rank, over all services.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RankStats {
+    /// The rank; zero is the highest.
+    pub rank: u32,
+    /// Requests in progress.
+    pub running: f64,
+    /// Requests that wait for capacity.
+    pub waiting: f64,
+    /// Requests that its arrivals are expected to keep in progress.
+    pub expected: f64,
+}
+
 /// Counts that a lane publishes for other threads.
 #[derive(Debug, Default)]
 pub struct LaneStats {
@@ -47,6 +61,8 @@
     pub waiting: AtomicUsize,
     /// Requests that arrive in a second, and those that may be in progress, over all services.
     pub load: ArcSwap<(f64, f64)>,
+    /// Requests of relayed flows by the rank of their route, in ascending order.
+    pub ranks: ArcSwap<Vec<RankStats>>,
     /// Number of unfinished requests and unopened flows.
     pub in_flight: AtomicUsize,
     /// Number of open flows.
@@ -379,10 +395,32 @@
             )
         });
         self.stats.load.store(Arc::new(load));
+        self.stats.ranks.store(Arc::new(rank_stats(&self.tables)));
         self.stats.counters.store(Arc::new(self.tables.counters));
     }
 }
 
+/// Returns the requests of each rank that has any.
+fn rank_stats(tables: &Tables) -> Vec<RankStats> {
+    let mut ranks: BTreeMap<u32, RankStats> = BTreeMap::new();
+    let held = &tables.held_requests;
+    for service in tables.snapshot.services.keys() {
+        let load = tables.endpoints.rank_load(*service);
+        for (rank, count) in load.into_iter().flat_map(RankLoad::iter) {
+            ranks.entry(rank).or_default().running += f64::from(count);
+        }
+        for (rank, count) in held.rank_demand().expected(*service) {
+            ranks.entry(rank).or_default().expected += count;
+        }
+    }
+    for row in held.iter() {
+        ranks.entry(row.rank).or_default().waiting += 1.0;
+    }
+    let rows = ranks.into_iter();
+    rows.map(|(rank, stats)| RankStats { rank, ..stats })
+        .collect()
+}
+
 fn tick_timer() -> Interval {
     let mut timer = interval(TICK_INTERVAL);
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -3,6 +3,7 @@
 //! On SIGTERM or SIGINT the host leaves: it announces its leave, completes the work in
 //! flight and exits. A second signal ends the process immediately.
 
+use std::collections::BTreeMap;
 use std::process;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -19,7 +20,7 @@
 
 use super::control::{self, ControlChannels, ControlSettings, PlatformSource};
 use super::exposition::Exposition;
-use super::lane::{Codec, Lane, SharedState};
+use super::lane::{Codec, Lane, RankStats, SharedState};
 use super::logs;
 use super::ops::{self, OpsHandlers, ReadyCheck};
 use super::settings::Settings;
@@ -401,6 +402,7 @@
     let exposition = Exposition {
         counters,
         gauges,
+        rank_gauges: rank_gauges(lanes),
         histograms: histograms.collect(),
     };
     match exposition.render() {
@@ -412,6 +414,24 @@
     }
 }
 
+/// Returns the requests of each rank, over all lanes.
+fn rank_gauges(lanes: &[Lane]) -> Vec<(&'static str, Vec<(u32, f64)>)> {
+    let sum = |value: fn(&RankStats) -> f64| {
+        let mut sums: BTreeMap<u32, f64> = BTreeMap::new();
+        for lane in lanes {
+            for row in lane.stats.ranks.load().iter() {
+                *sums.entry(row.rank).or_default() += value(row);
+            }
+        }
+        sums.into_iter().collect()
+    };
+    vec![
+        ("rank_requests_running", sum(|row| row.running)),
+        ("rank_requests_waiting", sum(|row| row.waiting)),
+        ("rank_requests_expected", sum(|row| row.expected)),
+    ]
+}
+
 /// Returns the age of the oldest evacuation order among the control tables.
 fn oldest_evacuation_seconds(tables: &Value) -> f64 {
     let oldest = Duration::deserialize(&tables["evacuations"]["oldest"]);
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -10,7 +10,7 @@
 use crate::id::Id;
 use crate::packet::Class;
 use crate::segment::Route;
-use crate::tables::Tables;
+use crate::tables::{ServiceLimit, Tables};
 
 /// Chooses the endpoint of a new flow among those that have not refused it.
 ///
@@ -27,7 +27,7 @@
 
 /// Returns how many requests of relayed flows this lane may have in progress at a
 /// service.
-pub type RelayLimit = Box<dyn Fn(&Tables, Id, Duration) -> f64 + Send + Sync>;
+pub type RelayLimit = Box<dyn Fn(&Tables, Id, Duration) -> ServiceLimit + Send + Sync>;
 
 /// Chooses the endpoint of a request by its service and class.
 pub type PlaceRequest = Box<dyn Fn(&mut Tables, Id, Class, Duration) -> Option<Id> + Send + Sync>;
--- a/src/systems/relay/admission.rs
+++ b/src/systems/relay/admission.rs
@@ -11,6 +11,7 @@
 
 use smallvec::SmallVec;
 
+use super::rank_limits::{RankShare, Room};
 use crate::id::Id;
 use crate::segment::{FlowAddrs, RequestKind, Segment};
 use crate::tables::{HeldRequest, HeldRequests, ServiceLimit};
@@ -72,11 +73,12 @@
     )
 }
 
-/// Returns the flow of the waiting request to release next, among those for which `may_go` is
-/// true.
+/// Returns the flow of the waiting request to release next, among those for which `room_of`
+/// returns [`Room::Free`]; a rank whose turn it is because it was passed over may also use
+/// [`Room::InTurn`].
 pub(super) fn next_release(
     held: &HeldRequests,
-    may_go: impl Fn(&HeldRequest) -> bool,
+    room_of: impl Fn(&HeldRequest) -> Room,
     now: Duration,
 ) -> Option<FlowAddrs> {
     let key = |waiting: &&HeldRequest| {
@@ -85,13 +87,13 @@
     };
     let first = held
         .iter()
-        .filter(|waiting| may_go(waiting))
+        .filter(|waiting| room_of(waiting) == Room::Free)
         .min_by_key(key)?;
     let starved = starved_rank(held, first.service, now);
     let chosen = held
         .iter()
         .filter(|waiting| waiting.service == first.service && Some(waiting.rank) == starved)
-        .filter(|waiting| may_go(waiting))
+        .filter(|waiting| room_of(waiting) != Room::None)
         .min_by_key(key)
         .unwrap_or(first);
     Some(chosen.segment.addrs)
@@ -112,12 +114,17 @@
         let is_late = now + answer_time + RELEASE_MARGIN >= give_up_time(waiting);
         !waiting.segment.is_opening() && may_pass && is_late
     };
-    let overdue = held.iter().find(is_overdue)?;
+    let overdue = held.iter().filter(is_overdue);
+    let overdue = overdue.min_by_key(|waiting| waiting.rank)?;
     Some(overdue.segment.addrs)
 }
 
 /// Returns the waiting openings that cannot be answered in time, with the reason.
-pub(super) fn due_refusals(held: &HeldRequests, now: Duration) -> Vec<(FlowAddrs, Shortage)> {
+pub(super) fn due_refusals(
+    held: &HeldRequests,
+    share_of: impl Fn(Id, u32) -> RankShare,
+    now: Duration,
+) -> Vec<(FlowAddrs, Shortage)> {
     let mut rows: Vec<(OrderKey, &HeldRequest, ServiceLimit)> = held
         .iter()
         .filter_map(|waiting| {
@@ -129,17 +136,19 @@
     let mut due = Vec::new();
     let mut ahead = Ahead::default();
     let mut retries = Retries::new();
+    let mut share = RankShare::default();
     let mut last: Option<&HeldRequest> = None;
     for (_, waiting, limit) in rows {
         if last.is_none_or(|last| last.service != waiting.service) {
             ahead = Ahead::default();
             retries = expected_retries(held, waiting.service);
         }
-        if last.is_none_or(|last| last.rank != waiting.rank) {
+        if last.is_none_or(|last| (last.service, last.rank) != (waiting.service, waiting.rank)) {
             ahead.of_rank = 0;
+            share = share_of(waiting.service, waiting.rank);
         }
         last = Some(waiting);
-        let shortage = find_shortage(held, waiting, ahead, &retries, limit, now);
+        let shortage = find_shortage(held, waiting, ahead, &retries, limit, share, now);
         if let Some(shortage) = shortage.filter(|_| waiting.segment.is_opening()) {
             due.push((waiting.segment.addrs, shortage));
         } else {
@@ -154,6 +163,7 @@
 pub(super) fn arrival_shortage(
     held: &HeldRequests,
     arriving: &HeldRequest,
+    share: RankShare,
     now: Duration,
 ) -> Option<Shortage> {
     let limit = held.limit(arriving.service)?;
@@ -166,7 +176,7 @@
             ahead.of_rank += usize::from(row.rank == arriving.rank);
         }
     }
-    find_shortage(held, arriving, ahead, &retries, limit, now)
+    find_shortage(held, arriving, ahead, &retries, limit, share, now)
 }
 
 /// Returns how long ago the first copy of a segment was sent, as far as its count of copies
@@ -213,11 +223,13 @@
     mut ahead: Ahead,
     retries: &Retries,
     limit: ServiceLimit,
+    share: RankShare,
     now: Duration,
 ) -> Option<Shortage> {
     if limit.answer_time <= 0.0 {
         return None;
     }
+    let next_of_rank = ahead.of_rank == 0;
     let own_class = (waiting.rank, held.is_heavy(waiting.bucket));
     for (class, count) in retries {
         if *class <= own_class {
@@ -225,13 +237,26 @@
             ahead.of_rank += if class.0 == waiting.rank { *count } else { 0 };
         }
     }
-    // A rank that is passed over gets every eighth release.
-    let aged = (ahead.of_rank + 1) * AGING_FACTOR - 1;
-    let ahead = ahead.all.min(aged);
-    let seconds_each = limit.answer_time / limit.requests.max(1.0);
+    // A rank that is passed over gets every eighth release. The next waiting request of the rank
+    // takes it, whatever refused callers do: if all were refused, the rank would get nothing.
+    let is_passed_over = ahead.all > ahead.of_rank || share.requests < limit.requests;
+    let of_rank = if next_of_rank && is_passed_over {
+        0
+    } else {
+        ahead.of_rank
+    };
+    let aged = (of_rank + 1) * AGING_FACTOR - 1;
+    let in_order = (ahead.all, limit.answer_time / share.requests.max(1.0));
+    let in_turn = (aged, limit.answer_time / limit.requests.max(1.0));
     // Far below 2^52.
     #[allow(clippy::cast_precision_loss)]
-    let wait = ahead as f64 * seconds_each;
+    let time_of = |(ahead, seconds_each): (usize, f64)| ahead as f64 * seconds_each;
+    let (ahead, seconds_each) = if time_of(in_turn) < time_of(in_order) {
+        in_turn
+    } else {
+        in_order
+    };
+    let wait = time_of((ahead, seconds_each)) + share.excess * in_turn.1;
     let opening_left = give_up_time(waiting).saturating_sub(now).as_secs_f64();
     let answer_left = (waiting.arrived + waiting.timeout).saturating_sub(now);
     let is_late = wait >= opening_left || wait + limit.answer_time > answer_left.as_secs_f64();
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -16,6 +16,7 @@
 mod open;
 mod overload_queue;
 pub(super) mod placement;
+mod rank_limits;
 mod report;
 mod shared_health;
 mod timeouts;
@@ -162,11 +163,14 @@
     }
 }
 
-/// Counts a flow's request as load on its endpoint.
+/// Counts a flow's request as load on its endpoint, with the present rank of its route.
 fn add_load(tables: &mut Tables, flow: &mut TrackedFlow, now: Duration) {
     if !flow.counts_load {
+        let route = tables.snapshot.routes.get(&flow.addrs.vip);
         flow.counts_load = true;
-        tables.endpoints.acquire(flow.endpoint, Duration::ZERO, now);
+        flow.load_rank = route.map_or(0, |route| route.shed_rank);
+        let (endpoint, rank) = (flow.endpoint, flow.load_rank);
+        tables.endpoints.acquire_ranked(endpoint, rank, now);
     }
 }
 
@@ -174,7 +178,9 @@
 fn remove_load(tables: &mut Tables, flow: &mut TrackedFlow) {
     if flow.counts_load {
         flow.counts_load = false;
-        tables.endpoints.release(flow.endpoint, false);
+        tables
+            .endpoints
+            .release_ranked(flow.endpoint, flow.load_rank);
     }
 }
 
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -13,12 +13,12 @@
 
 use super::admission::{self, Shortage};
 use super::eligibility::is_exempt_from_limit;
-use super::placement::mean_answer_time;
+use super::rank_limits::{self, Room};
 use super::warmup;
 use crate::clock::millis;
 use crate::id::Id;
 use crate::segment::{FlowAddrs, RelayAction, Route, Segment, SegmentKind, is_seq_after};
-use crate::tables::{HeldRequest, Outbox, Refusal, ServiceLimit, Tables};
+use crate::tables::{HeldRequest, Outbox, Refusal, Tables};
 
 /// Minimum time between two checks for refusals, much less than a tenth of the shortest target
 /// latency (25 ms), within which a refusal is sent after it is due.
@@ -59,9 +59,13 @@
     let (target_latency, timeout) = (route.target_latency, route.timeout);
     let bucket = tables.held_requests.note_caller(&segment.addrs, now);
     tables.demand.note_arrival(service, now);
+    tables.held_requests.note_arrival(service, rank, now);
     // Without an endpoint that it may reach, an opening is refused when it is processed.
     let is_barred = segment.is_opening() && warmup::is_service_barred(tables, service, now);
-    if !is_at_limit(tables, service) || is_exempt_from_limit(tables, &segment, now) || is_barred {
+    // A request of a higher rank that still waits goes first, at the end of this tick.
+    let may_start = rank_limits::room(tables, service, rank) == Room::Free
+        && !tables.held_requests.has_higher(service, rank);
+    if may_start || is_exempt_from_limit(tables, &segment, now) || is_barred {
         return smallvec![segment];
     }
     tables.demand.note_wait(service, now);
@@ -76,7 +80,10 @@
         segment,
     };
     if waiting.segment.is_opening()
-        && let Some(shortage) = admission::arrival_shortage(&tables.held_requests, &waiting, now)
+        && let Some(shortage) = {
+            let share = rank_limits::share(tables, service, rank);
+            admission::arrival_shortage(&tables.held_requests, &waiting, share, now)
+        }
     {
         refuse(tables, &waiting, shortage, now, out);
     } else {
@@ -89,12 +96,16 @@
 /// limit, or one of an open flow whose time is nearly over.
 pub(super) fn release_next(tables: &mut Tables, now: Duration) -> Option<Segment> {
     let held = &tables.held_requests;
-    let may_go = |waiting: &HeldRequest| {
-        !is_at_limit(tables, waiting.service) || is_exempt_from_limit(tables, &waiting.segment, now)
+    let rooms = rank_limits::rooms(tables);
+    let room_of = |waiting: &HeldRequest| {
+        if is_exempt_from_limit(tables, &waiting.segment, now) {
+            return Room::Free;
+        }
+        rooms.of(waiting.service, waiting.rank)
     };
     let overdue = admission::next_overdue(held, now);
     let is_overdue = overdue.is_some();
-    let addrs = overdue.or_else(|| admission::next_release(held, may_go, now))?;
+    let addrs = overdue.or_else(|| admission::next_release(held, room_of, now))?;
     let waiting = tables.held_requests.remove(&addrs)?;
     tables
         .held_requests
@@ -121,7 +132,8 @@
     }
     held.last_check = now;
     held.forget_refusals(now);
-    for (addrs, shortage) in admission::due_refusals(held, now) {
+    let share_of = |service, rank| rank_limits::share(tables, service, rank);
+    for (addrs, shortage) in admission::due_refusals(&tables.held_requests, share_of, now) {
         if let Some(waiting) = tables.held_requests.remove(&addrs) {
             refuse(tables, &waiting, shortage, now, out);
         }
@@ -132,12 +144,9 @@
 pub(super) fn run_timers(tables: &mut Tables, now: Duration) {
     let policies = Arc::clone(&tables.policies);
     let services: Vec<Id> = tables.snapshot.services.keys().copied().collect();
-    let limit_of = |service| ServiceLimit {
-        requests: (policies.relay_limit)(tables, service, now),
-        answer_time: mean_answer_time(tables, service),
-    };
+    let limit_of = |service| (policies.relay_limit)(tables, service, now);
     let limits: Vec<_> = services.iter().map(|id| (*id, limit_of(*id))).collect();
-    tables.held_requests.set_limits(limits);
+    tables.held_requests.set_limits(limits, now);
     tables.held_requests.forget_refusals(now);
     let rows = tables.held_requests.iter();
     let abandoned: Vec<FlowAddrs> = rows
@@ -159,10 +168,11 @@
     tables.counters.held_requests += 1;
     let addrs = waiting.segment.addrs;
     let limit = tables.held_requests.limit(waiting.service);
+    let used = rank_limits::usage(tables, waiting.service, waiting.rank);
     log::info!(
         caller:% = addrs.caller, front:% = addrs.vip, rank = waiting.rank,
-        running = tables.endpoints.own_requests(waiting.service),
-        room = limit.map(|limit| limit.requests), waiting = tables.held_requests.len();
+        running = tables.endpoints.own_requests(waiting.service), of_rank = used.own,
+        room = limit.map(|limit| limit.requests), taken = used.taken, waiting = tables.held_requests.len();
         "held"
     );
     tables.held_requests.put(waiting);
@@ -199,12 +209,6 @@
     out.relay_actions.push(RelayAction::Reset { addrs, seq: 0 });
 }
 
-/// Returns true when a service has as many requests in progress as this lane may start.
-fn is_at_limit(tables: &Tables, service: Id) -> bool {
-    let limit = tables.held_requests.limit(service);
-    limit.is_some_and(|limit| f64::from(tables.endpoints.own_requests(service)) >= limit.requests)
-}
-
 fn is_retransmission(queued: &Segment, segment: &Segment) -> bool {
     queued.kind == segment.kind && queued.seq == segment.seq && queued.len == segment.len
 }
--- a/src/systems/relay/placement.rs
+++ b/src/systems/relay/placement.rs
@@ -13,7 +13,7 @@
 use super::warmup;
 use crate::id::{Id, Name};
 use crate::segment::Route;
-use crate::tables::{EndpointRow, Tables};
+use crate::tables::{EndpointRow, ServiceLimit, Tables};
 
 /// Number of slots that an idle open flow counts for: a long-lived flow sends about one
 /// request a second, which takes some tens of milliseconds.
@@ -135,7 +135,7 @@
 }
 
 /// Returns how many requests of relayed flows this lane may have in progress at a
-/// service.
+/// service, and how many slots they are meant for.
 ///
 /// This is what the endpoints can process within [`Tuning::latency_share`] of the target
 /// latency, or [`Tuning::relay_depth`] requests per slot if that is more, divided among the
@@ -146,7 +146,7 @@
     tuning: &Tuning,
     service: Id,
     now: Duration,
-) -> f64 {
+) -> ServiceLimit {
     let leads_here = |route: &&Route| route.targets.iter().any(|(id, _)| *id == service);
     let routes = tables.snapshot.routes.values().filter(leads_here);
     let target_latency = routes
@@ -186,7 +186,11 @@
     let reachable = even_share.max(zone_share + remote);
     let limit = (even_share * demand.share_factor).min(reachable);
     // At least one request, or the lanes of a large group of hosts would send none.
-    (limit + cold_requests).max(1.0)
+    ServiceLimit {
+        requests: (limit + cold_requests).max(1.0),
+        slots: limit / requests_per_slot,
+        answer_time,
+    }
 }
 
 /// Returns the mean answer time of a service's endpoints in seconds, or zero if none is
--- a/src/tables/demand.rs
+++ b/src/tables/demand.rs
@@ -14,20 +14,20 @@
 
 /// A number of events that decays with [`ARRIVAL_DECAY`].
 #[derive(Clone, Copy, Debug, Default, Serialize)]
-struct DecayingCount {
+pub(super) struct DecayingCount {
     count: f64,
     #[serde(rename = "faded")]
     last_decay: Duration,
 }
 
 impl DecayingCount {
-    fn add(&mut self, now: Duration) {
+    pub(super) fn add(&mut self, now: Duration) {
         self.count = self.rate(now) * ARRIVAL_DECAY.as_secs_f64() + 1.0;
         self.last_decay = now;
     }
 
     /// Returns the number of events in a second.
-    fn rate(&self, now: Duration) -> f64 {
+    pub(super) fn rate(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.last_decay).as_secs_f64();
         let span = ARRIVAL_DECAY.as_secs_f64();
         self.count * (-age / span).exp() / span
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -7,6 +7,7 @@
 use serde::{Serialize, Serializer};
 use smallvec::SmallVec;
 
+use super::rank_load::RankLoad;
 use crate::id::{Id, Name};
 use crate::packet::Load;
 use crate::segment::FlowAddrs;
@@ -50,6 +51,9 @@
     /// Requests of this lane that it is running.
     #[serde(rename = "running")]
     pub own_requests: u32,
+    /// Those of relayed flows, by rank.
+    #[serde(rename = "ranks", skip_serializing_if = "RankLoad::is_empty")]
+    pub rank_load: RankLoad,
     /// Requests of other lanes that it was running at its last load report.
     #[serde(rename = "others")]
     pub other_requests: u32,
@@ -256,6 +260,7 @@
 struct ServiceEndpoints {
     rows: Vec<usize>,
     own_requests: u32,
+    rank_load: RankLoad,
     total_slots: u32,
     /// Time at which a short request last found no free slot.
     last_shortage: Option<Duration>,
@@ -266,6 +271,7 @@
     fn add(&mut self, row: &EndpointRow) {
         if !row.evacuated {
             self.own_requests += row.own_requests;
+            self.rank_load.add_all(&row.rank_load);
             self.total_slots = self.total_slots.saturating_add(row.spec.slots);
         }
     }
@@ -308,6 +314,7 @@
     pub fn mark_evacuated(&mut self, zones: &BTreeSet<Name>) {
         for group in self.services.values_mut() {
             (group.own_requests, group.total_slots) = (0, 0);
+            group.rank_load = RankLoad::default();
         }
         for row in &mut self.rows {
             row.evacuated = zones.contains(&row.spec.zone);
@@ -392,6 +399,13 @@
             .map_or(0, |group| group.own_requests)
     }
 
+    /// Returns the number of requests of relayed flows of this lane that a service is running on
+    /// endpoints that are not evacuated, by rank.
+    #[must_use]
+    pub fn rank_load(&self, service: Id) -> Option<&RankLoad> {
+        self.services.get(&service).map(|group| &group.rank_load)
+    }
+
     /// Records that a short request of a service found no free slot.
     pub fn note_slot_shortage(&mut self, service: Id, now: Duration) {
         if let Some(group) = self.services.get_mut(&service) {
@@ -454,6 +468,39 @@
         }
     }
 
+    /// Counts a request of a relayed flow on an endpoint.
+    pub fn acquire_ranked(&mut self, id: Id, rank: u32, now: Duration) {
+        self.acquire(id, Duration::ZERO, now);
+        let Some(row) = self.get_mut(id) else {
+            return;
+        };
+        row.rank_load.add(rank, 1);
+        let (service, evacuated) = (row.service, row.evacuated);
+        if let Some(group) = self.services.get_mut(&service)
+            && !evacuated
+        {
+            group.rank_load.add(rank, 1);
+        }
+    }
+
+    /// Stops counting a request of a relayed flow on an endpoint. A request that was sent to an
+    /// earlier incarnation of the endpoint is not counted any more if none of its rank is.
+    pub fn release_ranked(&mut self, id: Id, rank: u32) {
+        let Some(row) = self.get_mut(id) else {
+            return;
+        };
+        if !row.rank_load.remove(rank) {
+            return;
+        }
+        let (service, evacuated) = (row.service, row.evacuated);
+        if let Some(group) = self.services.get_mut(&service)
+            && !evacuated
+        {
+            group.rank_load.remove(rank);
+        }
+        self.release(id, false);
+    }
+
     /// Adds slot time that a request on an endpoint takes.
     pub fn add_slot_time(&mut self, id: Id, time: Duration, now: Duration) {
         if let Some(row) = self.get_mut(id) {
@@ -517,6 +564,7 @@
             flow_count: 0,
             unreported_flows: 0,
             own_requests: 0,
+            rank_load: RankLoad::default(),
             other_requests: 0,
             unanswered_since: None,
             paused_until: Duration::ZERO,
--- a/src/tables/held.rs
+++ b/src/tables/held.rs
@@ -5,6 +5,7 @@
 
 use serde::{Serialize, Serializer};
 
+use super::rank_load::RankDemand;
 use crate::id::Id;
 use crate::segment::{FlowAddrs, RequestKind, Segment};
 
@@ -65,6 +66,8 @@
     /// Requests that it may have in progress.
     #[serde(rename = "room")]
     pub requests: f64,
+    /// Slots that it may use.
+    pub slots: f64,
     /// Mean time to answer a request in seconds; zero before the first measurement.
     #[serde(rename = "answer")]
     pub answer_time: f64,
@@ -86,6 +89,7 @@
 pub struct HeldRequests {
     rows: BTreeMap<FlowAddrs, HeldRequest>,
     limits: HashMap<Id, ServiceLimit>,
+    rank_demand: RankDemand,
     releases: HashMap<Id, ReleaseHistory>,
     callers: CallerBuckets,
     /// Openings refused within [`RETRY_PERIOD`] whose callers have not retried yet.
@@ -149,10 +153,33 @@
         self.limits.get(&service).copied()
     }
 
-    /// Replaces the limits of all services.
-    pub fn set_limits(&mut self, limits: impl IntoIterator<Item = (Id, ServiceLimit)>) {
+    /// Replaces the limits of all services, and updates what is expected of each rank.
+    pub fn set_limits(
+        &mut self,
+        limits: impl IntoIterator<Item = (Id, ServiceLimit)>,
+        now: Duration,
+    ) {
         self.limits.clear();
         self.limits.extend(limits);
+        self.rank_demand.update(&self.limits, now);
+    }
+
+    /// Counts a request of a rank that arrives.
+    pub fn note_arrival(&mut self, service: Id, rank: u32, now: Duration) {
+        self.rank_demand.note_arrival(service, rank, now);
+    }
+
+    /// Returns the arrivals by service and rank.
+    #[must_use]
+    pub fn rank_demand(&self) -> &RankDemand {
+        &self.rank_demand
+    }
+
+    /// Returns true if a request of a higher rank than `rank` waits for a service.
+    #[must_use]
+    pub fn has_higher(&self, service: Id, rank: u32) -> bool {
+        let mut rows = self.rows.values();
+        rows.any(|row| row.service == service && row.rank < rank)
     }
 
     /// Returns the releases of a service so far.
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -13,6 +13,7 @@
 mod flows;
 mod held;
 mod inbox;
+mod rank_load;
 mod recent;
 mod requests;
 mod shared_health;
@@ -37,6 +38,7 @@
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::held::{HeldRequest, HeldRequests, Refusal, ReleaseHistory, ServiceLimit};
 pub use self::inbox::{Arrival, Stage, StageQueues};
+pub use self::rank_load::{RankDemand, RankLoad};
 pub use self::recent::RecentCounts;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::shared_health::{Cleared, HealthRow, SharedHealth, UnansweredOpen};
--- a/src/tables/tracks.rs
+++ b/src/tables/tracks.rs
@@ -81,6 +81,9 @@
     /// True while it counts as load on its endpoint.
     #[serde(rename = "loaded")]
     pub counts_load: bool,
+    /// Rank of its route when it began to count as load.
+    #[serde(rename = "rank")]
+    pub load_rank: u32,
 }
 
 impl TrackedFlow {
@@ -108,6 +111,7 @@
             retransmissions: 0,
             last_retransmission: now,
             counts_load: false,
+            load_rank: 0,
         }
     }
 }
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -45,6 +45,7 @@
     let exposition = Exposition {
         counters: counters.as_object().expect("an object").clone(),
         gauges: vec![("endpoints_down", 2.0)],
+        rank_gauges: vec![("rank_requests_waiting", vec![(0, 0.0), (3, 12.0)])],
         histograms: vec![("10.0.0.1:7000".to_owned(), histograms)],
     };
     let text = exposition.render().expect("a text");
@@ -52,6 +53,8 @@
         "jacinthhinge_placed_total 5",
         "jacinthhinge_control_deaths_total 1",
         "jacinthhinge_endpoints_down 2.0",
+        r#"jacinthhinge_rank_requests_waiting{rank="0"} 0.0"#,
+        r#"jacinthhinge_rank_requests_waiting{rank="3"} 12.0"#,
         r#"jacinthhinge_answer_seconds_bucket{lane="10.0.0.1:7000",le="0.025"} 0"#,
         r#"jacinthhinge_answer_seconds_bucket{lane="10.0.0.1:7000",le="0.05"} 1"#,
         r#"jacinthhinge_open_seconds_count{lane="10.0.0.1:7000"} 0"#,
