--- a/examples/swing/main.rs
+++ b/examples/swing/main.rs
@@ -4,7 +4,7 @@
 //! The simulation drives the library's decision systems on a virtual clock.
 //! `cargo run --release --example swing -- --seed N` runs one seed; `--seeds K` runs K
 //! seeds and prints the means. `--ablations` compares with variants of the shipped
-//! policies that lack one part each.
+//! policies that lack one part each. `--relayed` plays the loads of relayed flows instead.
 
 #![allow(
     clippy::cast_possible_truncation,
@@ -15,6 +15,9 @@
 
 mod baselines;
 mod measure;
+mod relayed;
+#[path = "../../tests/relaying/mod.rs"]
+mod relaying;
 mod scenario;
 mod server;
 mod simulation;
@@ -47,6 +50,8 @@
     outcomes: bool,
     /// Compare with the shipped policies without one part each
     ablations: bool,
+    /// Play the loads of relayed flows: a hot zone, and a shortage
+    relayed: bool,
 }
 
 /// Values of one service, one for each column.
@@ -54,6 +59,10 @@
 
 fn main() {
     let options = options().run();
+    if options.relayed {
+        relayed::print(options.seed, options.seeds);
+        return;
+    }
     print_header();
     for policies in policy_sets(&options) {
         let runs = run_all(&options, &policies);
