Attribute stalls of the soak to the hosts that got the request

Cause: `stalled` named the host that the router chose at the deadline. The simulated caller sent data again that the endpoint had acknowledged (5 copies instead of 2), and the endpoint sent answers again that the caller had acknowledged, once a later answer was out. An endpoint with two overlapping faults counted as repaired at the end of the first, and a killed host as repaired at the end of an earlier pause.

Change: a stall counts if a copy was sent to a host that had no fault from 4 s before it until the deadline, whichever host the router would choose then. Callers and endpoints stop at an acknowledgement. Faults of an endpoint overlap. Violations come with the last packets of the flow, and faults with their targets.

--- a/examples/soak/caller.rs
+++ b/examples/soak/caller.rs
@@ -14,8 +14,9 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::endpoint::STATUS_DONE;
+use crate::history::{FlowEvent, FlowHistory};
 use crate::hosts::Router;
-use crate::ledger::Checker;
+use crate::ledger::{Checker, RequestCopy};
 use crate::packet::{ACK, FIN, Flow, Packet, RST, SYN};
 
 /// Times at which the opening segment is sent; at the last one the caller gives up.
@@ -118,7 +119,7 @@
 
     /// Opens a flow to `vip` and closes it again; returns false if no endpoint accepted it.
     pub async fn can_open(&self, vip: SocketAddrV4, rng: &mut SmallRng) -> bool {
-        let Some(flow) = OpenFlow::open(self, vip, rng).await else {
+        let Some(mut flow) = OpenFlow::open(self, vip, rng).await else {
             return false;
         };
         flow.close().await;
@@ -207,6 +208,7 @@
     seq: u32,
     ack: u32,
     cookie: u32,
+    history: FlowHistory,
 }
 
 impl OpenFlow {
@@ -222,6 +224,7 @@
             seq: rng.random(),
             ack: 0,
             cookie: 0,
+            history: FlowHistory::default(),
         };
         let start = Instant::now();
         for (sent_copies, window) in OPEN_SCHEDULE.windows(2).enumerate() {
@@ -232,6 +235,7 @@
                 continue;
             };
             let (packet, is_intact, _) = answer?;
+            open.history.add(FlowEvent::received(&packet));
             if !is_intact || packet.has_flag(RST) {
                 return None;
             }
@@ -247,16 +251,24 @@
     async fn send_request(&mut self, data: Vec<u8>, id: u64, deadline: Instant) -> AttemptResult {
         let request_len = u32::try_from(data.len()).unwrap_or(0);
         let mut pause = RETRANSMIT_PAUSE;
+        let mut copies = Vec::new();
+        let mut is_acked = false;
+        self.history.add(FlowEvent::Request(id));
         loop {
-            self.send(ACK, self.seq, self.ack, data.clone()).await;
+            if !is_acked {
+                let host = self.send(ACK, self.seq, self.ack, data.clone()).await;
+                copies.push(RequestCopy::sent_to(host));
+            }
             let due = (Instant::now() + pause).min(deadline);
             while let Ok(answer) = timeout_at(due, self.inbox.recv()).await {
                 let Some((packet, is_intact, from)) = answer else {
                     return AttemptResult::FlowLost;
                 };
+                self.history.add(FlowEvent::received(&packet));
                 if packet.has_flag(RST) {
                     if !is_intact {
-                        self.node.checker.lock().record_reset(&self.flow, from);
+                        let mut observed = self.node.checker.lock();
+                        observed.record_reset(&self.flow, from, &self.history);
                     }
                     return AttemptResult::FlowLost;
                 }
@@ -265,6 +277,8 @@
                 if packet.cookie != 0 && !packet.has_flag(SYN) {
                     self.cookie = packet.cookie;
                 }
+                // Acknowledged data is not sent again, also if its answer takes longer.
+                is_acked |= packet.ack == self.seq.wrapping_add(request_len);
                 if packet.data.is_empty() {
                     continue;
                 }
@@ -291,23 +305,20 @@
                 };
             }
             if Instant::now() >= deadline {
-                if let SocketAddr::V4(host) = self.node.router.pick_host(&self.flow) {
-                    self.node
-                        .checker
-                        .lock()
-                        .record_stall(&self.flow, *host.ip());
-                }
+                let mut observed = self.node.checker.lock();
+                observed.record_stall(&self.flow, &copies, &self.history);
                 return AttemptResult::FlowLost;
             }
             pause = (pause * 2).min(MAX_RETRANSMIT_PAUSE);
         }
     }
 
-    async fn close(&self) {
+    async fn close(&mut self) {
         self.send(FIN | ACK, self.seq, self.ack, Vec::new()).await;
     }
 
-    async fn send(&self, flags: u8, seq: u32, ack: u32, data: Vec<u8>) {
+    /// Sends a packet and returns the host that it was sent to.
+    async fn send(&mut self, flags: u8, seq: u32, ack: u32, data: Vec<u8>) -> Ipv4Addr {
         let packet = Packet {
             flow: self.flow,
             to_caller: false,
@@ -318,8 +329,10 @@
             data,
         };
         let to = self.node.router.pick_host(&self.flow);
+        self.history.add(FlowEvent::sent(&packet, to));
         // A datagram that the kernel does not accept is lost, as on a network.
         let _ = self.node.socket.send_to(&packet.encode(), to).await;
+        *to.ip()
     }
 }
 
--- a/examples/soak/endpoint.rs
+++ b/examples/soak/endpoint.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use jacinthhinge::segment::is_seq_after;
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use serde_json::json;
@@ -63,6 +64,7 @@
     flows: HashMap<Flow, HeldFlow>,
     draining: bool,
     is_muted: bool,
+    is_expired: bool,
     service_time: Duration,
     started_ms: u64,
     restarts: u64,
@@ -174,23 +176,33 @@
     }
 
     pub fn set_muted(&self, is_muted: bool) {
-        self.mark_fault(is_muted);
-        self.lock_state().is_muted = is_muted;
+        self.change_faults(|state| state.is_muted = is_muted);
     }
 
     pub fn set_slow(&self, slow: bool) {
-        self.mark_fault(slow);
-        self.lock_state().service_time = if slow {
-            SLOW_SERVICE_TIME
-        } else {
-            SERVICE_TIME
-        };
+        self.change_faults(|state| {
+            state.service_time = if slow {
+                SLOW_SERVICE_TIME
+            } else {
+                SERVICE_TIME
+            };
+        });
     }
 
-    /// Records the start or the end of a fault of this endpoint.
-    pub fn mark_fault(&self, is_active: bool) {
+    /// Records that the endpoint's entry has disappeared from the store or come back.
+    pub fn set_expired(&self, is_expired: bool) {
+        self.change_faults(|state| state.is_expired = is_expired);
+    }
+
+    /// Begins or ends a fault. Faults overlap, and the endpoint is under one until all have ended.
+    fn change_faults(&self, change: impl FnOnce(&mut EndpointState)) {
+        let mut state = self.lock_state();
+        change(&mut state);
+        let is_slow = state.service_time > SERVICE_TIME;
+        let is_faulty = state.is_muted || state.is_expired || is_slow;
+        drop(state);
         let target = FaultTarget::Endpoint(self.spec.number);
-        if is_active {
+        if is_faulty {
             self.checker.begin_fault(target);
         } else {
             self.checker.end_fault(target);
@@ -255,7 +267,9 @@
             let is_addressed =
                 |held: &&mut HeldFlow| held.is_open || packet.ack == held.send_next.wrapping_add(1);
             held.filter(is_addressed).map(|held| {
-                held.peer_ack = packet.ack;
+                if is_seq_after(packet.ack, held.peer_ack) {
+                    held.peer_ack = packet.ack;
+                }
                 if !held.is_open {
                     held.is_open = true;
                     held.send_next = held.send_next.wrapping_add(1);
@@ -380,7 +394,7 @@
         let Some((seq, end)) = seq_range else { return };
         for pause in RETRANSMIT_PAUSES {
             let recv_next = match self.lock_state().flows.get(&request.flow) {
-                Some(held) if held.peer_ack != end => held.recv_next,
+                Some(held) if is_seq_after(end, held.peer_ack) => held.recv_next,
                 _ => return,
             };
             self.send(&request.flow, ACK, seq, recv_next, answer.clone())
--- a/examples/soak/hosts.rs
+++ b/examples/soak/hosts.rs
@@ -1,6 +1,6 @@
 //! Hosts as separate processes, and the router that distributes flows over them.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -154,6 +154,14 @@
         }
     }
 
+    /// Continues the process after a pause. A host that was killed meanwhile stays down.
+    pub fn resume(&self) {
+        if self.child.is_some() {
+            self.checker.end_fault(FaultTarget::Host(self.spec.ip));
+            self.signal(Signal::CONT);
+        }
+    }
+
     /// Kills the process and waits for its exit.
     pub async fn kill(&mut self) {
         self.checker.begin_fault(FaultTarget::Host(self.spec.ip));
@@ -239,7 +247,7 @@
 
     /// Returns the address of the host that receives a flow's packets. All hosts are used
     /// while more than half of them are out of rotation.
-    pub fn pick_host(&self, flow: &Flow) -> SocketAddr {
+    pub fn pick_host(&self, flow: &Flow) -> SocketAddrV4 {
         let probed_hosts = self.probed_hosts();
         let ready_hosts = probed_hosts
             .iter()
@@ -251,7 +259,7 @@
         let weight = |m: &&ProbedHost| xxh3_64(format!("{flow:?}{}", m.ip).as_bytes());
         let host = usable.max_by_key(weight);
         let ip = host.map_or(Ipv4Addr::LOCALHOST, |probed| probed.ip);
-        SocketAddr::from((ip, LANE_PORT))
+        SocketAddrV4::new(ip, LANE_PORT)
     }
 }
 
--- a/examples/soak/ledger.rs
+++ b/examples/soak/ledger.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::history::FlowHistory;
 use crate::packet::Flow;
 
 /// Time after the end of a fault during which the affected host or endpoint is exempt
@@ -34,6 +35,8 @@
 /// Events seen so far and the violations found in them.
 #[derive(Default)]
 pub struct Observations {
+    /// Start of the traffic, from which the times of printed events count.
+    pub started_at: Option<Instant>,
     /// Number of the endpoint that holds each open flow.
     pub flow_owners: HashMap<Flow, u64>,
     /// End of the latest fault of each host and endpoint; in the future while it is active.
@@ -57,6 +60,21 @@
     pub violations: Vec<String>,
 }
 
+/// A copy of a request that its caller has sent.
+pub struct RequestCopy {
+    sent_at: Instant,
+    host: Ipv4Addr,
+}
+
+impl RequestCopy {
+    pub fn sent_to(host: Ipv4Addr) -> Self {
+        Self {
+            sent_at: Instant::now(),
+            host,
+        }
+    }
+}
+
 /// Part of the system that faults are injected into.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum FaultTarget {
@@ -73,12 +91,20 @@
     /// Records the start of a fault that lasts until [`Checker::end_fault`].
     pub fn begin_fault(&self, target: FaultTarget) {
         let end = Instant::now() + MAX_RUN_TIME;
-        self.lock().fault_ends.insert(target, end);
+        let mut observed = self.lock();
+        observed.fault_ends.insert(target, end);
+        println!(
+            "{:6.1} s  {target:?} fails",
+            observed.seconds_at(Instant::now())
+        );
     }
 
     /// Records the end of a fault.
     pub fn end_fault(&self, target: FaultTarget) {
-        self.lock().fault_ends.insert(target, Instant::now());
+        let now = Instant::now();
+        let mut observed = self.lock();
+        observed.fault_ends.insert(target, now);
+        println!("{:6.1} s  {target:?} is repaired", observed.seconds_at(now));
     }
 
     /// Records an order to evacuate a zone, or that it was given again.
@@ -99,9 +125,18 @@
         end.is_none_or(|end| end.elapsed() >= RECOVERY_TIME)
     }
 
+    /// Returns the seconds from the start of the traffic to `at`.
+    pub fn seconds_at(&self, at: Instant) -> f64 {
+        let since_start = |start: Instant| at.saturating_duration_since(start);
+        self.started_at
+            .map_or(0.0, |start| since_start(start).as_secs_f64())
+    }
+
     pub fn report_violation(&mut self, rule: &str, details: &str) {
         *self.violation_counts.entry(rule.to_owned()).or_default() += 1;
-        self.violations.push(format!("{rule}: {details}"));
+        let at = self.seconds_at(Instant::now());
+        self.violations
+            .push(format!("{rule} at {at:.3} s: {details}"));
     }
 
     /// Records the execution of a request at an endpoint. A request that is not safe to
@@ -177,22 +212,31 @@
         }
     }
 
-    /// Records a request that had no answer by its deadline; the last copies of it were
-    /// sent to `host`.
-    pub fn record_stall(&mut self, flow: &Flow, host: Ipv4Addr) {
+    /// Records a request that had no answer by its deadline. Only copies that were sent to a
+    /// host without a fault since [`RECOVERY_TIME`] before had to be answered.
+    pub fn record_stall(&mut self, flow: &Flow, copies: &[RequestCopy], history: &FlowHistory) {
         let Some(owner) = self.flow_owners.get(flow).copied() else {
             return;
         };
-        if self.is_recovered(FaultTarget::Endpoint(owner))
-            && self.is_recovered(FaultTarget::Host(host))
-        {
-            let details = format!("no answer on {flow:?} of endpoint {owner:x} through {host}");
+        let had_recovered = |copy: &&RequestCopy| {
+            let end = self.fault_ends.get(&FaultTarget::Host(copy.host));
+            end.is_none_or(|end| *end + RECOVERY_TIME <= copy.sent_at)
+        };
+        let Some(copy) = copies.iter().find(had_recovered) else {
+            return;
+        };
+        if self.is_recovered(FaultTarget::Endpoint(owner)) {
+            let details = format!(
+                "no answer on {flow:?} of endpoint {owner:x} through {}\n{}",
+                copy.host,
+                history.describe(self)
+            );
             self.report_violation("stalled", &details);
         }
     }
 
     /// Records the reset of a flow by a host.
-    pub fn record_reset(&mut self, flow: &Flow, host: Ipv4Addr) {
+    pub fn record_reset(&mut self, flow: &Flow, host: Ipv4Addr, history: &FlowHistory) {
         self.host_resets += 1;
         let Some(owner) = self.flow_owners.get(flow).copied() else {
             return;
@@ -200,7 +244,10 @@
         if self.is_recovered(FaultTarget::Endpoint(owner))
             && self.is_recovered(FaultTarget::Host(host))
         {
-            let details = format!("{flow:?} of endpoint {owner:x} was reset by {host}");
+            let details = format!(
+                "{flow:?} of endpoint {owner:x} was reset by {host}\n{}",
+                history.describe(self)
+            );
             self.report_violation("flow", &details);
         }
     }
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -13,6 +13,7 @@
 mod caller;
 mod endpoint;
 mod faults;
+mod history;
 mod hosts;
 mod ledger;
 mod packet;
@@ -370,6 +371,7 @@
         sleep(STARTUP_TIME).await;
         let fault_time = Duration::from_secs(self.options.seconds);
         let started_at = Instant::now();
+        self.checker.lock().started_at = Some(started_at.into_std());
         let end = started_at + fault_time + FAULT_FREE_TIME;
         let callers = self.start_callers(end).await?;
         let mut plan = faults::plan_faults(&mut self.rng, fault_time);
@@ -455,6 +457,7 @@
             }
             Fault::RestartHost => {
                 let host = self.rng.random_range(0..self.hosts.len());
+                println!("          {}", self.hosts[host].spec.name);
                 self.hosts[host].signal(Signal::CONT);
                 self.hosts[host].terminate();
                 vec![Recovery::StartHost(host)]
@@ -517,6 +520,7 @@
         };
         let endpoint = Arc::clone(&running.endpoint);
         let number = endpoint.spec.number;
+        println!("          endpoint {number:x} of {}", endpoint.spec.service);
         match fault {
             Fault::MuteEndpoint => {
                 endpoint.set_muted(true);
@@ -535,7 +539,7 @@
                 vec![Recovery::ReplaceEndpoint(number)]
             }
             _ => {
-                endpoint.mark_fault(true);
+                endpoint.set_expired(true);
                 endpoint.remove_entry();
                 vec![Recovery::PublishEntry(number)]
             }
@@ -558,9 +562,7 @@
                 self.hosts[host].start()?;
             }
             Recovery::ResumeHost(host) => {
-                self.checker
-                    .end_fault(FaultTarget::Host(self.hosts[host].spec.ip));
-                self.hosts[host].signal(Signal::CONT);
+                self.hosts[host].resume();
             }
             Recovery::UnmuteEndpoint(number) => {
                 if let Some(running) = find_endpoint(number) {
@@ -574,7 +576,7 @@
             }
             Recovery::PublishEntry(number) => {
                 if let Some(running) = find_endpoint(number) {
-                    running.endpoint.mark_fault(false);
+                    running.endpoint.set_expired(false);
                     running.endpoint.publish();
                 }
             }
