Fetch held values when a host starts while the store is incomplete

The other hosts held the removal of 28 values back and went on to use them. Host 3 had the revision of the others, so it fetched nothing, and dropped the segments of open flows (`cookie_unknown`) until the store answered again at 14.8 s. While a store is away after such an answer, this lasts as long as the outage.

Change: after its first values a host asks the oldest other host, once that is not behind it, for the values whose removal that holds back (`held` in the fetch request, field 5), uses those that it does not know and holds their removal back too. A host of an older release ignores the field and answers as before. One small fetch at each start is added. A value that the copy has in an older version is not replaced.

--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -37,6 +37,10 @@
 /// Maximum random pause after a fetch that failed like the one before it.
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time after its first values in which a host asks another one for those whose removal that holds
+/// back: three heartbeats, until others have its revision, and two fetches that fail.
+const HELD_FETCH_TIME: Duration = Duration::from_millis(3_500);
+
 /// Time for which views may differ before all members are fetched.
 const VIEW_DIFFER_TIME: Duration = Duration::from_secs(3);
 
@@ -44,6 +48,7 @@
 pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
     let views_differ = compare_views(tables, now);
     compare_revisions(tables, now);
+    note_first_values(tables, now);
     let progress = &mut tables.fetch;
     if progress
         .pending_since
@@ -54,11 +59,22 @@
     if progress.pending_since.is_some() || now < progress.next_fetch {
         return;
     }
-    if let Some((id, request)) = choose_peer(tables, views_differ, wants_values(tables, now)) {
+    let with_values = wants_values(tables, now);
+    let chosen = choose_peer(tables, views_differ, with_values);
+    if let Some((id, request)) = chosen.or_else(|| choose_holder(tables, now)) {
         start(tables, now, id, request, outbox);
     }
 }
 
+/// Starts to ask for the values that other hosts still use, once this host has its first values:
+/// the platform may have been restored from a copy without them.
+fn note_first_values(tables: &mut Tables, now: Duration) {
+    if !tables.fetch.has_values && !tables.values.revision.is_none() {
+        tables.fetch.has_values = true;
+        tables.fetch.held_until = Some(now + HELD_FETCH_TIME);
+    }
+}
+
 /// Processes the result of a fetch, unless that has been abandoned: another request may be
 /// pending, for which the result would be taken.
 pub(super) fn receive(
@@ -103,9 +119,16 @@
     } else {
         Vec::new()
     };
+    let mut values = tables.values.changes_after(request.known_revision);
+    let held_removals = if request.held {
+        values.values.extend(removals::held_values(tables));
+        tables.platform_reads.held_removals.clone()
+    } else {
+        removals::held_after(tables, request.known_revision)
+    };
     FetchResponse {
-        values: tables.values.changes_after(request.known_revision),
-        held_removals: removals::held_after(tables, request.known_revision),
+        values,
+        held_removals,
         latest_voters,
         agreed_voters,
         members,
@@ -169,6 +192,7 @@
         voters: wants_voters(tables, member),
         members: !has_members
             || (views_differ && current_view(member) != tables.lease_state.view_digest()),
+        held: false,
     };
     let mut candidates: Vec<(Id, FetchRequest)> = tables
         .live_members()
@@ -199,6 +223,25 @@
     candidates.choose(&mut tables.rng).copied()
 }
 
+/// Returns the host to ask for the values whose removal it holds back, if this one should ask: the
+/// oldest one, once it is not behind this host. One that has just started may lack them too.
+fn choose_holder(tables: &Tables, now: Duration) -> Option<(Id, FetchRequest)> {
+    tables.fetch.held_until.filter(|until| now < *until)?;
+    let older = tables
+        .live_members()
+        .filter(|member| member.status == Status::Alive)
+        .filter(|member| member.incarnation < tables.me.incarnation)
+        .filter(|member| Some(member.info.peer_addr) != tables.fetch.failed_peer);
+    let oldest = older.min_by_key(|member| member.incarnation)?;
+    let request = FetchRequest {
+        known_revision: tables.values.revision,
+        voters: false,
+        members: false,
+        held: true,
+    };
+    (oldest.revision >= tables.values.revision).then_some((oldest.id, request))
+}
+
 fn wants_voters(tables: &Tables, member: &Member) -> bool {
     let voter_sets = &tables.voter_sets;
     let digest = member.vote.agreed_digest;
@@ -242,6 +285,10 @@
 }
 
 fn apply_values(tables: &mut Tables, now: Duration, update: ValueUpdate, held: Vec<ValueChange>) {
+    if tables.fetch.request.held && update.revision >= tables.values.revision {
+        tables.fetch.held_until = None;
+        removals::adopt_values(tables, now, &update, &held);
+    }
     if update.revision > tables.values.revision {
         let has_values = !tables.values.revision.is_none();
         if update.is_full && has_values {
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -138,6 +138,8 @@
     pub voters: bool,
     /// True to get all members.
     pub members: bool,
+    /// True to get, in addition to newer values, those whose removal the receiver holds back.
+    pub held: bool,
 }
 
 /// Response to a [`FetchRequest`].
--- a/src/control/removals.rs
+++ b/src/control/removals.rs
@@ -56,6 +56,49 @@
     tables.platform_reads.held_removals.extend(held);
 }
 
+/// Adds the values that another host still uses and whose removal it holds back, and holds their
+/// removal back too. Values that this host knows are not changed.
+///
+/// A host that starts while the platform serves an incomplete copy would not know them
+/// until they are written again, and would drop what open flows send to their endpoints.
+pub(super) fn adopt_values(
+    tables: &mut Tables,
+    now: Duration,
+    update: &ValueUpdate,
+    held: &[ValueChange],
+) {
+    let known = &tables.values.values;
+    let unknown = held.iter().filter(|held| !known.contains_key(&held.key));
+    let unknown: Vec<ValueChange> = unknown.cloned().collect();
+    let keys: HashSet<&Name> = unknown.iter().map(|removal| &removal.key).collect();
+    let values = update.values.iter().filter(|row| keys.contains(&row.key));
+    let update = ValueUpdate {
+        revision: tables.values.revision,
+        values: values.cloned().collect(),
+        is_full: false,
+    };
+    if update.values.is_empty() {
+        return;
+    }
+    log::info!(count = update.values.len(); "held_values_fetched");
+    adopt(tables, now, unknown);
+    apply::from_host(tables, &update);
+}
+
+/// Returns the values in force whose removal is held back.
+pub(super) fn held_values(tables: &Tables) -> Vec<ValueChange> {
+    let held = tables.platform_reads.held_removals.iter();
+    let keys: HashSet<&Name> = held.map(|removal| &removal.key).collect();
+    let values = tables.values.values.iter();
+    values
+        .filter(|(key, value)| value.json.is_some() && keys.contains(key))
+        .map(|(key, value)| ValueChange {
+            key: Name::clone(key),
+            value: value.clone(),
+        })
+        .collect()
+}
+
 /// Returns the held removals that are newer than the revision `after`.
 pub(super) fn held_after(tables: &Tables, after: Revision) -> Vec<ValueChange> {
     let held = tables.platform_reads.held_removals.iter();
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -288,6 +288,12 @@
     /// Since when another host has had a newer revision.
     #[serde(rename = "behind")]
     pub(super) behind_since: Option<Duration>,
+    /// True once this host has had values.
+    #[serde(skip)]
+    pub(super) has_values: bool,
+    /// Until when to ask another host for the values whose removal it holds back.
+    #[serde(rename = "asks_held")]
+    pub(super) held_until: Option<Duration>,
     /// True once all members have been fetched from another host.
     #[serde(rename = "joined")]
     pub(super) has_members: bool,
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -171,6 +171,9 @@
     /// Era of `after`.
     #[prost(uint64, tag = "4")]
     era: u64,
+    /// True to get the values whose removal is held back.
+    #[prost(bool, tag = "5")]
+    held: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -322,6 +325,7 @@
         rosters: request.voters,
         members: request.members,
         era: request.known_revision.era,
+        held: request.held,
     };
     key.sign(wire.encode_to_vec())
 }
@@ -338,6 +342,7 @@
         known_revision: Revision::new(wire.era, wire.after),
         voters: wire.rosters,
         members: wire.members,
+        held: wire.held,
     })
 }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -248,6 +248,22 @@
     }
 }
 
+#[test]
+fn fetch_request_round_trips() {
+    let key = PeerKey::new("secret");
+    for held in [false, true] {
+        let request = FetchRequest {
+            known_revision: Revision::new(3, 7),
+            voters: !held,
+            members: !held,
+            held,
+        };
+        let bytes = wire::encode_fetch_request(&request, &key);
+        let decoded = wire::decode_fetch_request(&bytes, &key).expect("request");
+        assert_eq!(decoded, request);
+    }
+}
+
 #[test]
 fn fetch_response_is_compressed() {
     let key = PeerKey::new("secret");
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -47,6 +47,7 @@
 mod simultaneous_endpoint_exits;
 mod stale_fetch;
 mod stalls_of_departed_flows;
+mod start_during_restore;
 mod stopped_response;
 mod unanswered_fetch;
 mod unanswered_read;
