Answer a fetch of held values without newer values

Cause: after a restart of all hosts each asks the oldest one within some seconds. If that had read a newer revision whole, it would have answered each with all values, up to 428 KB.

Change: the answer has the values in force whose removal is held back, and these removals, and repeats the revision of the request. The answer of an older release has newer values and is applied as such.

--- a/src/control/fetch.rs
+++ b/src/control/fetch.rs
@@ -119,12 +119,11 @@
     } else {
         Vec::new()
     };
-    let mut values = tables.values.changes_after(request.known_revision);
-    let held_removals = if request.held {
-        values.values.extend(removals::held_values(tables));
-        tables.platform_reads.held_removals.clone()
+    let (values, held_removals) = if request.held {
+        removals::held_values(tables, request.known_revision)
     } else {
-        removals::held_after(tables, request.known_revision)
+        let values = tables.values.changes_after(request.known_revision);
+        (values, removals::held_after(tables, request.known_revision))
     };
     FetchResponse {
         values,
@@ -285,9 +284,12 @@
 }
 
 fn apply_values(tables: &mut Tables, now: Duration, update: ValueUpdate, held: Vec<ValueChange>) {
-    if tables.fetch.request.held && update.revision >= tables.values.revision {
+    let request = tables.fetch.request;
+    // A host of an older release answers with newer values instead.
+    if request.held && update.revision == request.known_revision {
         tables.fetch.held_until = None;
         removals::adopt_values(tables, now, &update, &held);
+        return;
     }
     if update.revision > tables.values.revision {
         let has_values = !tables.values.revision.is_none();
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -138,7 +138,7 @@
     pub voters: bool,
     /// True to get all members.
     pub members: bool,
-    /// True to get, in addition to newer values, those whose removal the receiver holds back.
+    /// True to get, instead of newer values, those whose removal the receiver holds back.
     pub held: bool,
 }
 
--- a/src/control/removals.rs
+++ b/src/control/removals.rs
@@ -85,18 +85,24 @@
     apply::from_host(tables, &update);
 }
 
-/// Returns the values in force whose removal is held back.
-pub(super) fn held_values(tables: &Tables) -> Vec<ValueChange> {
-    let held = tables.platform_reads.held_removals.iter();
-    let keys: HashSet<&Name> = held.map(|removal| &removal.key).collect();
+/// Returns the values in force whose removal is held back, and these removals, for a host with
+/// the revision `known`. Newer values are left out: they may be all, for many hosts at once.
+pub(super) fn held_values(tables: &Tables, known: Revision) -> (ValueUpdate, Vec<ValueChange>) {
+    let held = &tables.platform_reads.held_removals;
+    let keys: HashSet<&Name> = held.iter().map(|removal| &removal.key).collect();
     let values = tables.values.values.iter();
-    values
+    let values = values
         .filter(|(key, value)| value.json.is_some() && keys.contains(key))
         .map(|(key, value)| ValueChange {
             key: Name::clone(key),
             value: value.clone(),
-        })
-        .collect()
+        });
+    let update = ValueUpdate {
+        revision: known,
+        values: values.collect(),
+        is_full: false,
+    };
+    (update, held.clone())
 }
 
 /// Returns the held removals that are newer than the revision `after`.
