Keep the soak's callers until its measured period ends

Change: callers go on until the check has ended and for the 3 s of the measured period after it, at least until the planned end. A write of over 200 ms is printed with its time.

--- a/examples/soak/caller.rs
+++ b/examples/soak/caller.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::endpoint::STATUS_DONE;
@@ -126,12 +126,12 @@
         true
     }
 
-    /// Makes one request after the other until `end`.
-    pub async fn run_caller(self, vip: Vip, seed: u64, end: Instant) {
+    /// Makes one request after the other until `end`, which may change meanwhile.
+    pub async fn run_caller(self, vip: Vip, seed: u64, end: watch::Receiver<Instant>) {
         let mut rng = SmallRng::seed_from_u64(seed);
         sleep(Duration::from_millis(rng.random_range(0..500))).await;
         let mut open_flow = None;
-        while Instant::now() < end {
+        while Instant::now() < *end.borrow() {
             self.run_request(&vip, &mut open_flow, &mut rng).await;
             if vip.run_once {
                 open_flow = None;
--- a/examples/soak/hosts.rs
+++ b/examples/soak/hosts.rs
@@ -34,6 +34,9 @@
 /// Age from which a process has its signal handlers installed, even on a busy machine.
 const SIGNAL_HANDLING_AGE: Duration = Duration::from_secs(1);
 
+/// Time from which a write of a settings file is reported: it delays the faults planned after it.
+const SLOW_WRITE_TIME: Duration = Duration::from_millis(200);
+
 /// Region of all zones.
 const REGION: &str = "loop";
 
@@ -103,9 +106,14 @@
     /// Writes the settings file in another thread: closing a file that was truncated can wait for
     /// the disk. That took 9.5 s beside running builds, in which the soak itself stood still.
     async fn write_file(&self, text: String) -> std::io::Result<()> {
-        let file = self.settings_file.clone();
+        let (file, started_at) = (self.settings_file.clone(), Instant::now());
         let written = tokio::task::spawn_blocking(move || std::fs::write(file, text));
-        written.await.map_err(std::io::Error::other)?
+        let result = written.await.map_err(std::io::Error::other)?;
+        let elapsed = started_at.elapsed();
+        if elapsed > SLOW_WRITE_TIME {
+            println!("          writing the settings took {elapsed:?} and delays the faults");
+        }
+        result
     }
 
     fn settings_text(&self, seeds: &[Ipv4Addr], store: SocketAddr) -> String {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -31,6 +31,7 @@
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -56,6 +57,9 @@
 const FAULT_FREE_TIME: Duration = Duration::from_secs(17);
 const MEASURED_TIME: Duration = Duration::from_secs(3);
 
+/// Exceeds the length of every run.
+const MAX_RUN_TIME: Duration = Duration::from_hours(24);
+
 /// Time without faults after which a change must be in force within [`APPLY_TIME`] on all
 /// hosts, and the users' limit for that.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
@@ -372,8 +376,8 @@
         let fault_time = Duration::from_secs(self.options.seconds);
         let started_at = Instant::now();
         self.checker.lock().started_at = Some(started_at.into_std());
-        let end = started_at + fault_time + FAULT_FREE_TIME;
-        let callers = self.start_callers(end).await?;
+        let (callers_end, end) = watch::channel(started_at + MAX_RUN_TIME);
+        let callers = self.start_callers(&end).await?;
         let mut plan = faults::plan_faults(&mut self.rng, fault_time);
         if !self.options.no_evacuations {
             faults::add_evacuations(&mut plan, self.options.seed, fault_time);
@@ -408,6 +412,10 @@
             }
         }
         self.check_config(Instant::now()).await?;
+        // A write of a settings file that waits for the disk delays the faults after it.
+        let planned_end = started_at + fault_time + FAULT_FREE_TIME;
+        let end = planned_end.max(Instant::now() + MEASURED_TIME);
+        callers_end.send_replace(end);
         sleep_until(end - MEASURED_TIME).await;
         let counts_before = self.request_counts();
         callers.join_all().await;
@@ -415,14 +423,17 @@
         Ok(self.print_report(counts_before))
     }
 
-    async fn start_callers(&mut self, end: Instant) -> std::io::Result<JoinSet<()>> {
+    async fn start_callers(
+        &mut self,
+        end: &watch::Receiver<Instant>,
+    ) -> std::io::Result<JoinSet<()>> {
         let mut callers = JoinSet::new();
         for index in 0..self.options.callers {
             let addr = SocketAddrV4::new(Ipv4Addr::new(127, self.subnet, 2, index + 1), LANE_PORT);
             let node = CallerNode::start(addr, self.router.clone(), self.checker.clone()).await?;
             for vip in [vips()[0], vips()[0], vips()[1], vips()[2]] {
                 let seed = self.rng.random();
-                let node = node.clone();
+                let (node, end) = (node.clone(), end.clone());
                 callers.spawn(async move { node.run_caller(vip, seed, end).await });
             }
         }
--- a/tests/soak_parts.rs
+++ b/tests/soak_parts.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -159,7 +159,7 @@
     /// Makes one request, up to its deadline, and returns the number of stalled requests that
     /// were reported.
     async fn count_stalls(&self) -> u32 {
-        let end = Instant::now() + Duration::from_millis(600);
+        let (_sender, end) = watch::channel(Instant::now() + Duration::from_millis(600));
         self.caller.clone().run_caller(VIP, 1, end).await;
         let observed = self.checker.lock();
         assert_eq!(observed.total_requests, 1);
@@ -231,6 +231,21 @@
     assert_eq!(setup.count_stalls().await, 1);
 }
 
+/// Guards against a measured period without callers: in seeds 7016 and 7017 a write to a disk that
+/// was busy for 9 to 11 s delayed the faults, and the callers had ended before the period began.
+#[tokio::test]
+async fn callers_go_on_until_an_end_that_is_set_later() {
+    let setup = set_up(7, false).await;
+    let (sender, end) = watch::channel(Instant::now() + Duration::from_hours(1));
+    let running = tokio::spawn(setup.caller.clone().run_caller(VIP, 1, end));
+    sleep(Duration::from_secs(6)).await;
+    assert!(!running.is_finished());
+    assert!(setup.checker.lock().total_requests >= 2);
+    sender.send_replace(Instant::now());
+    let ended = timeout(Duration::from_secs(6), running).await;
+    assert!(ended.is_ok_and(|ended| ended.is_ok()));
+}
+
 /// An endpoint, and a caller's socket that sends to it as a host does.
 struct EndpointSetup {
     running: RunningEndpoint,
