--- a/examples/soak/hosts.rs
+++ b/examples/soak/hosts.rs
@@ -1,6 +1,6 @@
 //! Hosts as separate processes, and the router that distributes flows over them.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -34,6 +34,9 @@
 /// Age from which a process has its signal handlers installed, even on a busy machine.
 const SIGNAL_HANDLING_AGE: Duration = Duration::from_secs(1);
 
+/// Time from which a write of a settings file is reported: it delays the faults planned after it.
+const SLOW_WRITE_TIME: Duration = Duration::from_millis(200);
+
 /// Region of all zones.
 const REGION: &str = "loop";
 
@@ -103,9 +106,14 @@
     /// Writes the settings file in another thread: closing a file that was truncated can wait for
     /// the disk. That took 9.5 s beside running builds, in which the soak itself stood still.
     async fn write_file(&self, text: String) -> std::io::Result<()> {
-        let file = self.settings_file.clone();
+        let (file, started_at) = (self.settings_file.clone(), Instant::now());
         let written = tokio::task::spawn_blocking(move || std::fs::write(file, text));
-        written.await.map_err(std::io::Error::other)?
+        let result = written.await.map_err(std::io::Error::other)?;
+        let elapsed = started_at.elapsed();
+        if elapsed > SLOW_WRITE_TIME {
+            println!("          writing the settings took {elapsed:?} and delays the faults");
+        }
+        result
     }
 
     fn settings_text(&self, seeds: &[Ipv4Addr], store: SocketAddr) -> String {
@@ -154,6 +162,14 @@
         }
     }
 
+    /// Continues the process after a pause. A host that was killed meanwhile stays down.
+    pub fn resume(&self) {
+        if self.child.is_some() {
+            self.checker.end_fault(FaultTarget::Host(self.spec.ip));
+            self.signal(Signal::CONT);
+        }
+    }
+
     /// Kills the process and waits for its exit.
     pub async fn kill(&mut self) {
         self.checker.begin_fault(FaultTarget::Host(self.spec.ip));
@@ -239,7 +255,7 @@
 
     /// Returns the address of the host that receives a flow's packets. All hosts are used
     /// while more than half of them are out of rotation.
-    pub fn pick_host(&self, flow: &Flow) -> SocketAddr {
+    pub fn pick_host(&self, flow: &Flow) -> SocketAddrV4 {
         let probed_hosts = self.probed_hosts();
         let ready_hosts = probed_hosts
             .iter()
@@ -251,7 +267,7 @@
         let weight = |m: &&ProbedHost| xxh3_64(format!("{flow:?}{}", m.ip).as_bytes());
         let host = usable.max_by_key(weight);
         let ip = host.map_or(Ipv4Addr::LOCALHOST, |probed| probed.ip);
-        SocketAddr::from((ip, LANE_PORT))
+        SocketAddrV4::new(ip, LANE_PORT)
     }
 }
 
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -291,6 +291,12 @@
     /// Newest known revision when this host last had all that it knew of.
     #[serde(skip)]
     pub(super) missing: Option<MissingRevision>,
+    /// True once this host has had values.
+    #[serde(skip)]
+    pub(super) has_values: bool,
+    /// Until when to ask another host for the values whose removal it holds back.
+    #[serde(rename = "asks_held")]
+    pub(super) held_until: Option<Duration>,
     /// True once all members have been fetched from another host.
     #[serde(rename = "joined")]
     pub(super) has_members: bool,
