--- a/tests/regression/pause_after_clock_read.rs
+++ b/tests/regression/pause_after_clock_read.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Instant;
 
+use arc_swap::ArcSwap;
 use jacinthhinge::front::lane::{Codec, Lane, SharedState};
 use jacinthhinge::prelude::*;
 use jacinthhinge::wire;
