Send sums of zones and keep reports within the bytes of a host

Cause: in a shortage every host sent its service rows to every host of every zone, so the bytes grew with the square of the number of hosts. Reports about endpoints had no bound besides 24 rows: with suspicions on every host, a host sent 15.8 KB/s at 79 hosts and received as much, where 14 KB/s in all is the target. With more than 73 hosts a report expired, after 1.5 s, before its next regular repetition.

Change: service rows stay within the zone, and two hosts of each zone send its sum (heartbeat field 21). Rows of a zone, of hosts of an older release, count while there is no current sum of it. Reports count for three repetitions, 1.5 s to 6 s. Regular heartbeats carry a report only as often as the bytes left of 7,000 sent in a second allow, each member in its turn; extra rounds stop at their byte limit instead of exceeding it by one round, and have 400 instead of 1,000 bytes a second in the long run.

--- a/src/control/heartbeat.rs
+++ b/src/control/heartbeat.rs
@@ -11,7 +11,7 @@
 
 use super::message::{Heartbeat, MemberUpdate, Status, Timestamp};
 use super::tables::{Member, Tables};
-use super::{Action, Outbox, lease, members, outages, reports};
+use super::{Action, Outbox, lease, members, outages, reports, zone_sums};
 use crate::id::Id;
 
 /// Period of heartbeat rounds in zones whose members fit into one round.
@@ -56,6 +56,13 @@
     round_period(tables) * rounds_per_cycle(tables)
 }
 
+/// Returns the number of regular heartbeats that this host sends in a second.
+pub(super) fn rate(tables: &Tables) -> f64 {
+    let targets = tables.live_members().count().min(FANOUT);
+    let targets = u32::try_from(targets).unwrap_or(u32::MAX);
+    f64::from(targets) / round_period(tables).as_secs_f64()
+}
+
 /// Returns the number of rounds in which every live member receives one heartbeat.
 fn rounds_per_cycle(tables: &Tables) -> u32 {
     let count = tables.live_members().count().max(1);
@@ -81,14 +88,14 @@
         send(tables, now, id, false, outbox);
     }
     for to in contact_addrs(tables) {
-        let heartbeat = Box::new(compose(tables, now, None));
+        let heartbeat = Box::new(compose(tables, now, None, false));
         queue(tables, to, heartbeat, outbox);
     }
 }
 
 /// Sends a heartbeat to one member; `ping` asks for an immediate answer.
 pub(super) fn send(tables: &mut Tables, now: Duration, id: Id, ping: bool, outbox: &mut Outbox) {
-    let mut heartbeat = Box::new(compose(tables, now, Some(id)));
+    let mut heartbeat = Box::new(compose(tables, now, Some(id), false));
     heartbeat.ping = ping;
     if let Some(member) = tables.members.get(&id) {
         let to = member.info.peer_addr;
@@ -96,6 +103,15 @@
     }
 }
 
+/// Sends an extra heartbeat with a changed report to one member.
+pub(super) fn send_report(tables: &mut Tables, now: Duration, id: Id, outbox: &mut Outbox) {
+    let heartbeat = Box::new(compose(tables, now, Some(id), true));
+    if let Some(member) = tables.members.get(&id) {
+        let to = member.info.peer_addr;
+        queue(tables, to, heartbeat, outbox);
+    }
+}
+
 /// Processes a received heartbeat.
 ///
 /// Its gossip is ignored unless the sender is known in the same incarnation.
@@ -115,6 +131,7 @@
             members::apply_update(tables, now, update);
         }
         reports::receive(tables, now, heartbeat);
+        zone_sums::receive(tables, now, heartbeat);
     }
     if needs_answer(tables, heartbeat) {
         send(tables, now, heartbeat.from, false, outbox);
@@ -211,18 +228,24 @@
         .collect()
 }
 
-fn compose(tables: &mut Tables, now: Duration, to: Option<Id>) -> Heartbeat {
+fn compose(tables: &mut Tables, now: Duration, to: Option<Id>, is_urgent: bool) -> Heartbeat {
     let has_acked = to
         .and_then(|id| tables.members.get(&id))
         .is_some_and(|member| member.acked_timestamp.is_some());
     // There is no room for a report besides the host info.
     let report = to
         .filter(|_| has_acked)
-        .and_then(|id| reports::for_member(tables, id, now));
-    let max_bytes = match report {
-        Some(_) => MAX_UPDATE_BYTES_WITH_REPORT,
-        None => MAX_UPDATE_BYTES,
+        .and_then(|id| reports::for_member(tables, id, is_urgent, now));
+    let zone_report = to
+        .filter(|_| has_acked)
+        .and_then(|id| zone_sums::for_member(tables, id, now));
+    let max_bytes = if report.is_some() || zone_report.is_some() {
+        MAX_UPDATE_BYTES_WITH_REPORT
+    } else {
+        MAX_UPDATE_BYTES
     };
+    tables.counters.zone_reports_sent += u64::from(zone_report.is_some());
+    let (zone_report, zone_report_age) = zone_report.unzip();
     tables.counters.reports_sent += u64::from(report.is_some());
     let updates = select_updates(tables, to, max_bytes);
     let target = to.and_then(|id| tables.members.get(&id));
@@ -243,6 +266,8 @@
         updates,
         report,
         report_age: now.saturating_sub(tables.reports.own.taken_at),
+        zone_report,
+        zone_report_age: zone_report_age.unwrap_or_default(),
     }
 }
 
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -8,7 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::id::{Id, Incarnation, Name};
-use crate::report::LaneReport;
+use crate::report::{LaneReport, ZoneReport};
 use crate::revision::Revision;
 
 /// Heartbeat of a host.
@@ -48,6 +48,10 @@
     pub report: Option<Arc<LaneReport>>,
     /// Time since `report` was made.
     pub report_age: Duration,
+    /// Sum of the load in the sender's zone, for hosts of other zones.
+    pub zone_report: Option<Arc<ZoneReport>>,
+    /// Age of `zone_report`.
+    pub zone_report_age: Duration,
 }
 
 /// Send time of a heartbeat: the sender's incarnation plus microseconds since its start.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,6 +25,7 @@
 mod tables;
 mod values;
 mod voters;
+mod zone_sums;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -1,7 +1,8 @@
 //! Exchange of reports about endpoints and load between hosts.
 //!
 //! The lanes of this host publish what they observe. Their sum is sent to other hosts in
-//! heartbeats, and the newest reports of other hosts are published to the lanes. A change of what
+//! heartbeats to the own availability zone, and the newest reports of other hosts are published to
+//! the lanes. A change of what
 //! the lanes observe of endpoints is sent to the own availability zone at once.
 
 use std::collections::BTreeMap;
@@ -10,9 +11,12 @@
 
 use super::message::Heartbeat;
 use super::tables::{Member, Tables};
-use super::{Action, Outbox, heartbeat};
+use super::{Action, Outbox, heartbeat, zone_sums};
 use crate::id::Id;
-use crate::report::{EndpointReport, HostReport, LaneReport, MAX_ROWS, PeerReports, ServiceReport};
+use crate::report::{
+    EndpointReport, HostReport, LaneReport, MAX_REPORT_AGE, MAX_ROWS, MIN_REPORT_AGE,
+    MIN_SERVICE_AGE, PeerReports, ReportAges, add_service,
+};
 
 /// Time for which heartbeats carry a report after its last row is gone, so that hosts that missed
 /// a message learn of the end.
@@ -32,10 +36,26 @@
 /// Bytes that extra rounds may take at once: four rounds of a few rows to a zone of 36 hosts.
 const MAX_ROUND_BYTES: f64 = 32_000.0;
 
-/// Bytes a second that extra rounds may take in the long run, while endpoints keep flapping. The
-/// regular heartbeats of a large zone leave about 2 KB/s, sent and received, of what a host may
-/// cause.
-const ROUND_BYTES_PER_SECOND: f64 = 1_000.0;
+/// Bytes a second that a host may send: half of the 14 KB/s that it may send and receive, since
+/// all hosts send alike.
+const MAX_BYTES_PER_SECOND: f64 = 7_000.0;
+
+/// Bytes a second of them that extra rounds may take in the long run, while endpoints keep
+/// flapping: less than half of the 1,000 that the regular heartbeats of a large fleet leave.
+const ROUND_BYTES_PER_SECOND: f64 = 400.0;
+
+/// Size of a regular heartbeat without a report, with the headers of its datagram, in bytes: the
+/// mean that `examples/control_cost` shows for 79 hosts, rounded up.
+const REGULAR_BYTES: f64 = 100.0;
+
+/// Size of an encoded report without rows in bytes.
+const REPORT_BYTES: usize = 20;
+
+/// Size of an encoded service row in bytes.
+const SERVICE_BYTES: usize = 25;
+
+/// Number of regular repetitions for which a report counts, so that two may be lost.
+const REPETITIONS: u32 = 3;
 
 /// Size of a heartbeat without a report, with the headers of its datagram, in bytes.
 const HEARTBEAT_BYTES: usize = 200;
@@ -60,10 +80,6 @@
     let is_urgent = own.adds_to(known);
     let is_changed = !own.has_same_endpoints(known);
     let (zone_part, dropped) = select_rows(&own);
-    tables.reports.service_part = Arc::new(LaneReport {
-        endpoints: Vec::new(),
-        ..LaneReport::clone(&own)
-    });
     tables.reports.zone_part = zone_part;
     tables.reports.own = own;
     if is_changed {
@@ -104,22 +120,81 @@
 
 /// Returns the report for a heartbeat to a member, if it should get one.
 ///
-/// Observations of endpoints stay in the availability zone.
-pub(super) fn for_member(tables: &Tables, to: Id, now: Duration) -> Option<Arc<LaneReport>> {
-    let member = tables.members.get(&to)?;
-    let reports = &tables.reports;
-    if member.info.availability_zone == tables.me.info.availability_zone {
-        let had_rows = |at| now < at + ROWS_RETENTION;
-        let is_sent = reports.last_rows.is_some_and(had_rows);
-        is_sent.then(|| Arc::clone(&reports.zone_part))
-    } else {
-        let has_rows = !reports.service_part.services.is_empty();
-        has_rows.then(|| Arc::clone(&reports.service_part))
+/// Reports stay in the availability zone; other zones get its sum. If reports are so large that
+/// regular heartbeats would exceed the bytes that a host may send, only some heartbeats carry one,
+/// each member in its turn. Extra rounds (`is_urgent`) have a budget of their own.
+pub(super) fn for_member(
+    tables: &mut Tables,
+    to: Id,
+    is_urgent: bool,
+    now: Duration,
+) -> Option<Arc<LaneReport>> {
+    let had_rows = |at| now < at + ROWS_RETENTION;
+    if !tables.reports.last_rows.is_some_and(had_rows) {
+        return None;
+    }
+    let member = tables.members.get_mut(&to)?;
+    let reports = &mut tables.reports;
+    let is_due = |at| now >= at + reports.interval && reports.regular_credit > 0.0;
+    let is_sent = is_urgent || member.last_report.is_none_or(is_due);
+    if member.info.availability_zone != tables.me.info.availability_zone || !is_sent {
+        return None;
     }
+    member.last_report = Some(now);
+    if !is_urgent {
+        let bytes = u32::try_from(report_bytes(&reports.zone_part));
+        reports.regular_credit -= bytes.map_or(0.0, f64::from);
+    }
+    Some(Arc::clone(&reports.zone_part))
+}
+
+/// Returns the time for which observations of endpoints count at the present number of hosts.
+pub(super) fn max_age(tables: &Tables) -> Duration {
+    let repetition = heartbeat::cycle_time(tables).max(tables.reports.interval);
+    (repetition * REPETITIONS).clamp(MIN_REPORT_AGE, MAX_REPORT_AGE)
+}
+
+/// Returns the time for which the load of a host's services counts.
+pub(super) fn max_service_age(tables: &Tables) -> Duration {
+    max_age(tables).max(MIN_SERVICE_AGE)
+}
+
+/// Updates the minimum time between two regular heartbeats to a member that carry the report, and
+/// the bytes that reports may take now: at most those of one cycle, so that members whose turns
+/// coincide do not get it at once.
+fn update_regular_budget(tables: &mut Tables, now: Duration) {
+    let heartbeats = heartbeat::rate(tables) * REGULAR_BYTES;
+    let rate = (MAX_BYTES_PER_SECOND - ROUND_BYTES_PER_SECOND - heartbeats).max(1.0);
+    let passed = now.saturating_sub(tables.reports.last_tick).as_secs_f64();
+    let max_credit = rate * heartbeat::cycle_time(tables).as_secs_f64();
+    let credit = tables.reports.regular_credit + passed * rate;
+    tables.reports.regular_credit = credit.min(max_credit);
+    tables.reports.interval = report_interval(tables, rate);
+}
+
+/// Returns the estimated size of an encoded report.
+fn report_bytes(report: &LaneReport) -> usize {
+    REPORT_BYTES + ROW_BYTES * report.endpoints.len() + SERVICE_BYTES * report.services.len()
+}
+
+/// Returns the minimum time between two regular heartbeats to a member that carry the report, if
+/// reports may take `rate` bytes a second.
+fn report_interval(tables: &Tables, rate: f64) -> Duration {
+    let report = &tables.reports.zone_part;
+    if report.endpoints.is_empty() && report.services.is_empty() {
+        return Duration::ZERO;
+    }
+    let bytes = report_bytes(report);
+    let zone = &tables.me.info.availability_zone;
+    let zone_members = tables.live_members();
+    let zone_members = zone_members.filter(|member| member.info.availability_zone == *zone);
+    let cycle_bytes = u32::try_from(bytes * zone_members.count()).unwrap_or(u32::MAX);
+    Duration::from_secs_f64(f64::from(cycle_bytes) / rate)
 }
 
 /// Sends a changed report, and removes reports of hosts that are not live.
 pub(super) fn run(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
+    update_regular_budget(tables, now);
     send_changes(tables, now, outbox);
     let (members, reports) = (&tables.members, &mut tables.reports);
     let known = reports.others.len();
@@ -130,17 +205,24 @@
     if reports.others.len() < known {
         reports.others_changed = true;
     }
+    zone_sums::run(tables, now);
 }
 
 /// Publishes the reports of other hosts to the lanes if they have changed, at most once in every
 /// [`PUBLISH_PERIOD`].
 pub(super) fn publish(tables: &mut Tables, now: Duration, outbox: &mut Outbox) {
-    let reports = &mut tables.reports;
-    if reports.others_changed && now >= reports.next_publish {
+    if tables.reports.others_changed && now >= tables.reports.next_publish {
+        let ages = ReportAges {
+            endpoints: max_age(tables),
+            services: max_service_age(tables),
+            zones: zone_sums::max_age(tables),
+        };
+        let zones = zone_sums::newest(tables);
+        let reports = &mut tables.reports;
         reports.others_changed = false;
         reports.next_publish = now + PUBLISH_PERIOD;
         let hosts = reports.others.values().cloned().collect();
-        let published = Arc::new(PeerReports::new(hosts));
+        let published = Arc::new(PeerReports::with_zones(hosts, zones, ages));
         tables.counters.reports_published += 1;
         outbox.push(Action::PublishReports(published));
     }
@@ -160,22 +242,28 @@
     reports.last_tick = now;
     let left = reports.round_bytes - passed * ROUND_BYTES_PER_SECOND;
     reports.round_bytes = left.max(0.0);
-    let has_bytes = reports.round_bytes < MAX_ROUND_BYTES;
-    let may_send = !tables.me.has_left && reports.rounds.len() < MAX_ROUNDS && has_bytes;
-    if !may_send || reports.pending.is_empty() {
+    if tables.me.has_left || reports.rounds.len() >= MAX_ROUNDS {
+        return;
+    }
+    let bytes = HEARTBEAT_BYTES + ROW_BYTES * reports.zone_part.endpoints.len();
+    let bytes = u32::try_from(bytes).map_or(MAX_ROUND_BYTES, f64::from);
+    let mut count = 0;
+    let max_count = reports.pending.len().min(heartbeat::FANOUT);
+    while count < max_count && reports.round_bytes + bytes <= MAX_ROUND_BYTES {
+        reports.round_bytes += bytes;
+        count += 1;
+    }
+    if count == 0 {
         return;
     }
-    let count = reports.pending.len().min(heartbeat::FANOUT);
     let targets: Vec<Id> = reports.pending.drain(..count).collect();
-    let bytes = count * (HEARTBEAT_BYTES + ROW_BYTES * reports.zone_part.endpoints.len());
-    reports.round_bytes += u32::try_from(bytes).map_or(MAX_ROUND_BYTES, f64::from);
     reports.rounds.push_back(now);
     tables.counters.report_rounds += 1;
     for id in targets {
         tables.reports.last_target = id;
         let is_live = tables.members.get(&id).is_some_and(Member::is_live);
         if is_live {
-            heartbeat::send(tables, now, id, false, outbox);
+            heartbeat::send_report(tables, now, id, outbox);
         }
     }
 }
@@ -268,17 +356,3 @@
     let heard_ago = row.heard_ago.map(|age| age + passed);
     sum.heard_ago = [sum.heard_ago, heard_ago].into_iter().flatten().min();
 }
-
-fn add_service(services: &mut Vec<ServiceReport>, service: &ServiceReport) {
-    match services
-        .iter_mut()
-        .find(|sum| sum.service == service.service)
-    {
-        Some(sum) => {
-            sum.demand += service.demand;
-            sum.busy_slots += service.busy_slots;
-            sum.waiting = sum.waiting.saturating_add(service.waiting);
-        }
-        None => services.push(*service),
-    }
-}
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -17,7 +17,7 @@
 use super::settings::Settings;
 use super::values::ValueTable;
 use crate::id::{Id, Incarnation};
-use crate::report::{HostReport, LaneReport};
+use crate::report::{HostReport, LaneReport, ReceivedZoneReport, ZoneReport};
 use crate::revision::{Revision, serialize_number};
 use crate::snapshot::{Host, Snapshot};
 
@@ -112,6 +112,9 @@
     /// Send time of this host's newest heartbeat that it has acknowledged.
     #[serde(rename = "acked")]
     pub acked_timestamp: Option<Duration>,
+    /// When it was last sent the report of this host.
+    #[serde(skip)]
+    pub last_report: Option<Duration>,
     /// Configuration revision that is active on it.
     #[serde(flatten)]
     pub revision: Revision,
@@ -311,9 +314,18 @@
     /// Part of `own` that hosts of the own availability zone get.
     #[serde(skip)]
     pub(super) zone_part: Arc<LaneReport>,
-    /// Part of `own` that hosts of other availability zones get.
+    /// Sum for other zones and its time, if this host sends it.
+    #[serde(skip)]
+    pub(super) zone_sum: Option<(Arc<ZoneReport>, Duration)>,
+    /// Newest sum of another zone from each of its senders.
+    #[serde(rename = "zones")]
+    pub zone_sums: BTreeMap<Id, ReceivedZoneReport>,
+    /// Bytes that reports in regular heartbeats may take now.
+    #[serde(skip)]
+    pub(super) regular_credit: f64,
+    /// Minimum time between two regular heartbeats to a member that carry `zone_part`.
     #[serde(skip)]
-    pub(super) service_part: Arc<LaneReport>,
+    pub(super) interval: Duration,
     /// When `own` last had rows.
     #[serde(rename = "rows")]
     pub(super) last_rows: Option<Duration>,
@@ -395,6 +407,10 @@
     pub reports_sent: u64,
     /// Reports of other hosts that were new.
     pub reports_received: u64,
+    /// Heartbeats sent with the sum of the own zone.
+    pub zone_reports_sent: u64,
+    /// Sums of other zones that were new.
+    pub zone_reports_received: u64,
     /// Rows of own reports that were left out because a message has room for fewer.
     pub dropped_rows: u64,
     /// Extra rounds of heartbeats for changed reports.
--- a/src/report.rs
+++ b/src/report.rs
@@ -22,6 +22,16 @@
 /// be at fault than they are.
 const WRONG_SHARE_DIVISOR: u32 = 3;
 
+/// Minimum time for which observations of endpoints count: three heartbeats in a small fleet.
+pub const MIN_REPORT_AGE: Duration = Duration::from_millis(1_500);
+
+/// Maximum time for which observations of endpoints count, however many hosts there are: older
+/// ones say little about the present.
+pub const MAX_REPORT_AGE: Duration = Duration::from_secs(6);
+
+/// Minimum time for which the load of services counts.
+pub const MIN_SERVICE_AGE: Duration = Duration::from_secs(3);
+
 /// Observations of one lane, or of all lanes of a host.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct LaneReport {
@@ -89,23 +99,102 @@
     pub report: Arc<LaneReport>,
 }
 
+/// Sum of the load that the hosts of an availability zone report, for the other zones.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct ZoneReport {
+    /// Availability zone.
+    pub zone: Name,
+    /// Number of hosts in the sum.
+    pub hosts: u32,
+    /// Number of these hosts with waiting requests.
+    #[serde(rename = "short")]
+    pub short_hosts: u32,
+    /// Sum of the load of each service.
+    pub services: Vec<ServiceReport>,
+}
+
+/// Newest sum of another zone from one of its hosts.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ReceivedZoneReport {
+    /// When its sender sent it, by the sender's own clock.
+    pub sent_at: Timestamp,
+    /// Mean time of the load in it, by the clock of this host.
+    pub taken_at: Duration,
+    /// What was reported.
+    pub report: Arc<ZoneReport>,
+}
+
+/// Ages up to which reports count; longer in a fleet whose heartbeats take longer to reach all
+/// hosts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReportAges {
+    /// Observations of endpoints.
+    pub endpoints: Duration,
+    /// Load of the services at a host.
+    pub services: Duration,
+    /// Sums of other zones.
+    pub zones: Duration,
+}
+
+impl Default for ReportAges {
+    fn default() -> Self {
+        Self {
+            endpoints: MIN_REPORT_AGE,
+            services: MIN_SERVICE_AGE,
+            zones: MIN_SERVICE_AGE,
+        }
+    }
+}
+
+/// Load of a service at one host, or at all hosts of a zone together.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceLoad<'a> {
+    /// Availability zone.
+    pub zone: &'a Name,
+    /// Number of hosts.
+    pub hosts: u32,
+    /// Number of these hosts with waiting requests.
+    pub short_hosts: u32,
+    /// Sum of the load.
+    pub row: &'a ServiceReport,
+    /// When it was reported, by the clock of this host.
+    pub taken_at: Duration,
+}
+
 /// Newest reports of the other live hosts, which the control thread publishes to the lanes beside
 /// the snapshot: they change often, and nothing else depends on them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PeerReports {
     /// Reports by host.
     pub hosts: Vec<HostReport>,
+    /// Newest sum of each other zone.
+    pub zones: Vec<ReceivedZoneReport>,
+    /// Ages up to which they count.
+    pub ages: ReportAges,
     /// True if one of them has the load of a service.
     has_services: bool,
 }
 
 impl PeerReports {
-    /// Creates the set of these reports.
+    /// Creates the set of these reports of hosts.
     #[must_use]
     pub fn new(hosts: Vec<HostReport>) -> Self {
-        let has_services = hosts.iter().any(|host| !host.report.services.is_empty());
+        Self::with_zones(hosts, Vec::new(), ReportAges::default())
+    }
+
+    /// Creates the set of these reports of hosts and zones.
+    #[must_use]
+    pub fn with_zones(
+        hosts: Vec<HostReport>,
+        zones: Vec<ReceivedZoneReport>,
+        ages: ReportAges,
+    ) -> Self {
+        let has_services =
+            !zones.is_empty() || hosts.iter().any(|host| !host.report.services.is_empty());
         Self {
             hosts,
+            zones,
+            ages,
             has_services,
         }
     }
@@ -116,17 +205,68 @@
         !self.has_services
     }
 
-    /// Iterates over the reported load of a service at each host.
-    pub fn service_rows(
-        &self,
-        service: Id,
-    ) -> impl Iterator<Item = (&HostReport, &ServiceReport)> + '_ {
+    /// Iterates over the current load of a service. The rows of a zone's hosts count only while
+    /// there is no sum of the zone, which contains them.
+    pub fn loads(&self, service: Id, now: Duration) -> impl Iterator<Item = ServiceLoad<'_>> {
+        let zones = self.current_zones(now).filter_map(move |sum| {
+            let mut rows = sum.report.services.iter();
+            let row = rows.find(|row| row.service == service)?;
+            Some(ServiceLoad {
+                zone: &sum.report.zone,
+                hosts: sum.report.hosts,
+                short_hosts: if is_short(row) {
+                    sum.report.short_hosts
+                } else {
+                    0
+                },
+                row,
+                taken_at: sum.taken_at,
+            })
+        });
         let hosts = self.hosts.iter().filter(|_| self.has_services);
-        hosts.filter_map(move |host| {
+        let hosts = hosts.filter_map(move |host| {
             let mut rows = host.report.services.iter();
             let row = rows.find(|row| row.service == service)?;
-            Some((host, row))
-        })
+            let is_summed = || {
+                let mut zones = self.current_zones(now);
+                zones.any(|sum| sum.report.zone == host.zone)
+            };
+            let counts = now < host.taken_at + self.ages.services && !is_summed();
+            counts.then(|| ServiceLoad {
+                zone: &host.zone,
+                hosts: 1,
+                short_hosts: u32::from(is_short(row)),
+                row,
+                taken_at: host.taken_at,
+            })
+        });
+        zones.chain(hosts)
+    }
+
+    /// Iterates over the sums that are not too old.
+    fn current_zones(&self, now: Duration) -> impl Iterator<Item = &ReceivedZoneReport> {
+        let zones = self.zones.iter();
+        zones.filter(move |sum| now < sum.taken_at + self.ages.zones)
+    }
+}
+
+/// Returns true if requests of a service wait.
+pub(crate) fn is_short(row: &ServiceReport) -> bool {
+    row.waiting > 0
+}
+
+/// Adds the load of a service to a sum.
+pub(crate) fn add_service(services: &mut Vec<ServiceReport>, service: &ServiceReport) {
+    match services
+        .iter_mut()
+        .find(|sum| sum.service == service.service)
+    {
+        Some(sum) => {
+            sum.demand += service.demand;
+            sum.busy_slots += service.busy_slots;
+            sum.waiting = sum.waiting.saturating_add(service.waiting);
+        }
+        None => services.push(*service),
     }
 }
 
--- a/src/systems/relay/capacity_share.rs
+++ b/src/systems/relay/capacity_share.rs
@@ -46,7 +46,7 @@
 const SHORTAGE_TIME: Duration = Duration::from_secs(2);
 
 /// Minimum number of hosts at which requests have waited in that case.
-const MIN_SHORT_HOSTS: usize = 2;
+const MIN_SHORT_HOSTS: u32 = 2;
 
 /// Demand that another host reported.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -104,11 +104,10 @@
     let demand = tables.demand.get(service);
     let is_recent = |at: Option<Duration>| at.is_some_and(|at| now < at + SHORTAGE_TIME);
     let waits_here = is_recent(demand.last_wait) || is_recent(demand.last_shortage);
-    let others = tables.peer_reports.service_rows(service);
-    let others =
-        others.filter(|(host, row)| now < host.taken_at + SHORTAGE_TIME && row.waiting > 0);
-    let others = others.count();
-    others + usize::from(waits_here) >= MIN_SHORT_HOSTS
+    let others = tables.peer_reports.loads(service, now);
+    let others = others.filter(|load| now < load.taken_at + SHORTAGE_TIME);
+    let others: u32 = others.map(|load| load.short_hosts).sum();
+    others + u32::from(waits_here) >= MIN_SHORT_HOSTS
 }
 
 /// Returns the share that is due to this host, relative to an even split among `hosts` hosts.
@@ -136,20 +135,27 @@
     target.min(current * RISE_FACTOR)
 }
 
-/// Returns the demands for a service that other hosts have reported, those of one zone or all.
+/// Returns the demands for a service that other hosts have reported, those of one zone or all. The
+/// hosts of another zone count with the mean of their sum.
 fn reported_demands(
     tables: &Tables,
     service: Id,
     zone: Option<&Name>,
     now: Duration,
 ) -> Vec<ReportedDemand> {
-    let rows = tables.peer_reports.service_rows(service);
-    let rows = rows.filter(|(host, _)| zone.is_none_or(|zone| host.zone == *zone));
-    rows.map(|(host, row)| ReportedDemand {
-        rate: row.demand,
-        age: now.saturating_sub(host.taken_at),
-    })
-    .collect()
+    let loads = tables.peer_reports.loads(service, now);
+    let loads = loads.filter(|load| zone.is_none_or(|zone| load.zone == zone));
+    loads
+        .flat_map(|load| {
+            let demand = ReportedDemand {
+                rate: load.row.demand / f64::from(load.hosts.max(1)),
+                // In a large fleet reports count for longer than MAX_REPORT_AGE, but they have no
+                // more weight than at the end of the period.
+                age: now.saturating_sub(load.taken_at).min(TRUST_PERIOD),
+            };
+            std::iter::repeat_n(demand, usize::try_from(load.hosts).unwrap_or(1))
+        })
+        .collect()
 }
 
 fn service_report(tables: &Tables, service: Id, now: Duration) -> Option<ServiceReport> {
@@ -158,9 +164,8 @@
     let waiting = waiting.filter(|row| row.service == service).count();
     let is_recent = |time: Duration| now < time + REPORT_PERIOD;
     let is_short = demand.last_shortage.is_some_and(is_recent);
-    let mut others = tables.peer_reports.service_rows(service);
-    let others_wait =
-        others.any(|(host, row)| now < host.taken_at + MAX_REPORT_AGE && row.waiting > 0);
+    let mut others = tables.peer_reports.loads(service, now);
+    let others_wait = others.any(|load| load.row.waiting > 0);
     let reported = ServiceReport {
         service,
         demand: demand.rate(now),
--- a/src/systems/relay/findings.rs
+++ b/src/systems/relay/findings.rs
@@ -15,9 +15,6 @@
 use crate::snapshot::Host;
 use crate::tables::Tables;
 
-/// Maximum age of a report that counts: three of its regular repetitions.
-pub(super) const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
-
 /// What is known about an endpoint in this tick.
 #[derive(Default)]
 pub(super) struct Finding {
@@ -91,7 +88,7 @@
     !report.report.endpoints.is_empty()
         && me.availability_zone == report.zone
         && me.id != report.host
-        && now < report.taken_at + MAX_REPORT_AGE
+        && now < report.taken_at + tables.peer_reports.ages.endpoints
         && !report.report.is_impaired
         && !report.report.suspects_too_many()
         && is_live()
--- a/src/systems/relay/shared_health.rs
+++ b/src/systems/relay/shared_health.rs
@@ -108,7 +108,7 @@
     }
     for host in &tables.peer_reports.hosts {
         if !host.report.endpoints.is_empty() {
-            add(host.taken_at + findings::MAX_REPORT_AGE);
+            add(host.taken_at + tables.peer_reports.ages.endpoints);
         }
     }
     for row in tables.endpoints.iter() {
--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -11,7 +11,6 @@
 use smallvec::SmallVec;
 
 use super::busy_slots::slot_time;
-use super::capacity_share::MAX_REPORT_AGE;
 use crate::clock::millis;
 use crate::id::{Id, Name};
 use crate::snapshot::Host;
@@ -221,8 +220,8 @@
     let tenths = (plan.share * 10.0).ceil() as u32;
     if tenths != plan.logged_tenths {
         plan.logged_tenths = tenths;
-        let reports = tables.peer_reports.hosts.iter();
-        let newest = reports.map(|host| host.taken_at).max();
+        let loads = tables.peer_reports.loads(service, now);
+        let newest = loads.map(|load| load.taken_at).max();
         let seconds = |time: f64| millis(Duration::from_secs_f64(time.max(0.0)));
         log::info!(
             service:? = service, share = f64::from(tenths) / 10.0,
@@ -296,13 +295,13 @@
 
 /// What the hosts of a zone report about a service.
 #[derive(Default)]
-struct ZoneReport {
+struct ZoneLoad {
     busy_slots: f64,
     hosts: u32,
     waiting_hosts: u32,
 }
 
-impl ZoneReport {
+impl ZoneLoad {
     fn is_short(&self) -> bool {
         f64::from(self.waiting_hosts) >= MIN_WAITING_SHARE * f64::from(self.hosts)
     }
@@ -326,18 +325,13 @@
             .filter(|host: &&Host| host.availability_zone == *zone)
             .count()
     };
-    let mut reported: BTreeMap<&Name, ZoneReport> = BTreeMap::new();
-    for (host, row) in tables.peer_reports.service_rows(service) {
-        if now >= host.taken_at + MAX_REPORT_AGE {
-            continue;
-        }
-        let zone = reported.entry(&host.zone).or_default();
-        zone.busy_slots += row.busy_slots;
-        zone.hosts += 1;
-        if row.waiting > 0 {
-            zone.waiting_hosts += 1;
-            input.spilling_hosts += 1.0;
-        }
+    let mut reported: BTreeMap<&Name, ZoneLoad> = BTreeMap::new();
+    for load in tables.peer_reports.loads(service, now) {
+        let zone = reported.entry(load.zone).or_default();
+        zone.busy_slots += load.row.busy_slots;
+        zone.hosts += load.hosts;
+        zone.waiting_hosts += load.short_hosts;
+        input.spilling_hosts += f64::from(load.short_hosts);
     }
     let zone_hosts = own_zone.map_or(1, hosts_in).max(1);
     if reported.is_empty() {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -7,7 +7,7 @@
 use prost::Message;
 use smallvec::SmallVec;
 
-use super::report::WireReport;
+use super::report::{WireReport, WireZoneReport};
 use super::{addr, report};
 use crate::control::lease::MAX_VIEWS;
 use crate::control::message::{
@@ -123,6 +123,9 @@
     /// Milliseconds since `report` was made.
     #[prost(uint32, tag = "20")]
     report_age_ms: u32,
+    /// Sum of the load in the sender's zone.
+    #[prost(message, optional, tag = "21")]
+    zone_report: Option<WireZoneReport>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -266,6 +269,10 @@
             Some(_) => encode_millis(heartbeat.report_age),
             None => 0,
         },
+        zone_report: heartbeat.zone_report.as_deref().map(|sum| {
+            let age_ms = encode_millis(heartbeat.zone_report_age);
+            report::encode_zone(sum, age_ms)
+        }),
     };
     key.sign(wire.encode_to_vec())
 }
@@ -311,6 +318,10 @@
             .collect::<Result<_>>()?,
         report: wire.report.as_ref().map(report::decode).transpose()?,
         report_age: Duration::from_millis(wire.report_age_ms.into()),
+        zone_report_age: Duration::from_millis(
+            wire.zone_report.as_ref().map_or(0, |sum| sum.age_ms.into()),
+        ),
+        zone_report: wire.zone_report.map(report::decode_zone).transpose()?,
     })
 }
 
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -7,11 +7,15 @@
 
 use crate::error::{Error, Result};
 use crate::id::Id;
-use crate::report::{EndpointReport, LaneReport, MAX_ROWS, ServiceReport};
+use crate::report::{EndpointReport, LaneReport, MAX_ROWS, ServiceReport, ZoneReport};
 
 /// Maximum number of services in an encoded report.
 pub const MAX_SERVICES: usize = 8;
 
+/// Maximum number of hosts in the sum of a zone: several times the 650 hosts of the design target,
+/// so that a wrong number costs its receivers little.
+const MAX_HOSTS: u32 = 4_096;
+
 /// Maximum number of pieces of evidence of one kind in a row, which fits into four bits.
 const MAX_EVIDENCE: u32 = 15;
 
@@ -59,6 +63,24 @@
     waiting: u32,
 }
 
+/// Sum of the load in a zone.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireZoneReport {
+    #[prost(string, tag = "1")]
+    zone: String,
+    /// Number of hosts in the sum.
+    #[prost(uint32, tag = "2")]
+    hosts: u32,
+    /// Number of these hosts with waiting requests.
+    #[prost(uint32, tag = "3")]
+    short_hosts: u32,
+    #[prost(message, repeated, tag = "4")]
+    services: Vec<WireService>,
+    /// Milliseconds since the sum was made.
+    #[prost(uint32, tag = "5")]
+    pub(super) age_ms: u32,
+}
+
 /// Converts a report, without the rows beyond [`MAX_ROWS`] and [`MAX_SERVICES`].
 pub(super) fn encode(report: &LaneReport) -> WireReport {
     let services = report.services.iter().take(MAX_SERVICES);
@@ -103,6 +125,32 @@
     }))
 }
 
+/// Converts the sum of a zone, without the services beyond [`MAX_SERVICES`].
+pub(super) fn encode_zone(report: &ZoneReport, age_ms: u32) -> WireZoneReport {
+    let services = report.services.iter().take(MAX_SERVICES);
+    WireZoneReport {
+        zone: report.zone.to_string(),
+        hosts: report.hosts,
+        short_hosts: report.short_hosts,
+        services: services.map(encode_service).collect(),
+        age_ms,
+    }
+}
+
+pub(super) fn decode_zone(wire: WireZoneReport) -> Result<Arc<ZoneReport>> {
+    let is_valid = (1..=MAX_HOSTS).contains(&wire.hosts) && wire.short_hosts <= wire.hosts;
+    if !is_valid || wire.services.len() > MAX_SERVICES {
+        return Err(Error::malformed("sum of a zone's reports"));
+    }
+    let services: Result<Vec<_>> = wire.services.iter().map(decode_service).collect();
+    Ok(Arc::new(ZoneReport {
+        zone: wire.zone.into(),
+        hosts: wire.hosts,
+        short_hosts: wire.short_hosts,
+        services: services?,
+    }))
+}
+
 fn decode_endpoint(wire: &WireReport, at: usize) -> EndpointReport {
     let heard_ms = wire.heard_ms[at].checked_sub(1);
     EndpointReport {
--- a/tests/decoding.rs
+++ b/tests/decoding.rs
@@ -261,6 +261,8 @@
             ..LaneReport::default()
         })),
         report_age: ms(20),
+        zone_report: None,
+        zone_report_age: Duration::ZERO,
     }
 }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -199,6 +199,8 @@
     Heartbeat {
         report: None,
         report_age: Duration::ZERO,
+        zone_report: None,
+        zone_report_age: Duration::ZERO,
         from: zone::host_id(3),
         incarnation: 5,
         version: 2,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -914,6 +914,8 @@
     Heartbeat {
         report: None,
         report_age: Duration::ZERO,
+        zone_report: None,
+        zone_report_age: Duration::ZERO,
         from: Id::of(name),
         incarnation: 1,
         version: 0,
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -104,6 +104,8 @@
     Heartbeat {
         report: None,
         report_age: Duration::ZERO,
+        zone_report: None,
+        zone_report_age: Duration::ZERO,
         from: Id::of(name),
         incarnation: 1,
         version: 0,
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -4,7 +4,7 @@
 use jacinthhinge::control::message::{Timestamp, Vote};
 use jacinthhinge::packet::{MAX_PACKET_BYTES, MAX_PART_BYTES, MAX_PARTS};
 use jacinthhinge::prelude::*;
-use jacinthhinge::report::{EndpointReport, LaneReport, MAX_ROWS, ServiceReport};
+use jacinthhinge::report::{EndpointReport, LaneReport, MAX_ROWS, ServiceReport, ZoneReport};
 use jacinthhinge::systems;
 use jacinthhinge::tables::{Arrival, Outbox, Tables};
 use jacinthhinge::wire::{
@@ -243,6 +243,8 @@
         updates: smallvec::smallvec![],
         report: Some(Arc::new(report)),
         report_age: Duration::from_millis(age.into()),
+        zone_report: None,
+        zone_report_age: Duration::ZERO,
     }
 }
 
@@ -284,6 +286,34 @@
         prop_assert_eq!(decode_heartbeat(&bytes, &key).expect("a heartbeat"), heartbeat);
     }
 
+    #[test]
+    fn zone_report_round_trips_in_a_heartbeat(
+        services in lane_report(), counts in (1..4_096_u32, 0..4_096_u32), age in any::<u32>(),
+    ) {
+        let key = PeerKey::new("secret");
+        let mut heartbeat = heartbeat(LaneReport::default(), 0);
+        heartbeat.report = None;
+        heartbeat.zone_report = Some(Arc::new(ZoneReport {
+            zone: "place-0".into(),
+            hosts: counts.0,
+            short_hosts: counts.1.min(counts.0),
+            services: services.services,
+        }));
+        heartbeat.zone_report_age = Duration::from_millis(age.into());
+        let bytes = encode_heartbeat(&heartbeat, &key);
+        prop_assert_eq!(decode_heartbeat(&bytes, &key).expect("a heartbeat"), heartbeat);
+    }
+
+    /// Failure: a host sends a sum with an impossible number of hosts, which its receivers would
+    /// otherwise spread over as many rows.
+    #[test]
+    fn zone_report_with_wrong_counts_is_refused(hosts in prop_oneof![Just(0), 4_097..u32::MAX]) {
+        let key = PeerKey::new("secret");
+        let mut heartbeat = heartbeat(LaneReport::default(), 0);
+        heartbeat.zone_report = Some(Arc::new(ZoneReport { hosts, ..ZoneReport::default() }));
+        prop_assert!(decode_heartbeat(&encode_heartbeat(&heartbeat, &key), &key).is_err());
+    }
+
     #[test]
     fn arbitrary_bytes_decode_or_return_a_packet_error(bytes in vec(any::<u8>(), 0..1_500)) {
         if let Err(error) = decode_packet(bytes.clone().into()) {
