Begin extra rounds at different members

Cause: all hosts began their extra rounds at the member with the lowest id, so that one received the first messages of all.

Change: each host begins after its own id.

--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -456,7 +456,12 @@
             heartbeats,
             platform_reads: PlatformReads::default(),
             fetch: FetchProgress::default(),
-            reports: ReportTable::default(),
+            reports: ReportTable {
+                // Hosts begin extra rounds at different members, so that none of these gets all
+                // first messages at once.
+                last_target: Id::of(&settings.info.name),
+                ..ReportTable::default()
+            },
             evacuations: EvacuationTable::default(),
             majority: Majority::default(),
             snapshot: Snapshot::empty(settings.keys.clone()),
