Measure suspicions and a shortage on every host by kind of bytes

Cause: control_cost printed only the bytes sent with suspicions, for 23 and 79 hosts.

Change: it prints bytes by kind, the largest host and the processor time for suspicions and a shortage on every host, for 79, 108 and 300 hosts or those in its arguments.

--- a/examples/control_cost.rs
+++ b/examples/control_cost.rs
@@ -12,7 +12,7 @@
 
 use jacinthhinge::control::Event;
 use jacinthhinge::prelude::*;
-use jacinthhinge::report::{EndpointReport, LaneReport};
+use jacinthhinge::report::{EndpointReport, LaneReport, ServiceReport};
 use zone::{Zone, host_names};
 
 /// Numbers of hosts to measure.
@@ -30,10 +30,6 @@
 /// Size of a memory page in bytes.
 const PAGE_BYTES: f64 = 4096.0;
 
-/// Rows of a host in the measured failures: one silent endpoint, the share of one host when 30
-/// exit together, and a full message.
-const ROW_COUNTS: [u64; 3] = [1, 5, 24];
-
 /// Number of availability zones over which the hosts are spread when reports are measured.
 const AZ_COUNT: usize = 3;
 
@@ -46,10 +42,55 @@
 /// Number of publications after which an unchanged report is refreshed.
 const REFRESH_STEPS: u32 = 5;
 
+/// Load that every host reports while the cost is measured.
+#[derive(Clone, Copy)]
+struct Case {
+    name: &'static str,
+    /// Number of endpoints that each host suspects.
+    rows: u64,
+    /// True if each publication has more evidence than the one before.
+    is_changing: bool,
+    /// True if requests wait at every host.
+    is_short: bool,
+}
+
+/// One silent endpoint, the share of one host when 30 exit together, full messages, and a shortage.
+const CASES: [Case; 6] = [
+    Case::new("no rows", 0, false, false),
+    Case::new("suspicions on every host, 1 row", 1, false, false),
+    Case::new("suspicions on every host, 5 rows", 5, false, false),
+    Case::new("suspicions on every host, 24 rows", 24, false, false),
+    Case::new(
+        "suspicions on every host, 24 changing rows",
+        24,
+        true,
+        false,
+    ),
+    Case::new("shortage on every host", 0, false, true),
+];
+
+impl Case {
+    const fn new(name: &'static str, rows: u64, is_changing: bool, is_short: bool) -> Self {
+        Self {
+            name,
+            rows,
+            is_changing,
+            is_short,
+        }
+    }
+}
+
+/// Measures the cost of reports for the numbers of hosts in the arguments, or all costs.
 fn main() {
-    for count in [23, 79] {
-        measure_reports(count);
+    let counts: Vec<usize> = std::env::args()
+        .skip(1)
+        .filter_map(|count| count.parse().ok())
+        .collect();
+    if !counts.is_empty() {
+        counts.into_iter().for_each(measure_reports);
+        return;
     }
+    [79, 108, 300].into_iter().for_each(measure_reports);
     println!(
         "hosts  bytes/s  messages/s  core %  KiB/host  death s  change s  lease s  churn bytes/s"
     );
@@ -87,42 +128,54 @@
     );
 }
 
-/// Prints the bytes a second that a host sends without reports, with reports that persist and
-/// with reports that change all the time.
+/// Prints the bytes a second that a host sends by kind, the largest number that one sends and
+/// receives, and the processor time, for each of [`CASES`].
 fn measure_reports(count: usize) {
     let mut zone = new_zone(count, AZ_COUNT);
     zone.run_for(WARM_UP_TIME);
-    let quiet = measure_report_bytes(&mut zone, count, 0, false);
-    println!("reports, {count} hosts, no rows: {quiet:.0} bytes/s");
-    for rows in ROW_COUNTS {
-        for changing in [false, true] {
-            let bytes = measure_report_bytes(&mut zone, count, rows, changing);
-            let kind = if changing { "changing" } else { "persistent" };
-            println!("reports, {count} hosts, {rows} {kind} rows each: {bytes:.0} bytes/s");
-            measure_report_bytes(&mut zone, count, 0, false);
-        }
+    for case in CASES {
+        // Extra rounds spend the bytes that they may take at once.
+        run_case(&mut zone, count, case);
+        zone.network.reset_counts();
+        let start = processor_time();
+        run_case(&mut zone, count, case);
+        let cpu = processor_time() - start;
+        let network = &zone.network;
+        let rate = |bytes: u64| to_f64(bytes) / REPORT_TIME.as_secs_f64();
+        let totals = network.host_bytes.values();
+        let largest = totals.map(|(sent, received)| sent + received).max();
+        let plain = network.sent_bytes - network.report_bytes - network.sum_bytes;
+        let hosts = to_f64(count);
+        println!(
+            "{count} hosts, {}: sent {:.0} bytes/s (heartbeats {:.0}, reports {:.0}, sums {:.0}), \
+             sent and received at most {:.0}, core {:.3}%",
+            case.name,
+            rate(network.sent_bytes) / hosts,
+            rate(plain) / hosts,
+            rate(network.report_bytes) / hosts,
+            rate(network.sum_bytes) / hosts,
+            rate(largest.unwrap_or_default()),
+            cpu / hosts / REPORT_TIME.as_secs_f64() * 100.0,
+        );
     }
 }
 
-/// Returns the bytes a second that a host sends while each host reports `rows` endpoints.
-fn measure_report_bytes(zone: &mut Zone, count: usize, rows: u64, changing: bool) -> f64 {
-    zone.network.sent_bytes = 0;
+fn run_case(zone: &mut Zone, count: usize, case: Case) {
     let steps = u32::try_from(REPORT_TIME.as_millis() / REPORT_PERIOD.as_millis()).expect("few");
     for step in 0..steps {
         for index in 0..count {
-            if changing || step % REFRESH_STEPS == 0 {
+            if case.is_changing || step % REFRESH_STEPS == 0 {
                 let taken_at = zone.now.saturating_sub(zone.nodes[&index].started_at);
-                let report = report(taken_at, rows, changing, step);
+                let report = report(taken_at, case, step);
                 zone.deliver(index, Event::LaneReports(vec![Arc::new(report)]));
             }
         }
         zone.run_for(REPORT_PERIOD);
     }
-    to_f64(zone.network.sent_bytes) / to_f64(count) / REPORT_TIME.as_secs_f64()
 }
 
-fn report(taken_at: Duration, rows: u64, changing: bool, step: u32) -> LaneReport {
-    let opens = if changing { 1 + step % 7 } else { 1 };
+fn report(taken_at: Duration, case: Case, step: u32) -> LaneReport {
+    let opens = if case.is_changing { 1 + step % 7 } else { 1 };
     let row = |number| EndpointReport {
         endpoint: Id(u64::MAX - number),
         started_ms: 1_767_986_000_000,
@@ -131,11 +184,18 @@
         silent_for: taken_at,
         heard_ago: Some(taken_at),
     };
+    let service = ServiceReport {
+        service: Id(1),
+        demand: 20.0 + f64::from(step),
+        busy_slots: 2.0,
+        waiting: 3,
+    };
     LaneReport {
         taken_at,
-        endpoints: (0..rows).map(row).collect(),
+        endpoints: (0..case.rows).map(row).collect(),
+        services: case.is_short.then_some(service).into_iter().collect(),
         used_endpoints: 150,
-        suspected_endpoints: u32::try_from(rows).expect("few"),
+        suspected_endpoints: u32::try_from(case.rows).expect("few"),
         ..LaneReport::default()
     }
 }
