--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -26,6 +26,7 @@
 mod values;
 mod voters;
 mod zone_fetch;
+mod zone_sums;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
