Steer new flows away from a zone that several hosts report as silent

Cause: when all endpoints of a zone stop answering, each host of the zone takes itself to be at fault (is_local_zone_stalled) and keeps sending new flows there.

Change: a lane reports a zone as silent (LaneReport::silent_zones, tag 10 of the report message) when its endpoints owe answers that long requests cannot explain. If this host and at least two others, together half of the live hosts of the availability zone, report it, systems/relay/silent_zone.rs marks the zone as down, not confirmed. One host sends the trials of each endpoint. Events zone_silent and zone_answers, counter silent_zones, table silent of a dump.

The test harness tests/relaying/load.rs stamped reports with the time of their delivery, so that the ages in their rows pointed to later times than were observed; reports with rows now keep the time at which they were made.

--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -4,14 +4,14 @@
 //! heartbeats, and the newest reports of other hosts go into the snapshot. A change of what the
 //! lanes observe of endpoints is sent to the own availability zone at once.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::message::Heartbeat;
 use super::tables::{Member, Tables};
 use super::{Outbox, heartbeat};
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::report::{EndpointReport, HostReport, LaneReport, MAX_ROWS, ServiceReport};
 
 /// Time for which heartbeats carry a report after its last row is gone, so that hosts that missed
@@ -51,7 +51,7 @@
 pub(super) fn update_own(tables: &mut Tables, now: Duration, lanes: &[Arc<LaneReport>]) {
     let own = sum(lanes);
     let known = &tables.reports.own;
-    if !own.endpoints.is_empty() || !own.services.is_empty() {
+    if !own.is_empty() {
         tables.reports.last_rows = Some(now);
     }
     if Arc::ptr_eq(&own, known) || own == *known {
@@ -62,6 +62,7 @@
     let (zone_part, dropped) = select_rows(&own);
     tables.reports.service_part = Arc::new(LaneReport {
         endpoints: Vec::new(),
+        silent_zones: Vec::new(),
         ..LaneReport::clone(&own)
     });
     tables.reports.zone_part = zone_part;
@@ -239,9 +240,25 @@
         sum.is_impaired |= lane.is_impaired;
     }
     sum.endpoints = rows.into_values().collect();
+    (sum.silent_zones, sum.used_zones) = sum_zones(lanes);
     Arc::new(sum)
 }
 
+/// Returns the zones that are silent for all lanes with flows there, and those with flows.
+fn sum_zones(lanes: &[Arc<LaneReport>]) -> (Vec<Name>, Vec<Name>) {
+    let all = |zones: fn(&LaneReport) -> &Vec<Name>| {
+        let names = lanes.iter().flat_map(|lane| zones(lane)).cloned();
+        names.collect::<BTreeSet<Name>>()
+    };
+    let is_silent = |zone: &Name| {
+        let mut using = lanes.iter().filter(|lane| lane.used_zones.contains(zone));
+        using.all(|lane| lane.silent_zones.contains(zone))
+    };
+    let silent = all(|lane| &lane.silent_zones).into_iter().filter(is_silent);
+    let used = all(|lane| &lane.used_zones);
+    (silent.collect(), used.into_iter().collect())
+}
+
 /// Adds a row that was made some time before the sum.
 fn add_row(rows: &mut BTreeMap<Id, EndpointReport>, row: &EndpointReport, passed: Duration) {
     let empty = EndpointReport {
--- a/src/front/trace.rs
+++ b/src/front/trace.rs
@@ -103,7 +103,8 @@
         "endpoint_suspected" | "endpoint_down" | "endpoint_up" | "endpoint_gone" => {
             endpoints.contains(text_field(line, "endpoint"))
         }
-        "zone_down" | "zone_up" | "zone_evacuated" | "zone_returned" => true,
+        "zone_down" | "zone_up" | "zone_silent" | "zone_answers" | "zone_evacuated"
+        | "zone_returned" => true,
         _ => false,
     }
 }
--- a/src/report.rs
+++ b/src/report.rs
@@ -38,6 +38,13 @@
     pub suspected_endpoints: u32,
     /// True if this host's own link or processor is the likely cause of what it observes.
     pub is_impaired: bool,
+    /// Zones whose endpoints owe answers and send none.
+    #[serde(rename = "silent")]
+    pub silent_zones: Vec<Name>,
+    /// Zones where the lane has flows, in order, if its host has several lanes; other hosts are not
+    /// told.
+    #[serde(rename = "zones")]
+    pub used_zones: Vec<Name>,
 }
 
 /// Observations of an endpoint.
@@ -94,7 +101,9 @@
     /// time.
     #[must_use]
     pub fn has_same_content(&self, other: &Self) -> bool {
-        self.services == other.services && self.has_same_endpoints(other)
+        self.services == other.services
+            && self.used_zones == other.used_zones
+            && self.has_same_endpoints(other)
     }
 
     /// Returns true if the observations of endpoints are the same, apart from the passing of time.
@@ -106,11 +115,18 @@
         };
         self.is_impaired == other.is_impaired
             && self.suspected_endpoints == other.suspected_endpoints
+            && self.silent_zones == other.silent_zones
             && times(self) == times(other)
     }
 
-    /// Returns true if it has evidence or answers that `known` lacks. Others need these at once,
-    /// and the end of evidence without an answer with the next heartbeat.
+    /// Returns true if it has nothing to tell other hosts.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty() && self.services.is_empty() && self.silent_zones.is_empty()
+    }
+
+    /// Returns true if it has evidence or answers that `known` lacks, or other silent zones. Others
+    /// need these at once, and the end of evidence without an answer with the next heartbeat.
     #[must_use]
     pub fn adds_to(&self, known: &Self) -> bool {
         let is_known = |row: &EndpointReport| {
@@ -124,7 +140,9 @@
                     && heard_at <= other_heard
             })
         };
-        (self.is_impaired && !known.is_impaired) || !self.endpoints.iter().all(is_known)
+        (self.is_impaired && !known.is_impaired)
+            || self.silent_zones != known.silent_zones
+            || !self.endpoints.iter().all(is_known)
     }
 
     /// Returns true if its host suspects so many of the endpoints that it uses that it is more
--- a/src/systems/relay/evidence.rs
+++ b/src/systems/relay/evidence.rs
@@ -21,15 +21,15 @@
 const MIN_COPY_TIME: Duration = Duration::from_millis(150);
 
 /// Retransmissions of a flow that count as evidence: the endpoint acknowledges the first one.
-const MIN_RETRANSMISSIONS: u32 = 2;
+pub(super) const MIN_RETRANSMISSIONS: u32 = 2;
 
 /// Time after the first transmission at which callers retransmit, which a running endpoint
 /// acknowledges.
-const RETRANSMIT_TIME: Duration = Duration::from_millis(200);
+pub(super) const RETRANSMIT_TIME: Duration = Duration::from_millis(200);
 
 /// Time after its last retransmission for which a stalled flow counts: the longest interval
 /// between two retransmissions, 1.6 s, and a margin.
-const MAX_STALL_AGE: Duration = Duration::from_millis(1_800);
+pub(super) const MAX_STALL_AGE: Duration = Duration::from_millis(1_800);
 
 /// Time for which an endpoint counts as used after its last answer; a host sends one request
 /// every several seconds to each endpoint.
--- a/src/systems/relay/failure_detector.rs
+++ b/src/systems/relay/failure_detector.rs
@@ -84,11 +84,15 @@
     !tables.last_resume.is_zero() && now < tables.last_resume + RESUME_GRACE
 }
 
+/// Returns true shortly after a pause of this process or a large configuration change.
+pub(super) fn is_in_grace(tables: &Tables, now: Duration) -> bool {
+    let in_grace = |read_at| now < read_at + SNAPSHOT_GRACE;
+    tables.snapshot.large_update.is_some_and(in_grace) || has_just_resumed(tables, now)
+}
+
 /// Returns true when this host's own link or processor is the likely cause of silence.
 pub(super) fn is_host_impaired(tables: &mut Tables, now: Duration) -> bool {
-    let in_grace = |read_at| now < read_at + SNAPSHOT_GRACE;
-    tables.snapshot.large_update.is_some_and(in_grace)
-        || has_just_resumed(tables, now)
+    is_in_grace(tables, now)
         || tables.recent_counts.retransmissions_exceed_answers(now)
         || is_local_zone_stalled(tables, now)
 }
@@ -209,7 +213,12 @@
 
 /// Resets the flows that wait for down endpoints, so that their callers have time left
 /// to retry idempotent requests.
-fn reset_waiting_flows(tables: &mut Tables, down_ids: &[Id], now: Duration, out: &mut Outbox) {
+pub(super) fn reset_waiting_flows(
+    tables: &mut Tables,
+    down_ids: &[Id],
+    now: Duration,
+    out: &mut Outbox,
+) {
     let waiting: Vec<_> = tables
         .tracked_flows
         .iter()
--- a/src/systems/relay/findings.rs
+++ b/src/systems/relay/findings.rs
@@ -70,26 +70,31 @@
             finding.own = evidence::collect(row, health, now);
         }
     }
-    for report in tables.snapshot.reports.iter() {
-        if is_credible(tables, report, now) {
-            add_report(tables, report, &mut findings);
-        }
+    for report in zone_reports(tables, now).filter(|report| is_credible(report)) {
+        add_report(tables, report, &mut findings);
     }
     findings
 }
 
-/// Returns true if the observations of a host count.
-fn is_credible(tables: &Tables, report: &HostReport, now: Duration) -> bool {
+/// Iterates over the reports of the live hosts of the own availability zone that are not too old.
+pub(super) fn zone_reports(tables: &Tables, now: Duration) -> impl Iterator<Item = &HostReport> {
+    let reports = tables.snapshot.reports.iter();
+    reports.filter(move |report| is_current(tables, report, now))
+}
+
+/// Returns true if a report is from a live host of the own availability zone and not too old.
+fn is_current(tables: &Tables, report: &HostReport, now: Duration) -> bool {
     let mut hosts = tables.snapshot.hosts.iter();
     let is_live =
         hosts.any(|host| host.id == report.host && host.incarnation == report.incarnation);
     let is_own = own_host(tables)
         .is_some_and(|me| me.availability_zone == report.zone && me.id != report.host);
-    is_live
-        && is_own
-        && now < report.taken_at + MAX_REPORT_AGE
-        && !report.report.is_impaired
-        && !report.report.suspects_too_many()
+    is_live && is_own && now < report.taken_at + MAX_REPORT_AGE
+}
+
+/// Returns true if the observations that a host reports of endpoints count.
+fn is_credible(report: &HostReport) -> bool {
+    !report.report.is_impaired && !report.report.suspects_too_many()
 }
 
 fn add_report(tables: &Tables, report: &HostReport, findings: &mut BTreeMap<Id, Finding>) {
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use super::{
-    add_load, evidence, failure_detector, is_idempotent, remove_load, timeouts, uncount_flow,
-    zone_evidence,
+    add_load, evidence, failure_detector, is_idempotent, remove_load, silent_zone, timeouts,
+    uncount_flow, zone_evidence,
 };
 use crate::clock::millis;
 use crate::segment::{Segment, SegmentKind, is_seq_after};
@@ -140,11 +140,13 @@
 /// Records that the flow's endpoint answers, and clears its down state.
 ///
 /// The answer shows that the endpoint was running at the time `alive_at` or later. If that is
-/// before the evidence of several hosts that it is down, it stays down.
+/// before the evidence of several hosts that it or its zone is down, it stays down.
 fn mark_answering(tables: &mut Tables, flow: &TrackedFlow, alive_at: Duration, now: Duration) {
     tables.recent_counts.note_answer(now);
     let health = tables.shared_health.get(flow.endpoint);
     let down_evidence = health.and_then(|health| health.confirmed_evidence);
+    let silent_since = silent_zone::silent_since(tables, flow.endpoint);
+    let down_evidence = down_evidence.max(silent_since);
     evidence::note_answer(tables, flow.endpoint, alive_at, now);
     if down_evidence.is_some_and(|since| alive_at <= since) {
         return;
@@ -170,8 +172,12 @@
             down_ms = millis(now.saturating_sub(down.since));
             "endpoint_up"
         );
-        if let Some(zone) = zone {
-            zone_evidence::mark_zone_up(tables, &zone, now);
+        match zone {
+            Some(zone) if silent_since.is_some() => {
+                zone_evidence::release_zone(tables, &zone, now);
+            }
+            Some(zone) => zone_evidence::mark_zone_up(tables, &zone, now),
+            None => {}
         }
     }
 }
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -18,6 +18,7 @@
 pub(super) mod placement;
 mod report;
 mod shared_health;
+mod silent_zone;
 mod timeouts;
 pub(super) mod warmup;
 mod zone_evidence;
@@ -72,6 +73,7 @@
     failure_detector::run(tables, now, out);
     timeouts::run(tables, now);
     shared_health::run(tables, now, out);
+    silent_zone::run(tables, now, out);
     capacity_share::run(tables, now);
     report::run(tables, now);
     overload_queue::run_timers(tables, now);
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -14,7 +14,8 @@
 use super::eligibility::{is_excluded, refusal_cause};
 use super::placement::has_local_endpoint;
 use super::{
-    add_load, count_flow, evidence, forward, reset_flow, shared_health, uncount_flow, warmup,
+    add_load, count_flow, evidence, forward, reset_flow, shared_health, silent_zone, uncount_flow,
+    warmup,
 };
 use crate::id::Id;
 use crate::segment::{Route, Segment};
@@ -241,8 +242,8 @@
 /// Returns an endpoint that does not answer and is due for another trial.
 ///
 /// The endpoints of a partitioned zone share one trial interval, and endpoints of other
-/// zones are tried less often. If other hosts suspect the endpoint too, one host of the zone
-/// tries it for all.
+/// zones are tried less often. If other hosts suspect the endpoint too, or several report its
+/// zone as silent, one host of the zone tries it for all.
 fn choose_trial(tables: &mut Tables, route: &Route, service: Id, now: Duration) -> Option<Id> {
     let row = tables.endpoints.of_service(service).find(|row| {
         let period = if row.spec.local {
@@ -258,7 +259,8 @@
         is_avoided(row, now) && is_due && may_use
     })?;
     let (id, zone) = (row.spec.id, row.spec.zone.clone());
-    let whole_zone = row.down.is_some_and(|down| down.whole_zone);
+    let whole_zone = row.down.is_some_and(|down| down.whole_zone)
+        && silent_zone::is_tried_by_one(tables, row).is_none();
     for row in tables.endpoints.iter_mut() {
         if row.spec.id == id || (whole_zone && row.spec.zone == zone) {
             row.last_trial = now;
--- a/src/systems/relay/report.rs
+++ b/src/systems/relay/report.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{evidence, failure_detector, shared_health};
+use super::{evidence, failure_detector, findings, shared_health, silent_zone};
+use crate::id::Name;
 use crate::report::{EndpointReport, LaneReport};
 use crate::tables::{EndpointRow, HealthRow, Tables};
 
@@ -28,8 +29,13 @@
     let rows = endpoint_rows(tables, now);
     let has_rows = !rows.is_empty();
     let services = tables.demand.reported.clone();
-    let is_empty = rows.is_empty() && services.is_empty();
-    if is_empty && tables.report.endpoints.is_empty() && tables.report.services.is_empty() {
+    let silent_zones = silent_zone::reported_zones(tables);
+    let is_impaired =
+        (has_rows || !silent_zones.is_empty()) && failure_detector::is_host_impaired(tables, now);
+    let is_empty = rows.is_empty() && services.is_empty() && silent_zones.is_empty();
+    let used_zones = used_zones(tables);
+    let known = &tables.report;
+    if is_empty && known.is_empty() && known.used_zones == used_zones {
         return;
     }
     let (used_endpoints, suspected_endpoints) = evidence::count_endpoints(tables, now);
@@ -39,7 +45,9 @@
         services,
         used_endpoints,
         suspected_endpoints,
-        is_impaired: has_rows && failure_detector::is_host_impaired(tables, now),
+        is_impaired,
+        silent_zones,
+        used_zones,
     };
     let is_old = !is_empty && now >= tables.report.taken_at + REFRESH_PERIOD;
     if is_old || !report.has_same_content(&tables.report) {
@@ -47,6 +55,22 @@
     }
 }
 
+/// Returns the names of the zones where this lane has flows, in order. Only a host with several
+/// lanes needs them, for the sum of their reports.
+fn used_zones(tables: &Tables) -> Vec<Name> {
+    let mut zones: Vec<Name> = Vec::new();
+    if findings::own_host(tables).is_none_or(|host| host.lanes.len() < 2) {
+        return zones;
+    }
+    for row in tables.endpoints.iter().filter(|row| row.flow_count > 0) {
+        if !zones.contains(&row.spec.zone) {
+            zones.push(row.spec.zone.clone());
+        }
+    }
+    zones.sort_unstable();
+    zones
+}
+
 fn endpoint_rows(tables: &Tables, now: Duration) -> Vec<EndpointReport> {
     let mut rows = Vec::new();
     for row in tables.endpoints.iter() {
--- a/src/systems/relay/shared_health.rs
+++ b/src/systems/relay/shared_health.rs
@@ -12,7 +12,7 @@
 use super::capacity_share::lacks_capacity;
 use super::evidence::{self, OwnEvidence};
 use super::findings::{self, Finding, Observation, OwnState};
-use super::{is_idempotent, reset_down_flow, uncount_flow};
+use super::{is_idempotent, reset_down_flow, silent_zone, uncount_flow};
 use crate::clock::millis;
 use crate::id::{Id, Name, rendezvous_weight};
 use crate::report::HostReport;
@@ -73,10 +73,10 @@
 /// Returns true if this host may send a trial opening to an endpoint: one host of the zone tries
 /// an endpoint that others suspect too.
 pub(super) fn may_try(tables: &Tables, row: &EndpointRow) -> bool {
-    let is_shared = row
-        .suspicion
-        .as_ref()
-        .is_some_and(|known| known.other_hosts > 0);
+    let is_shared = silent_zone::is_tried_by_one(tables, row).unwrap_or_else(|| {
+        let suspicion = row.suspicion.as_ref();
+        suspicion.is_some_and(|known| known.other_hosts > 0)
+    });
     let Some(me) = findings::own_host(tables).filter(|_| is_shared) else {
         return true;
     };
--- a/src/systems/relay/zone_evidence.rs
+++ b/src/systems/relay/zone_evidence.rs
@@ -24,7 +24,7 @@
 
 /// Minimum time since the last answer from a silent zone: slightly longer than
 /// the 200 ms after which callers have retransmitted once.
-const MIN_ZONE_SILENCE: Duration = Duration::from_millis(250);
+pub(super) const MIN_ZONE_SILENCE: Duration = Duration::from_millis(250);
 
 /// Minimum number of endpoints with stalled flows in a silent zone.
 const MIN_ZONE_ENDPOINTS: usize = 2;
@@ -36,16 +36,21 @@
 /// Minimum share of endpoints with stalled flows among the endpoints of a silent zone that
 /// have flows of this lane. The deployment of a new software release also stops several
 /// endpoints together, but only a part of those in a zone.
-const MIN_ZONE_SHARE: f64 = 0.75;
+pub(super) const MIN_ZONE_SHARE: f64 = 0.75;
 
 /// Minimum number of answers that a silent zone would have sent since its last answer at
 /// its earlier rate. A healthy zone for which this many answers are expected sends none by
 /// chance once in 400 times; with a lower limit, a few long requests look like silence.
-const MIN_MISSED_ANSWERS: f64 = 6.0;
+pub(super) const MIN_MISSED_ANSWERS: f64 = 6.0;
 
 /// Marks the endpoints of a partitioned zone as up, after one of them has answered.
 pub(super) fn mark_zone_up(tables: &mut Tables, zone: &Name, now: Duration) {
     log::info!(zone:%; "zone_up");
+    release_zone(tables, zone, now);
+}
+
+/// Lets new flows go to the endpoints of a zone that was down as a whole.
+pub(super) fn release_zone(tables: &mut Tables, zone: &Name, now: Duration) {
     for row in tables.endpoints.iter_mut() {
         if row.spec.zone == *zone && row.down.is_some_and(|down| down.whole_zone) {
             row.down = None;
@@ -139,7 +144,7 @@
 }
 
 /// Returns true for an endpoint whose silence counts: one that may get new flows.
-fn counts(tables: &Tables, row: &EndpointRow) -> bool {
+pub(super) fn counts(tables: &Tables, row: &EndpointRow) -> bool {
     row.draining_since.is_none()
         && !row.replaced
         && !tables.snapshot.evacuated_zones.contains(&row.spec.zone)
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -144,4 +144,6 @@
     /// Suspicions of other hosts that an answer to this host has contradicted.
     #[serde(rename = "contradictions")]
     pub contradicted_reports: u64,
+    /// Times at which new flows began to avoid a zone that several hosts report as silent.
+    pub silent_zones: u64,
 }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -16,6 +16,7 @@
 mod recent;
 mod requests;
 mod shared_health;
+mod silent_zones;
 mod timings;
 mod tracks;
 mod warmup;
@@ -40,6 +41,7 @@
 pub use self::recent::RecentCounts;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::shared_health::{Cleared, HealthRow, SharedHealth, UnansweredOpen};
+pub use self::silent_zones::{SilentZone, SilentZones};
 pub use self::timings::{LatencyHistograms, observe};
 pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
 pub use self::warmup::Warmups;
@@ -81,6 +83,8 @@
     pub recent_counts: RecentCounts,
     /// Evidence of this lane about endpoints, for reports to other hosts.
     pub shared_health: SharedHealth,
+    /// Zones whose endpoints do not answer this lane.
+    pub silent_zones: SilentZones,
     /// What this lane last reported about endpoints and load.
     pub report: Arc<LaneReport>,
     /// Flows that this lane is the home of.
@@ -131,6 +135,7 @@
             zone_spill: ZoneSpill::default(),
             recent_counts: RecentCounts::default(),
             shared_health: SharedHealth::default(),
+            silent_zones: SilentZones::new(),
             report: Arc::default(),
             flows: Flows::default(),
             requests: Requests::new(&home),
@@ -194,6 +199,7 @@
                 "tracks": self.tracked_flows,
                 "held": self.held_requests,
                 "health": self.shared_health,
+                "silent": self.silent_zones,
                 "report": self.report,
                 "demand": self.demand,
                 "spill": self.zone_spill,
@@ -206,6 +212,7 @@
             Some("tracks") => Some(json!(self.tracked_flows)),
             Some("held") => Some(json!(self.held_requests)),
             Some("health") => Some(json!(self.shared_health)),
+            Some("silent") => Some(json!(self.silent_zones)),
             Some("report") => Some(json!(self.report)),
             Some("demand") => Some(json!(self.demand)),
             Some("spill") => Some(json!(self.zone_spill)),
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -6,12 +6,19 @@
 use prost::Message;
 
 use crate::error::{Error, Result};
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::report::{EndpointReport, LaneReport, MAX_ROWS, ServiceReport};
 
 /// Maximum number of services in an encoded report.
 pub const MAX_SERVICES: usize = 8;
 
+/// Maximum number of silent zones in an encoded report. If more are silent, there is hardly one
+/// left for new flows.
+pub const MAX_SILENT_ZONES: usize = 2;
+
+/// Maximum length of the name of a silent zone, in bytes; one with a longer name is left out.
+const MAX_ZONE_BYTES: usize = 24;
+
 /// Maximum number of pieces of evidence of one kind in a row, which fits into four bits.
 const MAX_EVIDENCE: u32 = 15;
 
@@ -45,6 +52,9 @@
     /// Ages of the last answers plus one, zero without an answer.
     #[prost(uint32, repeated, tag = "9")]
     heard_ms: Vec<u32>,
+    /// Names of the zones whose endpoints do not answer.
+    #[prost(string, repeated, tag = "10")]
+    silent_zones: Vec<String>,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -67,6 +77,7 @@
         used: report.used_endpoints,
         suspected: report.suspected_endpoints,
         impaired: report.is_impaired,
+        silent_zones: encode_zones(&report.silent_zones),
         ..WireReport::default()
     };
     for row in report.endpoints.iter().take(MAX_ROWS) {
@@ -80,6 +91,14 @@
     wire
 }
 
+fn encode_zones(zones: &[Name]) -> Vec<String> {
+    let short = zones.iter().filter(|zone| zone.len() <= MAX_ZONE_BYTES);
+    short
+        .take(MAX_SILENT_ZONES)
+        .map(ToString::to_string)
+        .collect()
+}
+
 pub(super) fn decode(wire: &WireReport) -> Result<Arc<LaneReport>> {
     let count = wire.ids.len();
     let columns = [
@@ -92,6 +111,10 @@
     if !is_even || count > MAX_ROWS || wire.services.len() > MAX_SERVICES {
         return Err(Error::malformed("number of rows in a report"));
     }
+    let zones = &wire.silent_zones;
+    if zones.len() > MAX_SILENT_ZONES || zones.iter().any(|zone| zone.len() > MAX_ZONE_BYTES) {
+        return Err(Error::malformed("silent zones in a report"));
+    }
     let services: Result<Vec<_>> = wire.services.iter().map(decode_service).collect();
     Ok(Arc::new(LaneReport {
         taken_at: Duration::ZERO,
@@ -100,6 +123,8 @@
         used_endpoints: wire.used,
         suspected_endpoints: wire.suspected,
         is_impaired: wire.impaired,
+        silent_zones: zones.iter().map(|zone| zone.as_str().into()).collect(),
+        used_zones: Vec::new(),
     }))
 }
 
--- a/tests/relaying/load.rs
+++ b/tests/relaying/load.rs
@@ -118,6 +118,14 @@
     /// Zones whose endpoints hosts of other zones cannot reach. Only flows at these endpoints may
     /// be reset while they are open.
     pub silent: Vec<&'static str>,
+    /// Numbers of the endpoints that answer nobody.
+    pub mute: BTreeSet<u64>,
+    /// Lanes whose segments reach no endpoint.
+    pub deaf: Vec<usize>,
+    /// Openings that were lost on the way to a mute endpoint, or by a deaf lane.
+    pub lost_openings: Vec<(Duration, u64)>,
+    /// Repeats of the requests whose flows were reset while they were open.
+    pub open_resets: Vec<u32>,
     /// Lanes whose reports reach no other lane, and that get none.
     pub cut_off: Vec<usize>,
     /// True if callers leave the flow as soon as it is open, without a request.
@@ -171,6 +179,10 @@
             routes: routes.to_vec(),
             evacuated: BTreeSet::new(),
             silent: Vec::new(),
+            mute: BTreeSet::new(),
+            deaf: Vec::new(),
+            lost_openings: Vec::new(),
+            open_resets: Vec::new(),
             cut_off: Vec::new(),
             callers_leave: false,
             active: Vec::new(),
@@ -211,7 +223,12 @@
                 incarnation: 1,
                 zone: host.availability_zone.clone(),
                 sent_at: Timestamp(u64::from(self.steps)),
-                taken_at: lane.now,
+                // The ages in rows refer to the time at which the report was made.
+                taken_at: if lane.tables.report.endpoints.is_empty() {
+                    lane.now
+                } else {
+                    lane.tables.report.taken_at
+                },
                 report: Arc::clone(&lane.tables.report),
             })
             .collect();
@@ -296,8 +313,23 @@
     /// Returns true if the endpoint of a request is out of reach for its host.
     fn is_cut(&self, id: usize) -> bool {
         let request = &self.requests[id];
-        let zone = request.server.map(|number| self.server(number).zone);
-        zone.is_some_and(|zone| zone != self.zones[request.lane] && self.silent.contains(&zone))
+        request.server.is_some_and(|number| {
+            let zone = self.server(number).zone;
+            let is_remote = zone != self.zones[request.lane];
+            self.is_lost(request.lane, number) || (is_remote && self.silent.contains(&zone))
+        })
+    }
+
+    /// Returns true if nothing passes between a lane and an endpoint.
+    fn is_lost(&self, lane: usize, number: u64) -> bool {
+        self.mute.contains(&number) || self.deaf.contains(&lane)
+    }
+
+    /// Returns the numbers of the endpoints in a zone.
+    pub fn numbers_in(&self, zone: &str) -> Vec<u64> {
+        let servers = (1..).zip(&self.servers);
+        let servers = servers.filter(|(_, server)| server.zone == zone);
+        servers.map(|(number, _)| number).collect()
     }
 
     fn start_requests(&mut self, demands: &[Demand]) {
@@ -461,6 +493,9 @@
                             self.requests[id].asked_at.is_none() || self.is_cut(id),
                             "an open flow was reset by lane {lane}"
                         );
+                        if self.requests[id].asked_at.is_some() {
+                            self.open_resets.push(self.requests[id].repeats);
+                        }
                         self.fail_attempt(id, Outcome::Refused);
                     }
                 }
@@ -471,6 +506,12 @@
     fn reach_server(&mut self, id: usize, number: u64, is_opening: bool, has_data: bool) {
         let now = self.now();
         let server = usize::try_from(number).expect("small") - 1;
+        if self.is_lost(self.requests[id].lane, number) {
+            if is_opening {
+                self.lost_openings.push((now, number));
+            }
+            return;
+        }
         let is_remote = self.servers[server].zone != self.zones[self.requests[id].lane];
         if is_remote && self.silent.contains(&self.servers[server].zone) {
             return;
@@ -514,8 +555,11 @@
                 server.running.push((now + server.service_time, id));
             }
             for id in done {
-                let request = &mut self.requests[id];
                 let number = u64::try_from(at).expect("small") + 1;
+                if self.is_lost(self.requests[id].lane, number) {
+                    continue;
+                }
+                let request = &mut self.requests[id];
                 if request.outcome == Outcome::Pending && request.server == Some(number) {
                     request.outcome = Outcome::Answered(now.saturating_sub(request.started));
                     self.send(id, SegmentKind::Data, 101, 0, 1_500);
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -92,6 +92,114 @@
     assert_eq!(counters(&zone, 0).report_rounds, 1);
 }
 
+/// Publishes a report of a host's lane that has nothing but these silent zones.
+fn publish_silence(zone: &mut Zone, index: usize, names: &[&str]) {
+    let report = LaneReport {
+        taken_at: zone.now.saturating_sub(zone.nodes[&index].started_at),
+        silent_zones: names.iter().map(|name| Name::from(*name)).collect(),
+        is_impaired: true,
+        ..LaneReport::default()
+    };
+    zone.deliver(index, Event::LaneReports(vec![Arc::new(report)]));
+}
+
+/// Failure: the endpoints of a zone stop together, and all of its hosts are impaired. The hosts of
+/// the own availability zone learn of the silence within a tick, and of its end, which comes with no
+/// row either.
+#[test]
+fn silent_zone_and_its_end_are_sent_at_once() {
+    let mut zone = started_zone(6, 2);
+    for (names, rounds) in [(&["sv-a"][..], 1), (&[], 2), (&["sv-a"], 3)] {
+        publish_silence(&mut zone, 0, names);
+        zone.run_for(TICK_INTERVAL + ms(5));
+        for index in [2, 4] {
+            let report = &report_at(&zone, index, 0).expect("told").report;
+            let told: Vec<&str> = report.silent_zones.iter().map(|name| &**name).collect();
+            assert_eq!(told, names);
+        }
+        assert_eq!(counters(&zone, 0).report_rounds, rounds);
+    }
+    zone.run_for(2 * SECOND);
+    assert!(
+        [1, 3, 5]
+            .iter()
+            .all(|index| report_at(&zone, *index, 0).is_none())
+    );
+}
+
+/// Failure: the message about a silent zone is lost. Regular heartbeats repeat it while the zone is
+/// silent, and stop 2 s after its end.
+#[test]
+fn silent_zone_is_repeated_while_it_lasts() {
+    let mut zone = started_zone(3, 1);
+    let lost_until = zone.now + ms(400);
+    zone.network.link_model = Box::new(move |now, _, _| {
+        if now < lost_until {
+            vec![]
+        } else {
+            vec![zone::LATENCY]
+        }
+    });
+    for _ in 0..50 {
+        publish_silence(&mut zone, 0, &["sv-a"]);
+        zone.run_for(TICK_INTERVAL);
+    }
+    let report = &report_at(&zone, 1, 0).expect("repeated").report;
+    assert_eq!(report.silent_zones, ["sv-a".into()]);
+    publish_silence(&mut zone, 0, &[]);
+    zone.run_for(3 * SECOND);
+    let sent = counters(&zone, 0).reports_sent;
+    zone.run_for(3 * SECOND);
+    assert_eq!(counters(&zone, 0).reports_sent, sent);
+}
+
+/// Load: a zone flaps on each tick. The extra rounds stay within 4 in any second.
+#[test]
+fn flapping_silence_causes_few_rounds() {
+    let mut zone = started_zone(4, 1);
+    for step in 0..40 {
+        publish_silence(&mut zone, 0, &["sv-a"][..step % 2]);
+        zone.run_for(TICK_INTERVAL);
+    }
+    let rounds = counters(&zone, 0).report_rounds;
+    assert!((4..=20).contains(&rounds), "{rounds} rounds in 4 s");
+}
+
+/// Failure: one of two lanes receives nothing from a zone while the other one does. The host reports
+/// a zone as silent only if all lanes with flows there do, and other zones get none of it.
+#[test]
+fn zone_is_silent_if_it_is_for_all_lanes_with_flows_there() {
+    let mut zone = started_zone(3, 2);
+    let lane = |used: &[&str], silent: &[&str]| {
+        let names = |zones: &[&str]| zones.iter().map(|name| Name::from(*name)).collect();
+        Arc::new(LaneReport {
+            silent_zones: names(silent),
+            used_zones: names(used),
+            services: vec![ServiceReport::default()],
+            ..LaneReport::default()
+        })
+    };
+    let cases = [
+        (lane(&["a", "b"], &["a"]), lane(&["a"], &[]), 0),
+        (lane(&["a", "b"], &["a"]), lane(&["b"], &[]), 1),
+        (lane(&["a"], &["a"]), lane(&["a"], &["a"]), 1),
+        (lane(&["a"], &[]), lane(&["a"], &[]), 0),
+    ];
+    for (first, second, expected) in cases {
+        zone.deliver(0, Event::LaneReports(vec![first, second]));
+        let own = &zone.nodes[&0].control.tables().reports.own;
+        assert_eq!(own.silent_zones.len(), expected);
+        zone.run_for(SECOND);
+        assert!(
+            report_at(&zone, 1, 0)
+                .expect("told")
+                .report
+                .silent_zones
+                .is_empty()
+        );
+    }
+}
+
 /// Load: hosts of all availability zones need each other's demand, but not at once.
 #[test]
 fn other_availability_zones_get_services_only() {
@@ -381,6 +489,8 @@
             used_endpoints: u32::MAX,
             suspected_endpoints: u32::MAX,
             is_impaired: true,
+            silent_zones: (0..4).map(|_| "z".repeat(24).into()).collect(),
+            used_zones: vec![],
         })),
         report_age: Duration::from_secs(1 << 40),
     }
@@ -396,6 +506,7 @@
     let report = decoded.report.expect("report");
     assert_eq!(report.endpoints.len(), MAX_ROWS);
     assert_eq!(report.endpoints[0].unanswered_opens, 15);
+    assert_eq!(report.silent_zones.len(), 2);
 }
 
 /// Lanes of the hosts of a zone, which publish to their control threads and get their snapshots.
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -106,3 +106,18 @@
         "i-2 received 2 new flows; 1 hosts considered it down, and 1 of its flows were reset."
     );
 }
+
+/// A failed flow in a zone that was silent is explained by the silence, whose lines name the zone and
+/// no endpoint.
+#[test]
+fn silent_zone_is_part_of_the_trace() {
+    let silence = r#"
+  10.4 sv-a-1 {"time":"T10.400","host":"sv-a-1","event":"zone_silent","zone":"sv-a","hosts":4,"live_hosts":4,"heard_ms":450}
+  10.6 sv-a-1 {"time":"T10.600","host":"sv-a-1","event":"zone_answers","zone":"sv-a","cause":"answer","down_ms":200}
+"#;
+    let logs = format!("{LOGS}{silence}");
+    let report = build_report(parse(&logs), &Subject::Flow("192.0.2.7:1".to_owned()));
+    for event in ["zone_silent", "zone_answers"] {
+        assert!(report.lines.iter().any(|line| line.contains(event)));
+    }
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -213,14 +213,17 @@
             waiting,
         });
     let rows = (vec(endpoint_report(), 0..=MAX_ROWS), vec(service, 0..=8));
-    (rows, any::<(u32, u32, bool)>()).prop_map(
-        |((endpoints, services), (used, suspected, impaired))| LaneReport {
+    let zones = vec("[a-z0-9-]{0,24}".prop_map(Name::from), 0..=2);
+    (rows, any::<(u32, u32, bool)>(), zones).prop_map(
+        |((endpoints, services), (used, suspected, impaired), silent_zones)| LaneReport {
             taken_at: Duration::ZERO,
             endpoints,
             services,
             used_endpoints: used,
             suspected_endpoints: suspected,
             is_impaired: impaired,
+            silent_zones,
+            used_zones: vec![],
         },
     )
 }
@@ -330,3 +333,20 @@
         prop_assert_eq!(tables.counters.rejected_tickets, 1);
     }
 }
+
+/// Guards against a heartbeat that receivers refuse because of the name of a zone: names longer than
+/// 24 bytes are left out, and so are zones beyond the second.
+#[test]
+fn silent_zones_that_do_not_fit_are_left_out() {
+    let long = "z".repeat(25);
+    let names = [&*long, "sv-a", "sv-b", "sv-c"];
+    let report = LaneReport {
+        silent_zones: names.map(Name::from).to_vec(),
+        ..LaneReport::default()
+    };
+    let key = PeerKey::new("secret");
+    let bytes = encode_heartbeat(&heartbeat(report, 0), &key);
+    let decoded = decode_heartbeat(&bytes, &key).expect("heartbeat");
+    let zones = &decoded.report.as_ref().expect("report").silent_zones;
+    assert_eq!(zones[..], ["sv-a", "sv-b"].map(Name::from));
+}
