--- a/src/systems/relay/findings.rs
+++ b/src/systems/relay/findings.rs
@@ -67,31 +67,43 @@
             finding.own = evidence::collect(row, health, now);
         }
     }
-    if let Some(me) = own_host(tables) {
-        for report in &tables.peer_reports.hosts {
-            if is_credible(tables, report, me, now) {
-                add_report(tables, report, &mut findings);
-            }
-        }
+    let has_rows = |report: &&HostReport| !report.report.endpoints.is_empty();
+    let reports = zone_reports(tables, now, has_rows);
+    for report in reports.filter(|report| is_credible(report)) {
+        add_report(tables, report, &mut findings);
     }
     findings
 }
 
-/// Returns true if the observations of a host count.
+/// Iterates over the reports of the live hosts of the own availability zone that are not too old,
+/// among those for which `is_wanted` is true.
 ///
-/// The list of live hosts is searched last, and only for reports with rows: it is long.
-fn is_credible(tables: &Tables, report: &HostReport, me: &Host, now: Duration) -> bool {
-    let is_live = || {
+/// The list of live hosts is searched last, because it is long.
+pub(super) fn zone_reports(
+    tables: &Tables,
+    now: Duration,
+    is_wanted: impl Fn(&&HostReport) -> bool,
+) -> impl Iterator<Item = &HostReport> {
+    let max_age = tables.peer_reports.ages.endpoints;
+    let me = own_host(tables);
+    let is_near = move |report: &&HostReport| {
+        me.is_some_and(|me| me.availability_zone == report.zone && me.id != report.host)
+    };
+    let is_live = |report: &&HostReport| {
         let mut hosts = tables.snapshot.hosts.iter();
         hosts.any(|host| host.id == report.host && host.incarnation == report.incarnation)
     };
-    !report.report.endpoints.is_empty()
-        && me.availability_zone == report.zone
-        && me.id != report.host
-        && now < report.taken_at + tables.peer_reports.ages.endpoints
-        && !report.report.is_impaired
-        && !report.report.suspects_too_many()
-        && is_live()
+    let reports = tables.peer_reports.hosts.iter();
+    reports
+        .filter(is_wanted)
+        .filter(is_near)
+        .filter(move |report| now < report.taken_at + max_age)
+        .filter(is_live)
+}
+
+/// Returns true if the observations that a host reports of endpoints count.
+fn is_credible(report: &HostReport) -> bool {
+    !report.report.is_impaired && !report.report.suspects_too_many()
 }
 
 fn add_report(tables: &Tables, report: &HostReport, findings: &mut BTreeMap<Id, Finding>) {
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -19,6 +19,7 @@
 mod rank_limits;
 mod report;
 mod shared_health;
+mod silent_zone;
 mod timeouts;
 pub(super) mod warmup;
 mod zone_evidence;
@@ -73,6 +74,7 @@
     failure_detector::run(tables, now, out);
     timeouts::run(tables, now);
     shared_health::run(tables, now, out);
+    silent_zone::run(tables, now, out);
     capacity_share::run(tables, now);
     report::run(tables, now);
     overload_queue::run_timers(tables, now);
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -17,6 +17,7 @@
 mod recent;
 mod requests;
 mod shared_health;
+mod silent_zones;
 mod timings;
 mod tracks;
 mod warmup;
@@ -42,6 +43,7 @@
 pub use self::recent::RecentCounts;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::shared_health::{Cleared, HealthRow, SharedHealth, UnansweredOpen};
+pub use self::silent_zones::{SilentZone, SilentZones};
 pub use self::timings::{LatencyHistograms, observe};
 pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
 pub use self::warmup::Warmups;
@@ -85,6 +87,8 @@
     pub shared_health: SharedHealth,
     /// Latest reports of other hosts that the control thread published.
     pub peer_reports: Arc<PeerReports>,
+    /// Zones whose endpoints do not answer this lane.
+    pub silent_zones: SilentZones,
     /// What this lane last reported about endpoints and load.
     pub report: Arc<LaneReport>,
     /// Flows that this lane is the home of.
@@ -139,6 +143,7 @@
             recent_counts: RecentCounts::default(),
             shared_health: SharedHealth::default(),
             peer_reports: Arc::default(),
+            silent_zones: SilentZones::new(),
             report: Arc::default(),
             flows: Flows::default(),
             requests: Requests::new(&home),
@@ -202,6 +207,7 @@
                 "tracks": self.tracked_flows,
                 "held": self.held_requests,
                 "health": self.shared_health,
+                "silent": self.silent_zones,
                 "report": self.report,
                 "demand": self.demand,
                 "spill": self.zone_spill,
@@ -214,6 +220,7 @@
             Some("tracks") => Some(json!(self.tracked_flows)),
             Some("held") => Some(json!(self.held_requests)),
             Some("health") => Some(json!(self.shared_health)),
+            Some("silent") => Some(json!(self.silent_zones)),
             Some("report") => Some(json!(self.report)),
             Some("demand") => Some(json!(self.demand)),
             Some("spill") => Some(json!(self.zone_spill)),
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 use crate::error::{Error, Result};
-use crate::id::Id;
+use crate::id::{Id, Name};
 use crate::report::{EndpointReport, LaneReport, MAX_ROWS, ServiceReport, ZoneReport};
 
 /// Maximum number of services in an encoded report.
@@ -15,6 +15,12 @@
 /// Maximum number of hosts in the sum of a zone: several times the 650 hosts of the design target,
 /// so that a wrong number costs its receivers little.
 const MAX_HOSTS: u32 = 4_096;
+/// Maximum number of silent zones in an encoded report. If more are silent, there is hardly one
+/// left for new flows.
+pub const MAX_SILENT_ZONES: usize = 2;
+
+/// Maximum length of the name of a silent zone, in bytes; one with a longer name is left out.
+const MAX_ZONE_BYTES: usize = 24;
 
 /// Maximum number of pieces of evidence of one kind in a row, which fits into four bits.
 const MAX_EVIDENCE: u32 = 15;
@@ -49,6 +55,9 @@
     /// Ages of the last answers plus one, zero without an answer.
     #[prost(uint32, repeated, tag = "9")]
     heard_ms: Vec<u32>,
+    /// Names of the zones whose endpoints do not answer.
+    #[prost(string, repeated, tag = "10")]
+    silent_zones: Vec<String>,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -89,6 +98,7 @@
         used: report.used_endpoints,
         suspected: report.suspected_endpoints,
         impaired: report.is_impaired,
+        silent_zones: encode_zones(&report.silent_zones),
         ..WireReport::default()
     };
     for row in report.endpoints.iter().take(MAX_ROWS) {
@@ -102,6 +112,14 @@
     wire
 }
 
+fn encode_zones(zones: &[Name]) -> Vec<String> {
+    let short = zones.iter().filter(|zone| zone.len() <= MAX_ZONE_BYTES);
+    short
+        .take(MAX_SILENT_ZONES)
+        .map(ToString::to_string)
+        .collect()
+}
+
 pub(super) fn decode(wire: &WireReport) -> Result<Arc<LaneReport>> {
     let count = wire.ids.len();
     let columns = [
@@ -114,6 +132,10 @@
     if !is_even || count > MAX_ROWS || wire.services.len() > MAX_SERVICES {
         return Err(Error::malformed("number of rows in a report"));
     }
+    let zones = &wire.silent_zones;
+    if zones.len() > MAX_SILENT_ZONES || zones.iter().any(|zone| zone.len() > MAX_ZONE_BYTES) {
+        return Err(Error::malformed("silent zones in a report"));
+    }
     let services: Result<Vec<_>> = wire.services.iter().map(decode_service).collect();
     Ok(Arc::new(LaneReport {
         taken_at: Duration::ZERO,
@@ -122,6 +144,8 @@
         used_endpoints: wire.used,
         suspected_endpoints: wire.suspected,
         is_impaired: wire.impaired,
+        silent_zones: zones.iter().map(|zone| zone.as_str().into()).collect(),
+        used_zones: Vec::new(),
     }))
 }
 
