Eject endpoints that leave a part of their requests unanswered

Cause: an endpoint that answers openings and acknowledges data, but never answers some requests, passes every check, and one host sends it too few requests to tell. Change: each lane counts answered and overdue requests per endpoint over 3 s; reports carry the counts of endpoints with overdue requests, and the hosts of a zone eject an outlier for 3 to 12 s. Open flows stay. Two rows about one endpoint in a report count as one host.

--- a/examples/control_cost.rs
+++ b/examples/control_cost.rs
@@ -130,6 +130,7 @@
         stalled_flows: 1,
         silent_for: taken_at,
         heard_ago: Some(taken_at),
+        ..EndpointReport::default()
     };
     LaneReport {
         taken_at,
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -41,10 +41,10 @@
 const HEARTBEAT_BYTES: usize = 200;
 
 /// Size of an encoded endpoint row in bytes.
-const ROW_BYTES: usize = 17;
+const ROW_BYTES: usize = 19;
 
-/// Number of these rows that contradictions may take when there is more evidence than room;
-/// without them, false suspicions would last as long as the shortage.
+/// Number of these rows that contradictions and overdue requests may take when there is more
+/// evidence than room; without them, false suspicions would last as long as the shortage.
 const MIN_CONTRADICTIONS: usize = 4;
 
 /// Replaces the report of this host by the sum of its lanes' reports.
@@ -193,13 +193,17 @@
 }
 
 /// Returns the report with the rows for which a message has room, those with the most evidence
-/// first, and the number of other rows.
+/// first, then contradictions, then those with the most overdue requests, and the number of other
+/// rows.
 fn select_rows(own: &Arc<LaneReport>) -> (Arc<LaneReport>, u64) {
     let Some(excess) = own.endpoints.len().checked_sub(MAX_ROWS + 1) else {
         return (Arc::clone(own), 0);
     };
     let mut rows = own.endpoints.clone();
-    rows.sort_by_key(|row| std::cmp::Reverse(row.evidence()));
+    rows.sort_by_key(|row| {
+        let contradicts = row.evidence() == 0 && row.heard_ago.is_some();
+        std::cmp::Reverse((row.evidence(), contradicts, row.overdue))
+    });
     let suspected = rows.iter().filter(|row| row.evidence() > 0).count();
     let cleared = (rows.len() - suspected).min(MIN_CONTRADICTIONS);
     let kept = suspected.min(MAX_ROWS - cleared);
@@ -238,6 +242,9 @@
             .saturating_add(lane.suspected_endpoints);
         sum.is_impaired |= lane.is_impaired;
     }
+    for row in rows.values_mut() {
+        scale_answered(row, lanes);
+    }
     sum.endpoints = rows.into_values().collect();
     Arc::new(sum)
 }
@@ -265,6 +272,25 @@
     sum.stalled_flows = sum.stalled_flows.saturating_add(row.stalled_flows);
     let heard_ago = row.heard_ago.map(|age| age + passed);
     sum.heard_ago = [sum.heard_ago, heard_ago].into_iter().flatten().min();
+    sum.answered = sum.answered.saturating_add(row.answered);
+    sum.overdue = sum.overdue.saturating_add(row.overdue);
+}
+
+/// Extrapolates the answered requests of a summed row to all lanes. Lanes without overdue requests
+/// at the endpoint report none.
+fn scale_answered(sum: &mut EndpointReport, lanes: &[Arc<LaneReport>]) {
+    if sum.overdue == 0 {
+        return;
+    }
+    let counts = |row: &EndpointReport| {
+        row.endpoint == sum.endpoint && row.started_ms == sum.started_ms && row.overdue > 0
+    };
+    let reporting = lanes
+        .iter()
+        .filter(|lane| lane.endpoints.iter().any(counts));
+    let reporting = u32::try_from(reporting.count().max(1)).unwrap_or(u32::MAX);
+    let lanes = u32::try_from(lanes.len()).unwrap_or(u32::MAX);
+    sum.answered = sum.answered.saturating_mul(lanes) / reporting;
 }
 
 fn add_service(services: &mut Vec<ServiceReport>, service: &ServiceReport) {
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -55,6 +55,8 @@
     pub tracked_flows: AtomicUsize,
     /// Number of endpoints that the lane considers down.
     pub down_endpoints: AtomicUsize,
+    /// Number of endpoints that the lane has ejected.
+    pub ejected_endpoints: AtomicUsize,
     /// Counters since the start, updated every second.
     pub counters: ArcSwap<Counters>,
     /// What the lane observes of endpoints and load.
@@ -368,6 +370,10 @@
         self.stats
             .down_endpoints
             .store(down_endpoints.count(), Ordering::Relaxed);
+        let ejected_endpoints = self.tables.outcomes.ejected().count();
+        self.stats
+            .ejected_endpoints
+            .store(ejected_endpoints, Ordering::Relaxed);
         let waiting = self.tables.held_requests.len();
         self.stats.waiting.store(waiting, Ordering::Relaxed);
         let services = self.tables.snapshot.services.keys();
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -382,6 +382,10 @@
         ("flows", sum(|lane| &lane.stats.flows)),
         ("tracked_flows", sum(|lane| &lane.stats.tracked_flows)),
         ("endpoints_down", sum(|lane| &lane.stats.down_endpoints)),
+        (
+            "ejected_endpoints",
+            sum(|lane| &lane.stats.ejected_endpoints),
+        ),
         ("endpoints", gauge_value(endpoints.sum())),
         ("routes", gauge_value(snapshot.routes.len())),
         ("hosts", gauge_value(snapshot.hosts.len())),
--- a/src/front/trace.rs
+++ b/src/front/trace.rs
@@ -97,12 +97,15 @@
 }
 
 /// Returns true for an event that reports one of the endpoints or a whole zone as up, suspected,
-/// down, removed, evacuated or returned.
+/// down, ejected, readmitted, removed, evacuated or returned.
 fn is_health_event(line: &LogLine, endpoints: &BTreeSet<&str>) -> bool {
     match text_field(line, "event") {
-        "endpoint_suspected" | "endpoint_down" | "endpoint_up" | "endpoint_gone" => {
-            endpoints.contains(text_field(line, "endpoint"))
-        }
+        "endpoint_suspected"
+        | "endpoint_down"
+        | "endpoint_up"
+        | "endpoint_gone"
+        | "endpoint_ejected"
+        | "endpoint_readmitted" => endpoints.contains(text_field(line, "endpoint")),
         "zone_down" | "zone_up" | "zone_evacuated" | "zone_returned" => true,
         _ => false,
     }
@@ -175,23 +178,30 @@
             .filter(|line| text_field(line, "event") == event)
             .count()
     };
-    let hosts: BTreeSet<&str> = matching
-        .iter()
-        .filter(|line| text_field(line, "event") == "endpoint_down")
-        .map(|line| text_field(line, "host"))
-        .collect();
+    let hosts_with = |event: &str| {
+        let lines = matching.iter();
+        let lines = lines.filter(|line| text_field(line, "event") == event);
+        let hosts: BTreeSet<&str> = lines.map(|line| text_field(line, "host")).collect();
+        hosts.len()
+    };
     let resets = matching
         .iter()
         .filter(|line| text_field(line, "event") == "reset");
     let reported = resets.filter(|line| is_reported(line)).count();
     format!(
-        "{name} received {} new flows; {} hosts considered it down, and {} of its flows were reset{}.",
+        "{name} received {} new flows; {} hosts considered it down, and {} of its flows were reset{}.{}",
         count("placed"),
-        hosts.len(),
+        hosts_with("endpoint_down"),
         count("reset"),
         match reported {
             0 => String::new(),
             reported => format!(", {reported} of them by the reports of several hosts"),
+        },
+        match hosts_with("endpoint_ejected") {
+            0 => String::new(),
+            ejecting => format!(
+                " {ejecting} hosts sent it no new flows for some seconds, because a part of its requests was not answered."
+            ),
         }
     )
 }
--- a/src/report.rs
+++ b/src/report.rs
@@ -56,6 +56,10 @@
     pub silent_for: Duration,
     /// Time since it last answered any flow, if it has done so.
     pub heard_ago: Option<Duration>,
+    /// Requests that it has answered in time in the last 3 s, if any was overdue.
+    pub answered: u32,
+    /// Requests that were overdue in that time.
+    pub overdue: u32,
 }
 
 /// Load of a service at one host.
@@ -109,8 +113,9 @@
             && times(self) == times(other)
     }
 
-    /// Returns true if it has evidence or answers that `known` lacks. Others need these at once,
-    /// and the end of evidence without an answer with the next heartbeat.
+    /// Returns true if it has evidence, answers or an outlier that `known` lacks. Others need these
+    /// at once, and the end of evidence without an answer, or other numbers of overdue requests,
+    /// with the next heartbeat.
     #[must_use]
     pub fn adds_to(&self, known: &Self) -> bool {
         let is_known = |row: &EndpointReport| {
@@ -122,6 +127,8 @@
                     && row.unanswered_opens <= other.unanswered_opens
                     && row.stalled_flows <= other.stalled_flows
                     && heard_at <= other_heard
+                    && (row.overdue == 0 || other.overdue > 0)
+                    && (!row.is_outlier() || other.is_outlier())
             })
         };
         (self.is_impaired && !known.is_impaired) || !self.endpoints.iter().all(is_known)
@@ -137,6 +144,24 @@
 }
 
 impl EndpointReport {
+    /// Part of an endpoint's requests that are overdue (a fifth) from which on it is an outlier.
+    pub const OUTLIER_SHARE: f64 = 0.2;
+
+    /// Returns true if the row has evidence that the endpoint does not answer, or contradicts some.
+    #[must_use]
+    pub fn tells_health(&self) -> bool {
+        self.evidence() > 0 || self.heard_ago.is_some()
+    }
+
+    /// Returns true if so large a part of the requests of this row is overdue that the endpoint is
+    /// an outlier for its host.
+    #[must_use]
+    pub fn is_outlier(&self) -> bool {
+        let overdue = f64::from(self.overdue);
+        let total = overdue + f64::from(self.answered);
+        self.overdue > 0 && overdue >= Self::OUTLIER_SHARE * total
+    }
+
     /// Returns the number of pieces of evidence against the endpoint.
     #[must_use]
     pub fn evidence(&self) -> u32 {
--- a/src/systems/relay/established.rs
+++ b/src/systems/relay/established.rs
@@ -84,6 +84,7 @@
     if flow.endpoint != endpoint.id {
         uncount_flow(tables, &flow);
         flow.counts_load = false;
+        flow.watched = None;
         flow.endpoint = endpoint.id;
         count_flow(tables, endpoint.id);
     }
--- a/src/systems/relay/findings.rs
+++ b/src/systems/relay/findings.rs
@@ -79,7 +79,7 @@
 }
 
 /// Returns true if the observations of a host count.
-fn is_credible(tables: &Tables, report: &HostReport, now: Duration) -> bool {
+pub(super) fn is_credible(tables: &Tables, report: &HostReport, now: Duration) -> bool {
     let mut hosts = tables.snapshot.hosts.iter();
     let is_live =
         hosts.any(|host| host.id == report.host && host.incarnation == report.incarnation);
@@ -94,7 +94,8 @@
 
 fn add_report(tables: &Tables, report: &HostReport, findings: &mut BTreeMap<Id, Finding>) {
     let time = |age: Duration| report.taken_at.saturating_sub(age);
-    for observed in &report.report.endpoints {
+    let rows = report.report.endpoints.iter();
+    for observed in rows.filter(|row| row.tells_health()) {
         let Some(row) = tables.endpoints.get(observed.endpoint) else {
             continue;
         };
@@ -118,7 +119,7 @@
 
 /// Returns true if a start time and its form in a report, which has only the lower 32 bits, are
 /// the same.
-fn is_same_start(started_ms: u64, reported_ms: u64) -> bool {
+pub(super) fn is_same_start(started_ms: u64, reported_ms: u64) -> bool {
     let low_bits = |time: u64| time & u64::from(u32::MAX);
     low_bits(started_ms) == low_bits(reported_ms)
 }
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use super::{
-    add_load, evidence, failure_detector, is_idempotent, remove_load, timeouts, uncount_flow,
-    zone_evidence,
+    add_load, evidence, failure_detector, is_idempotent, outliers, remove_load, timeouts,
+    uncount_flow, zone_evidence,
 };
 use crate::clock::millis;
 use crate::segment::{Segment, SegmentKind, is_seq_after};
@@ -71,6 +71,7 @@
         flow.state = TrackedState::Closing;
         flow.unanswered_since = None;
         flow.counts_load = false;
+        flow.watched = None;
     }
     let row = tables.endpoints.get(flow.endpoint);
     if row.is_some_and(|row| awaits_down_endpoint(row, flow, now))
@@ -104,6 +105,7 @@
     let is_prompt = flow.state == TrackedState::Opening
         || (segment.kind == SegmentKind::Data && segment.len == 0);
     let alive_at = if is_prompt { now } else { flow.last_advance };
+    outliers::note_answer(tables, flow, now);
     if flow.state == TrackedState::Opening {
         flow.state = TrackedState::Open;
         let open_time = now.saturating_sub(flow.first_seen);
@@ -191,10 +193,13 @@
         flow.unanswered_since = Some(now);
         flow.unanswered_segments = 1;
         flow.retransmissions = 0;
+        outliers::watch_request(flow, now);
         if let Some(row) = tables.endpoints.get(flow.endpoint) {
             let due = timeouts::load_expiry(row, now);
             tables.tracked_flows.schedule_check(flow.addrs, due);
         }
+    } else {
+        outliers::note_new_data(flow, now);
     }
     add_load(tables, flow, now);
 }
@@ -211,6 +216,7 @@
     flow.last_retransmission = now;
     tables.counters.data_retransmissions += 1;
     tables.recent_counts.note_retransmission(now);
+    outliers::note_retransmission(tables, flow, now);
     let stall = StalledFlow {
         addrs: flow.addrs,
         retransmissions: flow.retransmissions,
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -14,6 +14,7 @@
 mod findings;
 mod liveness;
 mod open;
+mod outliers;
 mod overload_queue;
 pub(super) mod placement;
 mod report;
@@ -73,6 +74,7 @@
     timeouts::run(tables, now);
     shared_health::run(tables, now, out);
     capacity_share::run(tables, now);
+    outliers::run(tables, now);
     report::run(tables, now);
     overload_queue::run_timers(tables, now);
     zone_spill::run(tables, now);
@@ -83,6 +85,7 @@
 
 /// Applies the endpoints of a new snapshot.
 pub(super) fn sync(tables: &mut Tables, now: Duration) {
+    outliers::sync(tables);
     for endpoint in tables.endpoints.mark_replaced() {
         tables.counters.replaced_endpoints += 1;
         log::warn!(endpoint:% = endpoint.name, addr:% = endpoint.addr; "endpoint_replaced");
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -252,6 +252,7 @@
         };
         let is_due = now >= row.last_trial + period;
         let may_use = row.accepts_work(now)
+            && row.ejected_until.is_none()
             && !is_excluded(row, route)
             && warmup::may_open(tables, row.spec.id, now)
             && shared_health::may_try(tables, row);
--- a/src/systems/relay/placement.rs
+++ b/src/systems/relay/placement.rs
@@ -34,6 +34,10 @@
 /// that is on its way.
 const REMOTE_DEPTH: f64 = 2.0;
 
+/// Added to the tier of an ejected endpoint: above all tiers of other endpoints, so that it is used
+/// only if no other one can take the flow.
+const EJECTED_TIER: u8 = 3;
+
 /// Endpoints that are preferred for a relayed flow.
 enum Preference {
     /// Those of the own zone that answer soon, because no plan is known yet.
@@ -66,6 +70,7 @@
     let is_allowed = |row: &EndpointRow| route.allows_region(&row.spec.region);
     let barred = warmup::barred_endpoints(tables, service, now);
     let is_preferred = |row: &EndpointRow| match &preference {
+        _ if row.ejected_until.is_some() => false,
         Preference::Zone(zone) => row.spec.zone == *zone,
         Preference::Unplanned | Preference::OwnZone => row.spec.local,
     };
@@ -86,14 +91,19 @@
         let wait = (used_share + unit_share).max(1.0) * answer_time;
         let slowness = (answer_time / mean_time.max(f64::MIN_POSITIVE)).clamp(1.0, MAX_SLOWNESS);
         let zone_penalty = if row.spec.local { 1.0 } else { REMOTE_PENALTY };
+        let zone_tier = match &preference {
+            Preference::Unplanned => u8::from(!row.spec.local || wait > limit),
+            Preference::OwnZone if row.spec.local => u8::from(wait > limit),
+            Preference::Zone(zone) if row.spec.zone == *zone => u8::from(wait > limit),
+            Preference::Zone(_) if row.spec.local => 1,
+            Preference::OwnZone | Preference::Zone(_) => 2,
+        };
+        let ejected_tier = match row.ejected_until {
+            Some(_) => EJECTED_TIER,
+            None => 0,
+        };
         Some(Usage {
-            tier: match &preference {
-                Preference::Unplanned => u8::from(!row.spec.local || wait > limit),
-                Preference::OwnZone if row.spec.local => u8::from(wait > limit),
-                Preference::Zone(zone) if row.spec.zone == *zone => u8::from(wait > limit),
-                Preference::Zone(_) if row.spec.local => 1,
-                Preference::OwnZone | Preference::Zone(_) => 2,
-            },
+            tier: zone_tier + ejected_tier,
             used_share: used_share * slowness * zone_penalty,
             unit_share: unit_share * slowness * zone_penalty,
         })
--- a/src/systems/relay/report.rs
+++ b/src/systems/relay/report.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{evidence, failure_detector, shared_health};
+use super::{evidence, failure_detector, outliers, shared_health};
 use crate::report::{EndpointReport, LaneReport};
 use crate::tables::{EndpointRow, HealthRow, Tables};
 
@@ -25,7 +25,8 @@
         return;
     }
     tables.shared_health.last_check = now;
-    let rows = endpoint_rows(tables, now);
+    let mut rows = endpoint_rows(tables, now);
+    outliers::add_rows(tables, &mut rows, now);
     let has_rows = !rows.is_empty();
     let services = tables.demand.reported.clone();
     let is_empty = rows.is_empty() && services.is_empty();
@@ -95,5 +96,6 @@
         stalled_flows: own.stalled,
         silent_for,
         heard_ago: (!heard_at.is_zero()).then(|| now.saturating_sub(heard_at)),
+        ..EndpointReport::default()
     })
 }
--- a/src/systems/relay/shared_health.rs
+++ b/src/systems/relay/shared_health.rs
@@ -15,7 +15,7 @@
 use super::{is_idempotent, reset_down_flow, uncount_flow};
 use crate::clock::millis;
 use crate::id::{Id, Name, rendezvous_weight};
-use crate::report::HostReport;
+use crate::report::{EndpointReport, HostReport};
 use crate::tables::{Cleared, DownState, EndpointRow, Outbox, Suspicion, Tables, TrackedState};
 
 /// Time after the last report at which a suspicion ends.
@@ -47,7 +47,10 @@
 
 /// Updates suspicions, marks endpoints as down or up, and resets flows that wait for them.
 pub(super) fn run(tables: &mut Tables, now: Duration, out: &mut Outbox) {
-    let has_rows = |report: &HostReport| !report.report.endpoints.is_empty();
+    let has_rows = |report: &HostReport| {
+        let mut rows = report.report.endpoints.iter();
+        rows.any(EndpointReport::tells_health)
+    };
     let is_idle = tables.shared_health.is_empty()
         && !tables.shared_health.any_suspected
         && !tables.snapshot.reports.iter().any(has_rows)
--- a/src/systems/relay/timeouts.rs
+++ b/src/systems/relay/timeouts.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::{evidence, remove_load, uncount_flow};
+use super::{evidence, outliers, remove_load, uncount_flow};
 use crate::tables::{EndpointRow, Tables, TrackedFlow, TrackedState};
 
 /// Time after which a request without a retransmission counts as answered. Callers
@@ -56,7 +56,10 @@
                 tables.tracked_flows.insert(flow);
             }
             _ => {
-                expire_retransmitted(tables, &mut flow, now);
+                // Another check is due at the time from which the request counts as abandoned.
+                if !outliers::check_request(tables, &mut flow, now) {
+                    expire_retransmitted(tables, &mut flow, now);
+                }
                 tables.tracked_flows.insert(flow);
             }
         }
@@ -80,6 +83,7 @@
         remove_load(tables, &mut flow);
         flow.unanswered_since = None;
         flow.retransmissions = 0;
+        flow.watched = None;
         tables.tracked_flows.insert(flow);
     }
 }
@@ -97,6 +101,7 @@
         remove_load(tables, flow);
     }
     if done_at <= now {
+        outliers::note_answer(tables, flow, now);
         flow.unanswered_since = None;
     } else {
         tables.tracked_flows.schedule_check(flow.addrs, done_at);
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -144,4 +144,6 @@
     /// Suspicions of other hosts that an answer to this host has contradicted.
     #[serde(rename = "contradictions")]
     pub contradicted_reports: u64,
+    /// Times at which an endpoint was ejected because it answered only a part of its requests.
+    pub ejections: u64,
 }
--- a/src/tables/endpoints.rs
+++ b/src/tables/endpoints.rs
@@ -110,6 +110,10 @@
     /// Set while this host or another one has evidence that it does not answer.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub suspicion: Option<Suspicion>,
+    /// End of its ejection, while it gets no new flows because it answers only a part of its
+    /// requests.
+    #[serde(rename = "ejected", skip_serializing_if = "Option::is_none")]
+    pub ejected_until: Option<Duration>,
     /// Latest time for which an answer shows that it was running: an acknowledgement that comes
     /// with new data only shows that it has run since the data before that was sent.
     #[serde(rename = "alive")]
@@ -538,6 +542,7 @@
             stalled_flows: Vec::new(),
             down: None,
             suspicion: None,
+            ejected_until: None,
             last_alive: Duration::ZERO,
             last_suspected: Duration::ZERO,
             last_trial: Duration::ZERO,
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -13,6 +13,7 @@
 mod flows;
 mod held;
 mod inbox;
+mod outcomes;
 mod recent;
 mod requests;
 mod shared_health;
@@ -37,11 +38,12 @@
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::held::{HeldRequest, HeldRequests, Refusal, ReleaseHistory, ServiceLimit};
 pub use self::inbox::{Arrival, Stage, StageQueues};
+pub use self::outcomes::{Ejection, OutcomeCounts, Outcomes};
 pub use self::recent::RecentCounts;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::shared_health::{Cleared, HealthRow, SharedHealth, UnansweredOpen};
 pub use self::timings::{LatencyHistograms, observe};
-pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
+pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState, WatchedRequest};
 pub use self::warmup::Warmups;
 pub use self::zone_spill::{SpillPlan, ZoneSpill};
 
@@ -81,6 +83,8 @@
     pub recent_counts: RecentCounts,
     /// Evidence of this lane about endpoints, for reports to other hosts.
     pub shared_health: SharedHealth,
+    /// Results of recent requests at each endpoint, and ejections of endpoints.
+    pub outcomes: Outcomes,
     /// What this lane last reported about endpoints and load.
     pub report: Arc<LaneReport>,
     /// Flows that this lane is the home of.
@@ -131,6 +135,7 @@
             zone_spill: ZoneSpill::default(),
             recent_counts: RecentCounts::default(),
             shared_health: SharedHealth::default(),
+            outcomes: Outcomes::default(),
             report: Arc::default(),
             flows: Flows::default(),
             requests: Requests::new(&home),
@@ -194,6 +199,7 @@
                 "tracks": self.tracked_flows,
                 "held": self.held_requests,
                 "health": self.shared_health,
+                "outcomes": self.outcomes,
                 "report": self.report,
                 "demand": self.demand,
                 "spill": self.zone_spill,
@@ -206,6 +212,7 @@
             Some("tracks") => Some(json!(self.tracked_flows)),
             Some("held") => Some(json!(self.held_requests)),
             Some("health") => Some(json!(self.shared_health)),
+            Some("outcomes") => Some(json!(self.outcomes)),
             Some("report") => Some(json!(self.report)),
             Some("demand") => Some(json!(self.demand)),
             Some("spill") => Some(json!(self.zone_spill)),
--- a/src/tables/tracks.rs
+++ b/src/tables/tracks.rs
@@ -81,6 +81,19 @@
     /// True while it counts as load on its endpoint.
     #[serde(rename = "loaded")]
     pub counts_load: bool,
+    /// Its pending request, until the result of it is recorded.
+    pub watched: Option<WatchedRequest>,
+}
+
+/// A request whose result is not known yet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct WatchedRequest {
+    /// Time at which the last new data of it was sent.
+    #[serde(rename = "sent")]
+    pub sent_at: Duration,
+    /// Time at which it is overdue; set when it is retransmitted.
+    #[serde(rename = "due")]
+    pub overdue_at: Option<Duration>,
 }
 
 impl TrackedFlow {
@@ -108,6 +121,7 @@
             retransmissions: 0,
             last_retransmission: now,
             counts_load: false,
+            watched: None,
         }
     }
 }
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -19,7 +19,7 @@
 const MAX_AGE_MS: u32 = 16_382;
 
 /// Report about endpoints and services. The rows of endpoints are columns of equal length, which
-/// take 17 bytes a row, so that a heartbeat has room for all of them.
+/// take at most 19 bytes a row, so that a heartbeat has room for all of them.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireReport {
     /// Ids of the endpoints.
@@ -45,6 +45,13 @@
     /// Ages of the last answers plus one, zero without an answer.
     #[prost(uint32, repeated, tag = "9")]
     heard_ms: Vec<u32>,
+    /// Requests answered in time, one byte a row; empty without overdue requests, and from hosts
+    /// of earlier releases.
+    #[prost(bytes = "vec", tag = "12")]
+    answered: Vec<u8>,
+    /// Overdue requests, in the same form.
+    #[prost(bytes = "vec", tag = "13")]
+    overdue: Vec<u8>,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -76,6 +83,13 @@
         wire.silent_ms.push(encode_age(row.silent_for));
         wire.heard_ms
             .push(row.heard_ago.map_or(0, |age| encode_age(age) + 1));
+        let (answered, overdue) = encode_outcomes(row);
+        wire.answered.push(answered);
+        wire.overdue.push(overdue);
+    }
+    if wire.overdue.iter().all(|overdue| *overdue == 0) {
+        wire.answered.clear();
+        wire.overdue.clear();
     }
     wire
 }
@@ -88,7 +102,9 @@
         wire.silent_ms.len(),
         wire.heard_ms.len(),
     ];
-    let is_even = columns.iter().all(|length| *length == count);
+    let has_outcomes = !wire.answered.is_empty() || !wire.overdue.is_empty();
+    let is_even = columns.iter().all(|length| *length == count)
+        && (!has_outcomes || (wire.answered.len() == count && wire.overdue.len() == count));
     if !is_even || count > MAX_ROWS || wire.services.len() > MAX_SERVICES {
         return Err(Error::malformed("number of rows in a report"));
     }
@@ -112,7 +128,24 @@
         stalled_flows: u32::from(wire.evidence[at]) >> MAX_EVIDENCE.count_ones(),
         silent_for: Duration::from_millis(wire.silent_ms[at].into()),
         heard_ago: heard_ms.map(|ms| Duration::from_millis(ms.into())),
+        answered: wire.answered.get(at).copied().unwrap_or_default().into(),
+        overdue: wire.overdue.get(at).copied().unwrap_or_default().into(),
+    }
+}
+
+/// Returns the numbers of answered and of overdue requests. Large numbers are divided by the same
+/// factor, so that the share of overdue requests stays about the same.
+fn encode_outcomes(row: &EndpointReport) -> (u8, u8) {
+    if row.overdue == 0 {
+        return (0, 0);
     }
+    let divisor = row
+        .answered
+        .max(row.overdue)
+        .div_ceil(u8::MAX.into())
+        .max(1);
+    let encode = |count: u32| u8::try_from(count / divisor).unwrap_or(u8::MAX);
+    (encode(row.answered), encode(row.overdue).max(1))
 }
 
 fn encode_evidence(row: &EndpointReport) -> u8 {
--- a/tests/decoding.rs
+++ b/tests/decoding.rs
@@ -226,6 +226,8 @@
         stalled_flows: 1,
         silent_for: ms(300),
         heard_ago: Some(ms(400)),
+        answered: 5,
+        overdue: 2,
     };
     Heartbeat {
         from: Id::of("sv-a-2"),
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -42,6 +42,18 @@
         stalled_flows: 0,
         silent_for: ms(300),
         heard_ago: (opens == 0).then(|| ms(20)),
+        ..EndpointReport::default()
+    }
+}
+
+/// Returns a row of an endpoint with overdue requests and without evidence that it is down.
+fn overdue_row(number: u64, answered: u32, overdue: u32) -> EndpointReport {
+    EndpointReport {
+        endpoint: Id(number),
+        started_ms: 7,
+        answered,
+        overdue,
+        ..EndpointReport::default()
     }
 }
 
@@ -320,6 +332,81 @@
     assert_eq!(own.endpoints, [expected]);
 }
 
+/// Load: some lanes of a host have overdue requests at an endpoint. Lanes without any report none, so
+/// the answered requests of all are extrapolated.
+#[test]
+fn answered_requests_of_several_lanes_are_extrapolated() {
+    let mut zone = started_zone(2, 1);
+    let lane = |rows: &[EndpointReport]| {
+        Arc::new(LaneReport {
+            taken_at: zone.now,
+            endpoints: rows.to_vec(),
+            ..LaneReport::default()
+        })
+    };
+    let lanes = vec![
+        lane(&[overdue_row(1, 6, 1)]),
+        lane(&[]),
+        lane(&[overdue_row(1, 4, 2)]),
+    ];
+    zone.deliver(0, Event::LaneReports(lanes));
+    let own = &zone.nodes[&0].control.tables().reports.own;
+    assert_eq!(own.endpoints, [overdue_row(1, 15, 3)]);
+}
+
+/// Load: an endpoint answers only a part of its requests. Extra heartbeats are sent when its row is
+/// new and when it becomes an outlier; regular ones carry the other changes of its numbers.
+#[test]
+fn overdue_requests_cause_few_extra_rounds() {
+    let mut zone = started_zone(2, 1);
+    let rounds = counters(&zone, 0).report_rounds;
+    for step in 0..20 {
+        publish(&mut zone, 0, vec![overdue_row(1, 30 - step, 1 + step / 10)]);
+        zone.run_for(TICK_INTERVAL);
+    }
+    assert_eq!(counters(&zone, 0).report_rounds, rounds + 1);
+    publish(&mut zone, 0, vec![overdue_row(1, 8, 5)]);
+    zone.run_for(TICK_INTERVAL + ms(5));
+    assert_eq!(counters(&zone, 0).report_rounds, rounds + 2);
+    let told = report_at(&zone, 1, 0).expect("told");
+    assert_eq!(told.report.endpoints, [overdue_row(1, 8, 5)]);
+    for step in 0..20 {
+        publish(
+            &mut zone,
+            0,
+            vec![overdue_row(1, 8 - step / 4, 5 + step / 3)],
+        );
+        zone.run_for(TICK_INTERVAL);
+    }
+    assert_eq!(counters(&zone, 0).report_rounds, rounds + 2);
+    let told = report_at(&zone, 1, 0).expect("told");
+    assert!(
+        told.report.endpoints[0].overdue > 5,
+        "in regular heartbeats"
+    );
+}
+
+/// Load: more requests than a byte can count. Their shares stay about the same on the way.
+#[test]
+fn large_numbers_of_requests_keep_their_share() {
+    let key = PeerKey::new("secret");
+    for (answered, overdue) in [(3_000, 30), (30, 3_000), (256, 64), (1_000_000, 1)] {
+        let mut heartbeat = largest_heartbeat();
+        heartbeat.report = Some(Arc::new(LaneReport {
+            endpoints: vec![overdue_row(1, answered, overdue)],
+            ..LaneReport::default()
+        }));
+        let bytes = wire::encode_heartbeat(&heartbeat, &key);
+        let decoded = wire::decode_heartbeat(&bytes, &key).expect("heartbeat");
+        let row = decoded.report.expect("report").endpoints[0];
+        let share = |answered: u32, overdue: u32| {
+            f64::from(overdue) / (f64::from(overdue) + f64::from(answered))
+        };
+        let change = share(row.answered, row.overdue) - share(answered, overdue);
+        assert!(row.overdue > 0 && change.abs() < 0.01, "{row:?}");
+    }
+}
+
 /// Returns a heartbeat with all its parts at their largest, as the control thread sends it.
 fn largest_heartbeat() -> Heartbeat {
     let endpoint = |number: u64| EndpointReport {
@@ -329,6 +416,8 @@
         stalled_flows: u32::MAX,
         silent_for: Duration::from_secs(1 << 40),
         heard_ago: Some(Duration::from_secs(1 << 40)),
+        answered: u32::MAX,
+        overdue: u32::MAX,
     };
     let service = |number: u64| ServiceReport {
         service: Id(u64::MAX - number),
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -18,6 +18,10 @@
   11.1 sv-a-1 {"time":"T11.100","host":"sv-a-1","event":"released","caller":"192.0.2.12:1","front":"198.18.0.1:443","waited_ms":100}
   11.0 sv-a-1 {"time":"T11.000","host":"sv-a-1","event":"held","caller":"192.0.2.13:1","front":"198.18.0.1:443","running":6,"waiting":6}
   11.2 sv-a-1 {"time":"T11.200","host":"sv-a-1","event":"refused","cause":"no_capacity","caller":"192.0.2.13:1","front":"198.18.0.1:443","ahead":31,"waited_ms":200}
+  11.3 sv-a-1 {"time":"T11.300","host":"sv-a-1","event":"placed","caller":"192.0.2.15:1","front":"198.18.0.1:443","endpoint":"i-5","copies":0}
+  11.4 sv-a-1 {"time":"T11.400","host":"sv-a-1","event":"endpoint_ejected","endpoint":"i-5","zone":"sv-a","overdue":4,"answered":9.0,"hosts":3,"oldest_ms":120,"ejected_ms":3000}
+  11.4 sv-a-2 {"time":"T11.410","host":"sv-a-2","event":"endpoint_ejected","endpoint":"i-5","zone":"sv-a","overdue":4,"answered":9.0,"hosts":3,"oldest_ms":130,"ejected_ms":3000}
+  14.4 sv-a-1 {"time":"T14.400","host":"sv-a-1","event":"endpoint_readmitted","endpoint":"i-5","zone":"sv-a","ejected_ms":3000}
   not a log line, and { not one either
 "#;
 
@@ -106,3 +110,16 @@
         "i-2 received 2 new flows; 1 hosts considered it down, and 1 of its flows were reset."
     );
 }
+
+/// The trace of a flow shows the ejection of its endpoint, and that of the endpoint counts the hosts.
+#[test]
+fn ejected_endpoint() {
+    let (lines, _) = trace_flow("192.0.2.15:1");
+    assert_eq!(lines.len(), 4, "{lines:?}");
+    let report = build_report(parse(LOGS), &Subject::Endpoint("i-5".to_owned()));
+    assert_eq!(
+        report.summary,
+        "i-5 received 1 new flows; 0 hosts considered it down, and 0 of its flows were reset. \
+         2 hosts sent it no new flows for some seconds, because a part of its requests was not answered."
+    );
+}
