--- a/examples/control_cost.rs
+++ b/examples/control_cost.rs
@@ -183,6 +183,7 @@
         stalled_flows: 1,
         silent_for: taken_at,
         heard_ago: Some(taken_at),
+        ..EndpointReport::default()
     };
     let service = ServiceReport {
         service: Id(1),
--- a/src/systems/relay/findings.rs
+++ b/src/systems/relay/findings.rs
@@ -102,13 +102,14 @@
 }
 
 /// Returns true if the observations that a host reports of endpoints count.
-fn is_credible(report: &HostReport) -> bool {
+pub(super) fn is_credible(report: &HostReport) -> bool {
     !report.report.is_impaired && !report.report.suspects_too_many()
 }
 
 fn add_report(tables: &Tables, report: &HostReport, findings: &mut BTreeMap<Id, Finding>) {
     let time = |age: Duration| report.taken_at.saturating_sub(age);
-    for observed in &report.report.endpoints {
+    let rows = report.report.endpoints.iter();
+    for observed in rows.filter(|row| row.tells_health()) {
         let Some(row) = tables.endpoints.get(observed.endpoint) else {
             continue;
         };
@@ -132,7 +133,7 @@
 
 /// Returns true if a start time and its form in a report, which has only the lower 32 bits, are
 /// the same.
-fn is_same_start(started_ms: u64, reported_ms: u64) -> bool {
+pub(super) fn is_same_start(started_ms: u64, reported_ms: u64) -> bool {
     let low_bits = |time: u64| time & u64::from(u32::MAX);
     low_bits(started_ms) == low_bits(reported_ms)
 }
--- a/src/systems/relay/report.rs
+++ b/src/systems/relay/report.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{evidence, failure_detector, findings, shared_health, silent_zone};
+use super::{evidence, failure_detector, findings, outliers, shared_health, silent_zone};
 use crate::id::Name;
 use crate::report::{EndpointReport, LaneReport};
 use crate::tables::{EndpointRow, HealthRow, Tables};
@@ -26,12 +26,13 @@
         return;
     }
     tables.shared_health.last_check = now;
-    let reports_nothing = tables.report.endpoints.is_empty() && tables.report.services.is_empty();
-    let is_idle = tables.shared_health.next_evaluation.is_none();
-    if is_idle && reports_nothing && tables.demand.reported.is_empty() {
-        return;
-    }
-    let rows = endpoint_rows(tables, now);
+    let has_evidence = tables.shared_health.next_evaluation.is_some();
+    let mut rows = if has_evidence {
+        endpoint_rows(tables, now)
+    } else {
+        Vec::new()
+    };
+    outliers::add_rows(tables, &mut rows, now);
     let has_rows = !rows.is_empty();
     let services = tables.demand.reported.clone();
     let silent_zones = silent_zone::reported_zones(tables);
@@ -124,5 +125,6 @@
         stalled_flows: own.stalled,
         silent_for,
         heard_ago: (!heard_at.is_zero()).then(|| now.saturating_sub(heard_at)),
+        ..EndpointReport::default()
     })
 }
--- a/src/tables/counters.rs
+++ b/src/tables/counters.rs
@@ -148,4 +148,6 @@
     pub contradicted_reports: u64,
     /// Times at which new flows began to avoid a zone that several hosts report as silent.
     pub silent_zones: u64,
+    /// Times at which an endpoint was ejected because it answered only a part of its requests.
+    pub ejections: u64,
 }
--- a/src/tables/mod.rs
+++ b/src/tables/mod.rs
@@ -13,6 +13,7 @@
 mod flows;
 mod held;
 mod inbox;
+mod outcomes;
 mod rank_load;
 mod recent;
 mod requests;
@@ -39,13 +40,14 @@
 pub use self::flows::{Flow, FlowState, Flows};
 pub use self::held::{HeldRequest, HeldRequests, Refusal, ReleaseHistory, ServiceLimit};
 pub use self::inbox::{Arrival, Stage, StageQueues};
+pub use self::outcomes::{Ejection, OutcomeCounts, Outcomes};
 pub use self::rank_load::{RankDemand, RankLoad};
 pub use self::recent::RecentCounts;
 pub use self::requests::{Parts, Request, RequestId, RequestState, Requests};
 pub use self::shared_health::{Cleared, HealthRow, SharedHealth, UnansweredOpen};
 pub use self::silent_zones::{SilentZone, SilentZones};
 pub use self::timings::{LatencyHistograms, observe};
-pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState};
+pub use self::tracks::{TrackedFlow, TrackedFlows, TrackedState, WatchedRequest};
 pub use self::warmup::Warmups;
 pub use self::zone_spill::{SpillPlan, ZoneSpill};
 
@@ -89,6 +91,8 @@
     pub peer_reports: Arc<PeerReports>,
     /// Zones whose endpoints do not answer this lane.
     pub silent_zones: SilentZones,
+    /// Results of recent requests at each endpoint, and ejections of endpoints.
+    pub outcomes: Outcomes,
     /// What this lane last reported about endpoints and load.
     pub report: Arc<LaneReport>,
     /// Flows that this lane is the home of.
@@ -144,6 +148,7 @@
             shared_health: SharedHealth::default(),
             peer_reports: Arc::default(),
             silent_zones: SilentZones::new(),
+            outcomes: Outcomes::default(),
             report: Arc::default(),
             flows: Flows::default(),
             requests: Requests::new(&home),
@@ -208,6 +213,7 @@
                 "held": self.held_requests,
                 "health": self.shared_health,
                 "silent": self.silent_zones,
+                "outcomes": self.outcomes,
                 "report": self.report,
                 "demand": self.demand,
                 "spill": self.zone_spill,
@@ -221,6 +227,7 @@
             Some("held") => Some(json!(self.held_requests)),
             Some("health") => Some(json!(self.shared_health)),
             Some("silent") => Some(json!(self.silent_zones)),
+            Some("outcomes") => Some(json!(self.outcomes)),
             Some("report") => Some(json!(self.report)),
             Some("demand") => Some(json!(self.demand)),
             Some("spill") => Some(json!(self.zone_spill)),
--- a/src/tables/tracks.rs
+++ b/src/tables/tracks.rs
@@ -84,6 +84,19 @@
     /// Rank of its route when it began to count as load.
     #[serde(rename = "rank")]
     pub load_rank: u32,
+    /// Its pending request, until the result of it is recorded.
+    pub watched: Option<WatchedRequest>,
+}
+
+/// A request whose result is not known yet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct WatchedRequest {
+    /// Time at which the last new data of it was sent.
+    #[serde(rename = "sent")]
+    pub sent_at: Duration,
+    /// Time at which it is overdue; set when it is retransmitted.
+    #[serde(rename = "due")]
+    pub overdue_at: Option<Duration>,
 }
 
 impl TrackedFlow {
@@ -112,6 +125,7 @@
             last_retransmission: now,
             counts_load: false,
             load_rank: 0,
+            watched: None,
         }
     }
 }
