Explain where a new flow would go

Cause: an operator could see where a flow went, but not where the next one would go, what speaks against each endpoint, or why it would wait.

Change: `jacinthhinge where FRONT` asks a running host or reads a saved dump. The lane explains between two ticks with the functions that decide: the rating of an endpoint, the choice among ratings, the preferred zone, the due trial and the admission are split from the code that draws random numbers and changes tables, and are used by both. A host handles one query at a time, and a lane has 1 s to answer. Dumps have a table `where` with the explanations of all routes.

--- a/examples/swing/baselines.rs
+++ b/examples/swing/baselines.rs
@@ -100,6 +100,7 @@
             )
         }),
         place_relayed: Policies::with_defaults().place_relayed,
+        explain_relayed: Policies::with_defaults().explain_relayed,
         relay_limit: Policies::with_defaults().relay_limit,
         zone_cost: Policies::with_defaults().zone_cost,
         place_request: Box::new(move |tables, service, _, now| {
--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -13,8 +13,11 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use serde_json::{Map, Value};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use serde_json::{Map, Value, json};
+use tokio::runtime::Runtime;
 
+use super::inspect::{self, Inspection};
 use super::relay as relay_host;
 use super::serve;
 use super::settings::{self, Flags, Settings, flags};
@@ -67,6 +70,10 @@
     /// Print the tables of a running process as JSON.
     #[bpaf(command)]
     Dump(#[bpaf(external(dump))] Dump),
+
+    /// Explain where a new flow would go now and why, without sending it.
+    #[bpaf(command, footer(WHERE_FOOTER))]
+    Where(#[bpaf(external(inspect_flags))] InspectFlags),
 }
 
 #[derive(Bpaf, Clone)]
@@ -126,11 +133,42 @@
     addr: String,
 }
 
+#[derive(Bpaf, Clone)]
+#[bpaf(generate(inspect_flags))]
+struct InspectFlags {
+    /// Address of the caller, with or without its port, to count its other requests and the
+    /// endpoints that it has tried
+    #[bpaf(argument("ADDR"))]
+    caller: Option<String>,
+    /// Address of the operators' server of a running host, as for `dump`
+    #[bpaf(argument("URL"))]
+    from: Option<String>,
+    /// File with the output of `dump`, instead of a running host
+    #[bpaf(argument("FILE"))]
+    dump: Option<PathBuf>,
+    /// Print one JSON object instead of text
+    json: bool,
+    /// Front address, or name of a route or a service
+    #[bpaf(positional("FRONT"))]
+    front: String,
+}
+
+const WHERE_FOOTER: &str =
+    "Each row is an endpoint. The ones that the flow may get are marked with \
+    `*`, one that gets it as a trial with `t`. Lower tiers go first, then lower scores; with \
+    several choices, there is one tier for each. The last column tells what speaks against an \
+    endpoint.
+ Examples:
+ jacinthhinge where 198.18.0.1:8443 --from 10.1.0.10:9464
+ jacinthhinge where streams --caller 192.0.2.7:40001 --from 10.1.0.10:9464 --json
+ jacinthhinge where streams --dump saved.json";
+
 const COMMAND_FOOTER: &str = "Examples:
   jacinthhinge check config/hraunvik.toml
   jacinthhinge check config/hraunvik.toml --explain endpoint/a-3
   jacinthhinge check new.toml --diff published.toml
   jacinthhinge dump 127.0.0.1:9080 --table flows
+  jacinthhinge where 198.18.0.1:8443 --from 10.1.0.10:9464
   jacinthhinge trace --flow 192.0.2.7:40001 sv-a-1.log sv-b-1.log
   jacinthhinge serve --help";
 
@@ -159,6 +197,7 @@
         Command::Check(check) => run_check(&check),
         Command::Trace(trace) => run_trace(&trace),
         Command::Dump(dump) => run_dump(&dump),
+        Command::Where(flags) => run_where(&flags),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -292,14 +331,97 @@
     let uri: Uri = format!("http://{addr}{path}")
         .parse()
         .map_err(|_| unknown_table())?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
+    let text = client_runtime()?.block_on(fetch_dump(addr, uri))?;
+    Ok(print_line(&text)?)
+}
+
+/// Returns the runtime for a request to a running host.
+fn client_runtime() -> Result<Runtime> {
+    tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(|source| Error::io("start a runtime", source))?;
-    let text = runtime.block_on(fetch_dump(addr, uri))?;
+        .map_err(|source| Error::io("start a runtime", source))
+}
+
+fn run_where(flags: &InspectFlags) -> Result<(), Report<Error>> {
+    let caller = flags.caller.as_deref().map(inspect::parse_caller);
+    let caller = caller.transpose()?;
+    let inspection = match (&flags.from, &flags.dump) {
+        (Some(from), None) => {
+            let host = from.strip_prefix("http://").unwrap_or(from);
+            let host = host.trim_end_matches('/');
+            let addr: SocketAddr = host.parse().map_err(|_| invalid_host(from))?;
+            client_runtime()?.block_on(fetch_explanation(addr, &flags.front, caller))?
+        }
+        (None, Some(_)) if caller.is_some() => return Err(caller_without_host().into()),
+        (None, Some(file)) => inspect::read_dump(file, &flags.front)?,
+        _ => return Err(ambiguous_source().into()),
+    };
+    let text = if flags.json {
+        format!("{:#}", json!(inspection))
+    } else {
+        inspect::render(&inspection)
+    };
     Ok(print_line(&text)?)
 }
 
+#[cold]
+fn invalid_host(text: &str) -> Error {
+    let remedy = "pass the address of the operators' server, such as 10.1.0.10:9464";
+    Error::setting("--from", format!("`{text}` is not an address"), remedy)
+}
+
+#[cold]
+fn caller_without_host() -> Error {
+    let fault = "a dump explains only flows of a caller that has none yet";
+    Error::setting(
+        "--caller",
+        fault,
+        "omit it, or use --from with a running host",
+    )
+}
+
+#[cold]
+fn ambiguous_source() -> Error {
+    let remedy = "pass --from with the address of a running host, or --dump FILE, but not both";
+    Error::setting("where", "the source of the tables is not clear", remedy)
+}
+
+/// Asks the host at `addr` where a flow would go.
+async fn fetch_explanation(
+    addr: SocketAddr,
+    front: &str,
+    caller: Option<SocketAddr>,
+) -> Result<Inspection> {
+    let encode = |text: &str| utf8_percent_encode(text, NON_ALPHANUMERIC).to_string();
+    let caller = caller.map_or_else(String::new, |caller| {
+        format!("&caller={}", encode(&caller.to_string()))
+    });
+    let uri = format!("http://{addr}/where?front={}{caller}", encode(front));
+    let uri: Uri = uri
+        .parse()
+        .map_err(|_| Error::setting("FRONT", "too long", "pass a name or an address"))?;
+    let response = tokio::time::timeout(DUMP_TIMEOUT, send_request(addr, uri)).await;
+    let (status, body) =
+        response.map_err(|_| Error::peer(addr, "no response within the time limit"))??;
+    if status == StatusCode::OK {
+        return inspect::parse_answer(addr, &body);
+    }
+    let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let (fault, remedy) = (text_of(&answer, "error"), text_of(&answer, "remedy"));
+    Err(match status {
+        StatusCode::NOT_FOUND if fault == "unknown path" => {
+            Error::peer(addr, "its release does not have `where`")
+        }
+        StatusCode::NOT_FOUND => Error::setting("FRONT", fault, remedy),
+        _ => Error::peer(addr, format!("{fault}; {remedy}")),
+    })
+}
+
+fn text_of(answer: &Value, field: &str) -> String {
+    answer[field].as_str().unwrap_or_default().to_owned()
+}
+
 #[cold]
 fn invalid_addr(text: &str) -> Error {
     let remedy = "pass the --ops address of the process, such as 127.0.0.1:9080";
--- a/src/front/lane.rs
+++ b/src/front/lane.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Interval, MissedTickBehavior, interval, sleep};
 
+use super::inspect;
 use crate::clock::Clock;
 use crate::error::{Error, Result};
 use crate::id::Name;
@@ -26,6 +27,7 @@
 use crate::report::LaneReport;
 use crate::segment::RelayAction;
 use crate::snapshot::Snapshot;
+use crate::systems::explain::{self, Query, RouteExplanation};
 use crate::systems::{self, BATCH_SIZE, Policies, TICK_INTERVAL};
 use crate::tables::{Arrival, Counters, LatencyHistograms, Outbox, Tables};
 use crate::ticket::Home;
@@ -114,6 +116,7 @@
 
 enum Command {
     Dump(Option<Name>, oneshot::Sender<Option<Value>>),
+    Explain(Query, oneshot::Sender<Vec<RouteExplanation>>),
     Stop,
 }
 
@@ -179,6 +182,16 @@
         response.await.ok()?
     }
 
+    /// Returns where an opening would go; `None` once the lane has stopped.
+    pub async fn explain(&self, query: Query) -> Option<Vec<RouteExplanation>> {
+        let (reply, response) = oneshot::channel();
+        self.commands
+            .send(Command::Explain(query, reply))
+            .await
+            .ok()?;
+        response.await.ok()
+    }
+
     /// Stops the lane and waits for its thread.
     pub async fn stop(&self) {
         let _ = self.commands.send(Command::Stop).await;
@@ -256,7 +269,15 @@
                     Some(Command::Dump(name, reply)) => {
                         // A command does not run a tick: the socket may not have been
                         // polled since a pause, and a read would wrongly find it empty.
-                        let _ = reply.send(self.tables.dump(name.as_deref()));
+                        let _ = reply.send(self.dump(name.as_deref()));
+                        continue;
+                    }
+                    Some(Command::Explain(query, reply)) => {
+                        // Whoever asked may have given up.
+                        if !reply.is_closed() {
+                            let now = self.clock.now();
+                            let _ = reply.send(explain::explain(&self.tables, &query, now));
+                        }
                         continue;
                     }
                 },
@@ -265,6 +286,22 @@
         }
     }
 
+    /// Returns one table, or all of them, as JSON; `None` for an unknown name.
+    fn dump(&self, name: Option<&str>) -> Option<Value> {
+        let explain = || {
+            let routes = explain::explain_all(&self.tables, self.clock.now());
+            inspect::dump_table(&routes)
+        };
+        if name == Some(inspect::DUMP_TABLE) {
+            return Some(explain());
+        }
+        let mut dump = self.tables.dump(name)?;
+        if name.is_none() {
+            dump[inspect::DUMP_TABLE] = explain();
+        }
+        Some(dump)
+    }
+
     /// Runs one tick: reads a batch, runs the systems and sends the outbox.
     ///
     /// The clock is read after the batch, so that a pause of the process between the two
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod exposition;
 pub mod host_list;
+pub mod inspect;
 pub mod lane;
 pub mod logs;
 pub mod ops;
--- a/src/front/ops.rs
+++ b/src/front/ops.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `/dump` | all tables, as JSON |
 //! | `/dump/NAME` | one table, as JSON |
+//! | `/where?front=FRONT&caller=ADDR` | where a flow would go, as JSON; `caller` is optional |
 //! | `/metrics` | counters, gauges and histograms as text |
 //! | `/live` | 200 while the process runs |
 //! | `/ready` | 200 while the process accepts traffic, otherwise 503 |
@@ -16,8 +17,8 @@
 
 use axum::body::{Body, to_bytes};
 use axum::error_handling::HandleErrorLayer;
-use axum::extract::rejection::PathRejection;
-use axum::extract::{Path, Request, State};
+use axum::extract::rejection::{PathRejection, QueryRejection};
+use axum::extract::{Path, Query, Request, State};
 use axum::http::StatusCode;
 use axum::middleware::{Next, from_fn};
 use axum::response::{IntoResponse, Response};
@@ -25,13 +26,15 @@
 use axum::{BoxError, Json, Router};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tower::ServiceBuilder;
 
+use super::inspect::{self, QueryError};
 use crate::error::{Error, Result};
 use crate::id::Name;
+use crate::systems::explain;
 
 /// Timeout of a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -48,11 +51,17 @@
 /// Returns whether the process accepts traffic.
 pub type ReadyCheck = Arc<dyn Fn() -> bool + Send + Sync>;
 
+/// Returns where a flow would go, or why this cannot be explained.
+pub type ExplainHandler =
+    Arc<dyn Fn(explain::Query) -> BoxFuture<'static, Result<Value, QueryError>> + Send + Sync>;
+
 /// Callbacks that produce the contents of the operators' server.
 #[derive(Clone)]
 pub struct OpsHandlers {
     /// Returns one table, or all tables without a name; `None` for an unknown name.
     pub dump: Arc<dyn Fn(Option<Name>) -> BoxFuture<'static, Option<Value>> + Send + Sync>,
+    /// Explains where a flow would go.
+    pub explain: ExplainHandler,
     /// Returns all metrics as text, or `None` if they cannot be rendered.
     pub metrics: Arc<dyn Fn() -> BoxFuture<'static, Option<String>> + Send + Sync>,
     /// Returns true while the process accepts traffic.
@@ -118,6 +127,7 @@
     Router::new()
         .route("/dump", get(dump_all))
         .route("/dump/{name}", get(dump_one))
+        .route("/where", get(explain_flow))
         .route("/metrics", get(metrics))
         .route("/live", get(live))
         .route("/ready", get(ready))
@@ -156,6 +166,50 @@
     }
 }
 
+/// Parameters of a query.
+#[derive(Debug, Deserialize)]
+struct WhereParams {
+    front: String,
+    caller: Option<String>,
+}
+
+async fn explain_flow(
+    State(ops): State<OpsHandlers>,
+    params: Result<Query<WhereParams>, QueryRejection>,
+) -> Response {
+    let Ok(Query(params)) = params else {
+        return error_response(
+            StatusCode::BAD_REQUEST,
+            "the parameter `front` is missing",
+            "use /where?front=FRONT",
+        );
+    };
+    let caller = match params.caller.as_deref().map(inspect::parse_caller) {
+        Some(Err(error)) => {
+            let remedy = "pass the caller as IP or IP:PORT";
+            return error_response(StatusCode::BAD_REQUEST, error.to_string(), remedy);
+        }
+        Some(Ok(caller)) => Some(caller),
+        None => None,
+    };
+    let query = explain::Query {
+        front: params.front.into(),
+        caller,
+    };
+    match (ops.explain)(query).await {
+        Ok(explanation) => Json(explanation).into_response(),
+        Err(error) => {
+            let status = match error {
+                QueryError::Busy => StatusCode::TOO_MANY_REQUESTS,
+                QueryError::NoAnswer { .. } => StatusCode::SERVICE_UNAVAILABLE,
+                QueryError::UnknownFront { .. } => StatusCode::NOT_FOUND,
+            };
+            let (fault, remedy) = error.describe();
+            error_response(status, fault, remedy)
+        }
+    }
+}
+
 async fn metrics(State(ops): State<OpsHandlers>) -> Response {
     match (ops.metrics)().await {
         Some(text) => text.into_response(),
@@ -186,7 +240,7 @@
     error_response(
         StatusCode::NOT_FOUND,
         "unknown path",
-        "use /dump, /dump/NAME, /metrics, /live or /ready",
+        "use /dump, /dump/NAME, /where, /metrics, /live or /ready",
     )
 }
 
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -19,6 +19,7 @@
 
 use super::control::{self, ControlChannels, ControlSettings, PlatformSource};
 use super::exposition::Exposition;
+use super::inspect::explain_handler;
 use super::lane::{Codec, Lane, SharedState};
 use super::logs;
 use super::ops::{self, OpsHandlers, ReadyCheck};
@@ -349,6 +350,7 @@
             let snapshot = metrics_shared.snapshot.load_full();
             async move { render_metrics(&lanes, &dump_sender, &snapshot).await }.boxed()
         }),
+        explain: explain_handler(&lanes, &shared),
         dump: Arc::new(move |name| dump_tables(Arc::clone(&lanes), dump_sender.clone(), name)),
         ready: Arc::new(move || {
             let snapshot = shared.snapshot.load();
--- a/src/segment.rs
+++ b/src/segment.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::id::{Id, Name};
@@ -103,7 +103,7 @@
 }
 
 /// Whether the requests of a route are idempotent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RequestKind {
     /// Requests may be retried and executed more than once.
     Idempotent,
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -28,7 +28,7 @@
 mod sync;
 
 pub use self::policies::{Admit, NextRequest, PlaceFlow, PlaceRequest, Policies, Retry, Tuning};
-pub use self::relay::{capacity_share, zone_spill};
+pub use self::relay::{capacity_share, explain, zone_spill};
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/systems/placement.rs
+++ b/src/systems/placement.rs
@@ -57,13 +57,36 @@
 /// Share of its normal load that an endpoint gets while it reports that it is warming up.
 const WARMUP_SHARE: f64 = 0.5;
 
-/// An endpoint that may be chosen. Lower tiers go before higher ones, then lower scores before
+/// An endpoint that is compared with others.
+#[derive(Clone, Copy)]
+pub(super) struct Candidate {
+    pub(super) id: Id,
+    /// False for one that is used only if all those that it is compared with are unhealthy.
+    pub(super) is_healthy: bool,
+    /// Why it cannot be chosen, or its score.
+    pub(super) rating: Result<Rating, Exclusion>,
+}
+
+/// How well an endpoint suits. Lower tiers go before higher ones, then lower scores before
 /// higher ones.
-struct Candidate {
-    id: Id,
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
+pub(super) struct Rating {
     /// As in [`Usage::tier`].
-    tier: u8,
-    score: f64,
+    pub(super) tier: u8,
+    pub(super) score: f64,
+}
+
+/// Why an endpoint that accepts work cannot be chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Exclusion {
+    /// It has no free capacity.
+    Full,
+    /// It has its maximum number of flows.
+    AtFlowLimit,
+    /// It warms up, and this lane may send it no opening now.
+    Cold,
+    /// An earlier copy of the opening went to it.
+    AlreadyTried,
 }
 
 /// Load of an endpoint with free capacity.
@@ -225,6 +248,7 @@
     now: Duration,
     usage_of: impl Fn(&EndpointRow) -> Option<Usage>,
 ) -> Option<Id> {
+    let usage_of = |row: &EndpointRow| usage_of(row).ok_or(Exclusion::Full);
     pick_allowed(tables, tuning, service, now, |_| true, |_| true, usage_of)
 }
 
@@ -237,35 +261,54 @@
     now: Duration,
     is_allowed: impl Fn(&EndpointRow) -> bool,
     is_preferred: impl Fn(&EndpointRow) -> bool,
-    usage_of: impl Fn(&EndpointRow) -> Option<Usage>,
+    usage_of: impl Fn(&EndpointRow) -> Result<Usage, Exclusion>,
 ) -> Option<Id> {
     let is_first =
         |row: &EndpointRow| row.accepts_work(now) && is_allowed(row) && is_preferred(row);
     let start = random_start(tables, service, is_first);
-    let candidates = || {
-        tables
-            .endpoints
-            .of_service_from(service, start)
-            .filter(|row| row.accepts_work(now) && is_allowed(row))
-            .take(tuning.sample_size)
-    };
-    let any_healthy = candidates().any(|row| !is_unhealthy(row, tuning, now));
-    candidates()
-        .filter(|row| !any_healthy || !is_unhealthy(row, tuning, now))
-        .filter_map(|row| {
-            let usage = usage_of(row)?;
-            Some(Candidate {
-                id: row.spec.id,
-                tier: usage.tier,
-                score: score(row, &usage, tuning, now),
-            })
-        })
-        .min_by(|a, b| {
-            (a.tier, a.score)
-                .partial_cmp(&(b.tier, b.score))
-                .unwrap_or(std::cmp::Ordering::Equal)
-        })
-        .map(|candidate| candidate.id)
+    let rows = tables.endpoints.of_service_from(service, start);
+    let sample = rows
+        .filter(|row| row.accepts_work(now) && is_allowed(row))
+        .take(tuning.sample_size);
+    best_of(sample.map(|row| rate(row, tuning, now, &usage_of)))
+}
+
+/// Rates an endpoint that accepts work.
+pub(super) fn rate(
+    row: &EndpointRow,
+    tuning: &Tuning,
+    now: Duration,
+    usage_of: impl Fn(&EndpointRow) -> Result<Usage, Exclusion>,
+) -> Candidate {
+    Candidate {
+        id: row.spec.id,
+        is_healthy: !is_unhealthy(row, tuning, now),
+        rating: usage_of(row).map(|usage| Rating {
+            tier: usage.tier,
+            score: score(row, &usage, tuning, now),
+        }),
+    }
+}
+
+/// Returns the best of some endpoints, the first of equal ones. Unhealthy ones are used only if
+/// all are unhealthy.
+pub(super) fn best_of(candidates: impl Iterator<Item = Candidate>) -> Option<Id> {
+    let mut any_healthy = false;
+    let mut best: Option<(Rating, Id)> = None;
+    for candidate in candidates {
+        if candidate.is_healthy && !any_healthy {
+            any_healthy = true;
+            best = None;
+        }
+        let Ok(rating) = candidate.rating else {
+            continue;
+        };
+        let may_use = candidate.is_healthy || !any_healthy;
+        if may_use && best.is_none_or(|(known, _)| rating < known) {
+            best = Some((rating, candidate.id));
+        }
+    }
+    best.map(|(_, id)| id)
 }
 
 /// Returns the position of a random endpoint of a service among those that `is_first` accepts, or
@@ -290,6 +333,21 @@
     accepted.nth(skipped).map_or(0, |(position, _)| position)
 }
 
+/// Returns the positions that [`random_start`] may return, in order.
+pub(super) fn possible_starts(
+    tables: &Tables,
+    service: Id,
+    is_first: impl Fn(&EndpointRow) -> bool,
+) -> Vec<usize> {
+    let rows = tables.endpoints.of_service(service).enumerate();
+    let accepted = rows.filter(|(_, row)| is_first(row));
+    let positions: Vec<usize> = accepted.map(|(position, _)| position).collect();
+    if positions.is_empty() {
+        return (0..tables.endpoints.count(service).max(1)).collect();
+    }
+    positions
+}
+
 /// Returns the score of an endpoint, which is lower the more load it should get.
 ///
 /// The configured weight applies to the current load but not to the next request.
@@ -325,16 +383,41 @@
         .is_some_and(|since| now >= since + Tuning::DEFAULT.answer_timeout)
 }
 
-/// Returns true if an endpoint is down, suspected or does not answer this lane, or if it is reported
-/// unhealthy and has not answered recently.
-fn is_unhealthy(row: &EndpointRow, tuning: &Tuning, now: Duration) -> bool {
+/// Why an endpoint is used only if no healthy one is left.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum HealthFault {
+    /// It is down.
+    Down,
+    /// It is suspected.
+    Suspected,
+    /// It does not answer this lane.
+    Unresponsive,
+    /// It is reported unhealthy and has not answered recently.
+    ReportedUnhealthy,
+}
+
+/// Returns why an endpoint is unhealthy; nothing for a healthy one.
+pub(super) fn health_faults(
+    row: &EndpointRow,
+    tuning: &Tuning,
+    now: Duration,
+) -> impl Iterator<Item = HealthFault> + use<> {
     let unresponsive = row
         .unanswered_since
         .is_some_and(|since| now >= since + tuning.answer_timeout);
-    row.down.is_some()
-        || row.suspicion.is_some()
-        || unresponsive
-        || (!row.spec.healthy && now >= row.last_heard + UNHEALTHY_DELAY)
+    let is_reported = !row.spec.healthy && now >= row.last_heard + UNHEALTHY_DELAY;
+    let faults = [
+        row.down.is_some().then_some(HealthFault::Down),
+        row.suspicion.is_some().then_some(HealthFault::Suspected),
+        unresponsive.then_some(HealthFault::Unresponsive),
+        is_reported.then_some(HealthFault::ReportedUnhealthy),
+    ];
+    faults.into_iter().flatten()
+}
+
+/// Returns true if an endpoint has a [`HealthFault`].
+fn is_unhealthy(row: &EndpointRow, tuning: &Tuning, now: Duration) -> bool {
+    health_faults(row, tuning, now).next().is_some()
 }
 
 /// Requests a load report from endpoints that have not answered yet or are reported
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -6,11 +6,12 @@
 use std::fmt;
 use std::time::Duration;
 
+use super::relay::explain::ServiceChoice;
 use super::{admit, dispatch, placement, relay, retry};
 use crate::id::Id;
 use crate::packet::Class;
 use crate::segment::Route;
-use crate::tables::Tables;
+use crate::tables::{Tables, TrackedFlow};
 
 /// Chooses the endpoint of a new flow among those that have not refused it.
 ///
@@ -25,6 +26,16 @@
 pub type PlaceRelayed =
     Box<dyn Fn(&mut Tables, Id, &Route, &[Id], Duration) -> Option<Id> + Send + Sync>;
 
+/// Explains what [`PlaceRelayed`] would choose.
+///
+/// The arguments are the same, with the flow as an earlier copy of its opening was sent to an
+/// endpoint before those that are excluded.
+pub type ExplainRelayed = Box<
+    dyn Fn(&Tables, Id, &Route, Option<&TrackedFlow>, &[Id], Duration) -> ServiceChoice
+        + Send
+        + Sync,
+>;
+
 /// Returns how many requests of relayed flows this lane may have in progress at a
 /// service.
 pub type RelayLimit = Box<dyn Fn(&Tables, Id, Duration) -> f64 + Send + Sync>;
@@ -48,6 +59,8 @@
     pub place_flow: PlaceFlow,
     /// Chooses the endpoint of a relayed flow.
     pub place_relayed: PlaceRelayed,
+    /// Explains the choice of `place_relayed`; both are replaced together.
+    pub explain_relayed: ExplainRelayed,
     /// Delay that sending a flow to another zone must save.
     pub zone_cost: Duration,
     /// Limits the requests of relayed flows in progress.
@@ -137,6 +150,9 @@
             place_relayed: Box::new(move |tables, service, route, tried, now| {
                 relay::placement::place_relayed(tables, &tuning, service, route, tried, now)
             }),
+            explain_relayed: Box::new(move |tables, service, route, earlier, tried, now| {
+                relay::explain::explain_choice(tables, &tuning, service, route, earlier, tried, now)
+            }),
             zone_cost: tuning.zone_cost,
             relay_limit: Box::new(move |tables, service, now| {
                 relay::placement::relay_limit(tables, &tuning, service, now)
--- a/src/systems/relay/mod.rs
+++ b/src/systems/relay/mod.rs
@@ -10,6 +10,7 @@
 mod eligibility;
 mod established;
 mod evidence;
+pub mod explain;
 mod failure_detector;
 mod findings;
 mod liveness;
--- a/src/systems/relay/open.rs
+++ b/src/systems/relay/open.rs
@@ -199,18 +199,21 @@
     Some((endpoint, cookie))
 }
 
-/// Chooses one of the route's services that have endpoints for it, at random by weight.
-fn choose_service(tables: &mut Tables, route: &Route) -> Option<Id> {
+/// Returns the route's services that have endpoints for it, with their weights.
+pub(super) fn usable_services(tables: &Tables, route: &Route) -> SmallVec<[(Id, u32); 2]> {
     let has_endpoints = |service| {
         let mut rows = tables.endpoints.of_service(service);
         rows.any(|row| !is_excluded(row, route))
     };
-    let usable: SmallVec<[(Id, u32); 2]> = route
-        .targets
-        .iter()
+    let targets = route.targets.iter().copied();
+    targets
         .filter(|(id, weight)| *weight > 0 && has_endpoints(*id))
-        .copied()
-        .collect();
+        .collect()
+}
+
+/// Chooses one of the route's services that have endpoints for it, at random by weight.
+fn choose_service(tables: &mut Tables, route: &Route) -> Option<Id> {
+    let usable = usable_services(tables, route);
     let total: u64 = usable.iter().map(|(_, weight)| u64::from(*weight)).sum();
     if total == 0 {
         return None;
@@ -227,7 +230,7 @@
 
 /// Returns true when no other route to the service has lower priority. Only flows of such
 /// routes are used as trials, since they wait 200 ms if the endpoint still does not answer.
-fn is_least_urgent(tables: &Tables, route: &Route, service: Id) -> bool {
+pub(super) fn is_least_urgent(tables: &Tables, route: &Route, service: Id) -> bool {
     let serves = |other: &&Route| other.targets.iter().any(|(id, _)| *id == service);
     let others = tables.snapshot.routes.values().filter(serves);
     others.map(|other| other.shed_rank).max() <= Some(route.shed_rank)
@@ -238,13 +241,32 @@
     row.down.is_some() || row.suspicion.is_some() || is_unresponsive(row, now)
 }
 
-/// Returns an endpoint that does not answer and is due for another trial.
+/// Returns an endpoint that does not answer and is due for another trial, and records the trial.
 ///
-/// The endpoints of a partitioned zone share one trial interval, and endpoints of other
-/// zones are tried less often. If other hosts suspect the endpoint too, one host of the zone
-/// tries it for all.
+/// The endpoints of a partitioned zone share one trial interval.
 fn choose_trial(tables: &mut Tables, route: &Route, service: Id, now: Duration) -> Option<Id> {
-    let row = tables.endpoints.of_service(service).find(|row| {
+    let row = due_trial(tables, route, service, now)?;
+    let (id, zone) = (row.spec.id, row.spec.zone.clone());
+    let whole_zone = row.down.is_some_and(|down| down.whole_zone);
+    for row in tables.endpoints.iter_mut() {
+        if row.spec.id == id || (whole_zone && row.spec.zone == zone) {
+            row.last_trial = now;
+        }
+    }
+    Some(id)
+}
+
+/// Returns an endpoint that does not answer and is due for another trial.
+///
+/// Endpoints of other zones are tried less often. If other hosts suspect the endpoint too, one
+/// host of the zone tries it for all.
+pub(super) fn due_trial<'a>(
+    tables: &'a Tables,
+    route: &Route,
+    service: Id,
+    now: Duration,
+) -> Option<&'a EndpointRow> {
+    tables.endpoints.of_service(service).find(|row| {
         let period = if row.spec.local {
             LOCAL_TRIAL_PERIOD
         } else {
@@ -256,13 +278,5 @@
             && warmup::may_open(tables, row.spec.id, now)
             && shared_health::may_try(tables, row);
         is_avoided(row, now) && is_due && may_use
-    })?;
-    let (id, zone) = (row.spec.id, row.spec.zone.clone());
-    let whole_zone = row.down.is_some_and(|down| down.whole_zone);
-    for row in tables.endpoints.iter_mut() {
-        if row.spec.id == id || (whole_zone && row.spec.zone == zone) {
-            row.last_trial = now;
-        }
-    }
-    Some(id)
+    })
 }
--- a/src/systems/relay/overload_queue.rs
+++ b/src/systems/relay/overload_queue.rs
@@ -18,7 +18,7 @@
 use crate::clock::millis;
 use crate::id::Id;
 use crate::segment::{FlowAddrs, RelayAction, Route, Segment, SegmentKind, is_seq_after};
-use crate::tables::{HeldRequest, Outbox, Refusal, ServiceLimit, Tables};
+use crate::tables::{HeldRequest, HeldRequests, Outbox, Refusal, ServiceLimit, Tables};
 
 /// Minimum time between two checks for refusals, much less than a tenth of the shortest target
 /// latency (25 ms), within which a refusal is sent after it is due.
@@ -27,6 +27,17 @@
 /// Segments to process now, in order.
 pub(super) type ReadySegments = SmallVec<[Segment; 2]>;
 
+/// What happens to a request when it arrives.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Admission {
+    /// It starts at once.
+    Start,
+    /// It waits for capacity.
+    Wait,
+    /// It is refused, since it cannot be answered in time.
+    Refuse(Shortage),
+}
+
 /// Takes a received segment. Returns the segments to process now: none if this one waits or
 /// was refused, and an earlier one of its flow first if that still waits.
 pub(super) fn admit(
@@ -55,29 +66,18 @@
     let Some((service, route)) = requested_service(tables, &segment) else {
         return smallvec![segment];
     };
-    let (rank, kind) = (route.shed_rank, route.kind);
-    let (target_latency, timeout) = (route.target_latency, route.timeout);
-    let bucket = tables.held_requests.note_caller(&segment.addrs, now);
+    let waiting = arriving(service, route, segment, now);
+    let bucket = tables
+        .held_requests
+        .note_caller(&waiting.segment.addrs, now);
+    let waiting = HeldRequest { bucket, ..waiting };
     tables.demand.note_arrival(service, now);
-    // Without an endpoint that it may reach, an opening is refused when it is processed.
-    let is_barred = segment.is_opening() && warmup::is_service_barred(tables, service, now);
-    if !is_at_limit(tables, service) || is_exempt_from_limit(tables, &segment, now) || is_barred {
-        return smallvec![segment];
+    let admission = decide(tables, &tables.held_requests, &waiting, now);
+    if admission == Admission::Start {
+        return smallvec![waiting.segment];
     }
     tables.demand.note_wait(service, now);
-    let waiting = HeldRequest {
-        service,
-        rank,
-        kind,
-        target_latency,
-        timeout,
-        bucket,
-        arrived: now.saturating_sub(admission::age_of(&segment)),
-        segment,
-    };
-    if waiting.segment.is_opening()
-        && let Some(shortage) = admission::arrival_shortage(&tables.held_requests, &waiting, now)
-    {
+    if let Admission::Refuse(shortage) = admission {
         refuse(tables, &waiting, shortage, now, out);
     } else {
         hold(tables, waiting);
@@ -85,6 +85,41 @@
     smallvec![]
 }
 
+/// Returns a request that arrives, before its caller is counted.
+pub(super) fn arriving(service: Id, route: &Route, segment: Segment, now: Duration) -> HeldRequest {
+    HeldRequest {
+        service,
+        rank: route.shed_rank,
+        kind: route.kind,
+        target_latency: route.target_latency,
+        timeout: route.timeout,
+        bucket: usize::MAX,
+        arrived: now.saturating_sub(admission::age_of(&segment)),
+        segment,
+    }
+}
+
+/// Decides about a request that arrives; `held` are the waiting requests after its caller was
+/// counted.
+pub(super) fn decide(
+    tables: &Tables,
+    held: &HeldRequests,
+    request: &HeldRequest,
+    now: Duration,
+) -> Admission {
+    let (service, segment) = (request.service, &request.segment);
+    // Without an endpoint that it may reach, an opening is refused when it is processed.
+    let is_barred = segment.is_opening() && warmup::is_service_barred(tables, service, now);
+    if !is_at_limit(tables, service) || is_exempt_from_limit(tables, segment, now) || is_barred {
+        return Admission::Start;
+    }
+    if !segment.is_opening() {
+        return Admission::Wait;
+    }
+    let shortage = admission::arrival_shortage(held, request, now);
+    shortage.map_or(Admission::Wait, Admission::Refuse)
+}
+
 /// Removes the next waiting segment that is to be processed now: one whose service is below its
 /// limit, or one of an open flow whose time is nearly over.
 pub(super) fn release_next(tables: &mut Tables, now: Duration) -> Option<Segment> {
--- a/src/systems/relay/placement.rs
+++ b/src/systems/relay/placement.rs
@@ -8,7 +8,7 @@
 
 use rand::RngExt;
 
-use super::super::placement::{Usage, pick_allowed};
+use super::super::placement::{Exclusion, Usage, pick_allowed};
 use super::super::policies::Tuning;
 use super::warmup;
 use crate::id::{Id, Name};
@@ -35,7 +35,8 @@
 const REMOTE_DEPTH: f64 = 2.0;
 
 /// Endpoints that are preferred for a relayed flow.
-enum Preference {
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Preference {
     /// Those of the own zone that answer soon, because no plan is known yet.
     Unplanned,
     /// Those of the own zone.
@@ -56,29 +57,93 @@
     tried: &[Id],
     now: Duration,
 ) -> Option<Id> {
-    let tuning = Tuning {
-        sample_size: tuning.relay_sample,
-        ..*tuning
-    };
-    let mean_time = mean_answer_time(tables, service);
     let preference = choose_zone(tables, service, tried, now);
-    let limit = tuning.latency_share * route.target_latency.as_secs_f64();
-    let is_allowed = |row: &EndpointRow| route.allows_region(&row.spec.region);
-    let barred = warmup::barred_endpoints(tables, service, now);
-    let is_preferred = |row: &EndpointRow| match &preference {
-        Preference::Zone(zone) => row.spec.zone == *zone,
-        Preference::Unplanned | Preference::OwnZone => row.spec.local,
-    };
-    let usage_of = |row: &EndpointRow| {
-        let is_barred = barred.binary_search(&row.spec.id).is_ok();
-        if is_barred || tried.contains(&row.spec.id) || row.flow_count >= row.spec.max_conns {
-            return None;
+    let rules = RelayRules::new(tables, tuning, service, route, now);
+    pick_allowed(
+        tables,
+        &rules.tuning,
+        service,
+        now,
+        |row| rules.is_allowed(row),
+        |row| preference.includes(row),
+        |row| rules.usage(row, &preference, tried),
+    )
+}
+
+/// What the choice of an endpoint for a relayed flow depends on, besides the endpoints and the
+/// preferred zone.
+pub(super) struct RelayRules<'a> {
+    /// Parameters of the choice.
+    pub(super) tuning: Tuning,
+    route: &'a Route,
+    /// Mean answer time of the service in seconds.
+    mean_time: f64,
+    /// Time in seconds within which a request should be answered.
+    limit: f64,
+    /// Endpoints that warm up and may get no opening, in order of their ids.
+    barred: Vec<Id>,
+    now: Duration,
+}
+
+impl<'a> RelayRules<'a> {
+    pub(super) fn new(
+        tables: &Tables,
+        tuning: &Tuning,
+        service: Id,
+        route: &'a Route,
+        now: Duration,
+    ) -> Self {
+        Self {
+            tuning: Tuning {
+                sample_size: tuning.relay_sample,
+                ..*tuning
+            },
+            route,
+            mean_time: mean_answer_time(tables, service),
+            limit: tuning.latency_share * route.target_latency.as_secs_f64(),
+            barred: warmup::barred_endpoints(tables, service, now),
+            now,
+        }
+    }
+
+    /// Returns true if the route may use an endpoint.
+    pub(super) fn is_allowed(&self, row: &EndpointRow) -> bool {
+        self.route.allows_region(&row.spec.region)
+    }
+
+    /// Returns the reasons for which an endpoint that accepts work cannot be chosen.
+    pub(super) fn exclusions(
+        &self,
+        row: &EndpointRow,
+        tried: &[Id],
+    ) -> impl Iterator<Item = Exclusion> + use<> {
+        let is_barred = self.barred.binary_search(&row.spec.id).is_ok();
+        let is_tried = tried.contains(&row.spec.id);
+        let is_full = row.flow_count >= row.spec.max_conns;
+        let reasons = [
+            is_barred.then_some(Exclusion::Cold),
+            is_tried.then_some(Exclusion::AlreadyTried),
+            is_full.then_some(Exclusion::AtFlowLimit),
+        ];
+        reasons.into_iter().flatten()
+    }
+
+    /// Returns the load of an endpoint, or why it cannot be chosen.
+    pub(super) fn usage(
+        &self,
+        row: &EndpointRow,
+        preference: &Preference,
+        tried: &[Id],
+    ) -> Result<Usage, Exclusion> {
+        if let Some(exclusion) = self.exclusions(row, tried).next() {
+            return Err(exclusion);
         }
         let slots = f64::from(row.spec.slots.max(1));
         let idle_load = f64::from(row.flow_count.saturating_sub(row.own_requests)) * IDLE_FLOW_LOAD;
         let used_share =
-            (f64::from(row.own_requests) + row.recent_busy_slots(now) + idle_load) / slots;
+            (f64::from(row.own_requests) + row.recent_busy_slots(self.now) + idle_load) / slots;
         let unit_share = 1.0 / slots;
+        let (mean_time, limit) = (self.mean_time, self.limit);
         let answer_time = match row.answer_time {
             0.0 => mean_time,
             time => time,
@@ -86,8 +151,8 @@
         let wait = (used_share + unit_share).max(1.0) * answer_time;
         let slowness = (answer_time / mean_time.max(f64::MIN_POSITIVE)).clamp(1.0, MAX_SLOWNESS);
         let zone_penalty = if row.spec.local { 1.0 } else { REMOTE_PENALTY };
-        Some(Usage {
-            tier: match &preference {
+        Ok(Usage {
+            tier: match preference {
                 Preference::Unplanned => u8::from(!row.spec.local || wait > limit),
                 Preference::OwnZone if row.spec.local => u8::from(wait > limit),
                 Preference::Zone(zone) if row.spec.zone == *zone => u8::from(wait > limit),
@@ -97,22 +162,34 @@
             used_share: used_share * slowness * zone_penalty,
             unit_share: unit_share * slowness * zone_penalty,
         })
-    };
-    pick_allowed(
-        tables,
-        &tuning,
-        service,
-        now,
-        is_allowed,
-        is_preferred,
-        usage_of,
-    )
+    }
+}
+
+impl Preference {
+    /// Returns true if it is for an endpoint.
+    pub(super) fn includes(&self, row: &EndpointRow) -> bool {
+        match self {
+            Self::Zone(zone) => row.spec.zone == *zone,
+            Self::Unplanned | Self::OwnZone => row.spec.local,
+        }
+    }
 }
 
-/// Returns the zone whose endpoints are preferred for a relayed flow. A copy of an opening prefers
-/// the own zone: the plan has already decided about its first transmission.
+/// Returns the zone whose endpoints are preferred for a relayed flow.
 fn choose_zone(tables: &mut Tables, service: Id, tried: &[Id], now: Duration) -> Preference {
     let draw = tables.rng.random_range(0.0..1.0);
+    preference_at(tables, service, tried, draw, now)
+}
+
+/// Returns the preference for a random number from 0 to 1. A copy of an opening prefers the own
+/// zone: the plan has already decided about its first transmission.
+pub(super) fn preference_at(
+    tables: &Tables,
+    service: Id,
+    tried: &[Id],
+    draw: f64,
+    now: Duration,
+) -> Preference {
     let Some(plan) = tables.zone_spill.plan(service) else {
         return Preference::Unplanned;
     };
--- a/src/systems/relay/zone_spill.rs
+++ b/src/systems/relay/zone_spill.rs
@@ -238,7 +238,7 @@
 }
 
 /// Collects what the decision for a service depends on.
-fn input_of(tables: &Tables, service: Id, now: Duration) -> SpillInput {
+pub(super) fn input_of(tables: &Tables, service: Id, now: Duration) -> SpillInput {
     let demand = tables.demand.get(service);
     let held = &tables.held_requests;
     let limit = held.limit(service).unwrap_or_default();
--- a/src/tables/held.rs
+++ b/src/tables/held.rs
@@ -82,7 +82,7 @@
 }
 
 /// Waiting requests, and what the choice among them depends on.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct HeldRequests {
     rows: BTreeMap<FlowAddrs, HeldRequest>,
     limits: HashMap<Id, ServiceLimit>,
@@ -223,7 +223,7 @@
 }
 
 /// Decaying counts of requests by caller address.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct CallerBuckets {
     counts: [f64; BUCKET_COUNT],
     last_decay: Duration,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -9,6 +9,7 @@
 
 use futures_util::FutureExt;
 use jacinthhinge::control::{self, Action, Control, Event, ValueChange, ValueUpdate};
+use jacinthhinge::front::inspect::QueryError;
 use jacinthhinge::front::ops::{self, OpsHandlers};
 use jacinthhinge::front::serve;
 use jacinthhinge::front::settings::{Flags, Settings};
@@ -151,7 +152,7 @@
 
 #[test]
 fn invalid_arguments_exit_with_status_two() {
-    let cases: [(&[&str], &str); 7] = [
+    let cases: [(&[&str], &str); 13] = [
         (&[], "expected `COMMAND ...`"),
         (&["chekc"], "did you mean `check`?"),
         (&["check"], "expected `FILE`"),
@@ -159,6 +160,24 @@
         (&["serve"], "--name: missing; pass --name sv-a-1"),
         (&["dump", "here"], "`here` is not an address"),
         (&["dump", "127.0.0.1:9", "--table", "a b"], "omit --table"),
+        (&["where"], "expected `FRONT`"),
+        (&["where", "r"], "pass --from"),
+        (
+            &["where", "r", "--from", "here"],
+            "`here` is not an address",
+        ),
+        (
+            &["where", "r", "--from", "127.0.0.1:9", "--dump", "d"],
+            "not both",
+        ),
+        (
+            &["where", "r", "--dump", "d", "--caller", "a"],
+            "`a` is not an address",
+        ),
+        (
+            &["where", "r", "--dump", "nowhere.json"],
+            "the file cannot be read",
+        ),
     ];
     for (arguments, expected) in cases {
         let output = run_program(arguments);
@@ -378,6 +397,7 @@
     OpsHandlers {
         metrics: Arc::new(|| std::future::ready(Some("jacinthhinge_flows 1\n".to_owned())).boxed()),
         dump: Arc::new(dump),
+        explain: Arc::new(|_| std::future::ready(Err(QueryError::Busy)).boxed()),
         ready: Arc::new(move || ready),
     }
 }
@@ -418,6 +438,66 @@
     });
 }
 
+/// Guards against an error of a host that the command hides, and against an old host whose missing
+/// path looks like an unknown route.
+#[test]
+fn where_reports_why_a_host_does_not_explain() {
+    let cases = [
+        (
+            QueryError::Busy,
+            1,
+            "another query is in progress; try again",
+        ),
+        (
+            QueryError::NoAnswer { lane: 2 },
+            1,
+            "lane 2 did not answer within 1 s",
+        ),
+        (
+            QueryError::UnknownFront {
+                front: "r".into(),
+                known: "the routes are streams".to_owned(),
+            },
+            2,
+            "`r`; the routes are streams",
+        ),
+    ];
+    for (error, code, expected) in cases {
+        let ops = OpsHandlers {
+            explain: Arc::new(move |_| std::future::ready(Err(error.clone())).boxed()),
+            ..ops_handlers(true)
+        };
+        with_ops_server(ops, |addr| {
+            let output = run_program(&["where", "r", "--from", &addr.to_string()]);
+            assert_eq!(output.code, code, "{}", output.stderr);
+            assert!(output.stderr.contains(expected), "{}", output.stderr);
+        });
+    }
+    let newer = OpsHandlers {
+        explain: Arc::new(|_| {
+            let answer = json!({"format": 2, "release": "9.0.0", "lanes": []});
+            std::future::ready(Ok(answer)).boxed()
+        }),
+        ..ops_handlers(true)
+    };
+    with_ops_server(newer, |addr| {
+        let output = run_program(&["where", "r", "--from", &addr.to_string()]);
+        assert_eq!(output.code, 1);
+        assert!(output.stderr.contains("release 9.0.0"), "{}", output.stderr);
+        let response = get(addr, "/where");
+        assert!(response.starts_with("HTTP/1.1 400"), "{response}");
+        let response = get(addr, "/where?front=r&caller=x");
+        assert!(response.starts_with("HTTP/1.1 400"), "{response}");
+    });
+    let output = run_program(&["where", "r", "--from", "127.0.0.1:1"]);
+    assert_eq!(output.code, 1);
+    assert!(
+        output.stderr.contains("check that it runs"),
+        "{}",
+        output.stderr
+    );
+}
+
 #[test]
 fn dump_of_an_unreachable_address_exits_with_status_one() {
     let output = run_program(&["dump", "127.0.0.1:1"]);
@@ -481,6 +561,7 @@
     let ops = OpsHandlers {
         metrics: Arc::new(|| std::future::ready(None).boxed()),
         dump: Arc::new(|_| futures_util::future::pending().boxed()),
+        explain: Arc::new(|_| futures_util::future::pending().boxed()),
         ready: Arc::new(|| true),
     };
     with_ops_server(ops, |addr| {
