Explain openings that replace an open flow without its load

Cause: the lane removes the flow before it places a new opening with the same addresses; the explanation still counted its load.

Change: the known flow of the caller is left out of its endpoint's load in any state but closing, as the lane does. The help of `where` is tested, and its examples are indented like the others.

Measured: the new test fails without the change and passes with it.

--- a/src/front/command.rs
+++ b/src/front/command.rs
@@ -159,9 +159,9 @@
     several choices, there is one tier for each. The last column tells what speaks against an \
     endpoint.
  Examples:
- jacinthhinge where 198.18.0.1:8443 --from 10.1.0.10:9464
- jacinthhinge where streams --caller 192.0.2.7:40001 --from 10.1.0.10:9464 --json
- jacinthhinge where streams --dump saved.json";
+  jacinthhinge where 198.18.0.1:8443 --from 10.1.0.10:9464
+  jacinthhinge where streams --caller 192.0.2.7:40001 --from 10.1.0.10:9464 --json
+  jacinthhinge where streams --dump saved.json";
 
 const COMMAND_FOOTER: &str = "Examples:
   jacinthhinge check config/hraunvik.toml
--- a/src/systems/policies.rs
+++ b/src/systems/policies.rs
@@ -28,8 +28,8 @@
 
 /// Explains what [`PlaceRelayed`] would choose.
 ///
-/// The arguments are the same, with the flow as an earlier copy of its opening was sent to an
-/// endpoint before those that are excluded.
+/// The arguments are the same, with the known flow that the opening replaces or is a copy of
+/// before the endpoints that are excluded.
 pub type ExplainRelayed = Box<
     dyn Fn(&Tables, Id, &Route, Option<&TrackedFlow>, &[Id], Duration) -> ServiceChoice
         + Send
@@ -150,8 +150,8 @@
             place_relayed: Box::new(move |tables, service, route, tried, now| {
                 relay::placement::place_relayed(tables, &tuning, service, route, tried, now)
             }),
-            explain_relayed: Box::new(move |tables, service, route, earlier, tried, now| {
-                relay::explain::explain_choice(tables, &tuning, service, route, earlier, tried, now)
+            explain_relayed: Box::new(move |tables, service, route, known, tried, now| {
+                relay::explain::explain_choice(tables, &tuning, service, route, known, tried, now)
             }),
             zone_cost: tuning.zone_cost,
             relay_limit: Box::new(move |tables, service, now| {
--- a/src/systems/relay/explain.rs
+++ b/src/systems/relay/explain.rs
@@ -38,7 +38,8 @@
 pub struct Query {
     /// Front address, or name of a route or a service.
     pub front: Name,
-    /// Address of the caller; port zero stands for any flow of that caller.
+    /// Address of the caller; port zero stands for any flow of that caller. If it has an open flow
+    /// with this port, a new one that replaces it is explained.
     pub caller: Option<SocketAddr>,
 }
 
@@ -88,8 +89,8 @@
 pub struct AdmissionExplanation {
     /// What would happen to it.
     pub outcome: Outcome,
-    /// Share of the openings that is refused, from 0 to 1. It is neither if only some of the
-    /// route's services have an endpoint to take it.
+    /// Share of the openings that is refused, from 0 to 1: a part of them if only some of the
+    /// route's services have an endpoint that can be chosen.
     pub refused_share: f64,
     /// Cause of a refusal, as in the log.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -307,14 +308,14 @@
         caller: caller.unwrap_or(any_caller),
         vip,
     };
-    let earlier = unopened_flow(tables, &addrs);
+    let known = tables.tracked_flows.get(&addrs);
     let usable = open::usable_services(tables, route);
     let total: f64 = usable.iter().map(|(_, weight)| f64::from(*weight)).sum();
     let services: Vec<ServiceExplanation> = usable
         .iter()
         .map(|(id, weight)| {
             let share = f64::from(*weight) / total;
-            explain_service(tables, *id, route, share, earlier, now)
+            explain_service(tables, *id, route, share, known, now)
         })
         .collect();
     let mut admission = explain_admission(tables, route, &addrs, caller.is_some(), now);
@@ -344,12 +345,6 @@
     }
 }
 
-/// Returns the flow as an earlier copy of its opening was sent to an endpoint.
-fn unopened_flow<'a>(tables: &'a Tables, addrs: &FlowAddrs) -> Option<&'a TrackedFlow> {
-    let flow = tables.tracked_flows.get(addrs)?;
-    (flow.state == TrackedState::Opening).then_some(flow)
-}
-
 fn known_flow(tables: &Tables, addrs: &FlowAddrs) -> Option<KnownFlow> {
     if tables.held_requests.get(addrs).is_some() {
         return Some(KnownFlow {
@@ -392,7 +387,8 @@
     let mut held = tables.held_requests.clone();
     let mut request = overload_queue::arriving(service, route, segment, now);
     let waiting = tables.held_requests.get(addrs).cloned();
-    let is_copy = unopened_flow(tables, addrs).is_some();
+    let known = tables.tracked_flows.get(addrs);
+    let is_copy = known.is_some_and(|flow| flow.state == TrackedState::Opening);
     let admission = if let Some(waiting) = waiting {
         request = waiting;
         Admission::Wait
@@ -451,9 +447,10 @@
     service: Id,
     route: &Route,
     share: f64,
-    earlier: Option<&TrackedFlow>,
+    known: Option<&TrackedFlow>,
     now: Duration,
 ) -> ServiceExplanation {
+    let earlier = known.filter(|flow| flow.state == TrackedState::Opening);
     let tried = earlier.map_or_else(Vec::new, |flow| {
         let before = flow.tried_endpoints.iter().copied();
         before.chain([flow.endpoint]).collect()
@@ -461,10 +458,10 @@
     let may_try = tried.is_empty() && open::is_least_urgent(tables, route, service);
     let trial = open::due_trial(tables, route, service, now).filter(|_| may_try);
     let explain_choice = &tables.policies.explain_relayed;
-    let mut choice = explain_choice(tables, service, route, earlier, &tried, now);
+    let mut choice = explain_choice(tables, service, route, known, &tried, now);
     // Tried endpoints are used again if the others cannot be chosen.
     if !tried.is_empty() && choice.choices.iter().any(|choice| choice.may_miss) {
-        let again = explain_choice(tables, service, route, earlier, &[], now);
+        let again = explain_choice(tables, service, route, known, &[], now);
         choice = choice.or_again(again);
     }
     ServiceExplanation {
@@ -540,19 +537,19 @@
     }
 }
 
-/// Explains what [`place_relayed`](super::placement::place_relayed) would choose, for a copy of an
-/// opening without the load of the earlier one.
+/// Explains what [`place_relayed`](super::placement::place_relayed) would choose, without the load of
+/// the flow that the opening replaces.
 pub(in super::super) fn explain_choice(
     tables: &Tables,
     tuning: &Tuning,
     service: Id,
     route: &Route,
-    earlier: Option<&TrackedFlow>,
+    known: Option<&TrackedFlow>,
     tried: &[Id],
     now: Duration,
 ) -> ServiceChoice {
     let rules = RelayRules::new(tables, tuning, service, route, now);
-    let uncounted = earlier.and_then(|flow| uncounted_row(tables, flow));
+    let uncounted = known.and_then(|flow| uncounted_row(tables, flow));
     let uncounted = uncounted.as_ref();
     let listed = tables.endpoints.of_service(service);
     let rows: Vec<&EndpointRow> = listed
@@ -679,9 +676,12 @@
     (found, misses)
 }
 
-/// Returns the endpoint of a flow as it is without the flow, which is removed before the next copy
-/// of its opening is placed.
+/// Returns the endpoint of a flow as it is without the flow, which is removed before its next
+/// opening is placed. A closing flow was removed before.
 fn uncounted_row(tables: &Tables, flow: &TrackedFlow) -> Option<EndpointRow> {
+    if flow.state == TrackedState::Closing {
+        return None;
+    }
     let mut row = tables.endpoints.get(flow.endpoint)?.clone();
     row.flow_count = row.flow_count.saturating_sub(1);
     let requests = u32::from(flow.counts_load);
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -207,6 +207,7 @@
             "jacinthhinge check config/hraunvik.toml",
         ),
         (&["serve", "--help"], "JACINTHHINGE_KEY=..."),
+        (&["where", "--help"], "streams --dump saved.json"),
         (&["--version"], env!("CARGO_PKG_VERSION")),
     ] {
         let output = run_program(arguments);
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -601,6 +601,23 @@
     assert_eq!(other.flow, None);
 }
 
+/// Guards against an open flow that counts as load for the opening that replaces it.
+#[test]
+fn opening_that_replaces_an_open_flow_is_explained() {
+    let mut harness = lane(&local_endpoints(2));
+    set_limit(&mut harness, 100.0, 0.0);
+    let first = harness.establish_flow(1);
+    harness.establish_flow(2);
+    let explanation = explain_for(&harness, Some(caller_addr(1)));
+    let state = explanation.flow.as_ref().map(|flow| &*flow.state);
+    assert_eq!(state, Some("open"));
+    let expected = format!("i-{first:02x}");
+    assert_eq!(named(&explanation), BTreeSet::from([expected.clone()]));
+    let mut again = opening_segment(1, 0);
+    again.seq = 77;
+    assert_eq!(check_next(&mut harness, again), Real::Placed(expected));
+}
+
 /// Guards against a trial that the explanation leaves out: the opening gets an endpoint that is
 /// down although others are usable.
 #[test]
