--- a/src/tables/rank_load.rs
+++ b/src/tables/rank_load.rs
@@ -88,7 +88,7 @@
 }
 
 /// Arrivals of requests by service and rank.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RankDemand {
     /// Rows of each service in ascending order of their ranks.
     rows: HashMap<Id, SmallVec<[RankArrivals; 4]>>,
--- a/tests/outliers.rs
+++ b/tests/outliers.rs
@@ -10,6 +10,7 @@
 use jacinthhinge::report::{EndpointReport, LaneReport};
 use jacinthhinge::segment::{RelayAction, RequestKind, SegmentKind};
 use jacinthhinge::systems::Policies;
+use jacinthhinge::tables::ServiceLimit;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -613,7 +614,6 @@
     let lane = &mut zone.lanes[0];
     let mut changed = (*snapshot(&restarted)).clone();
     changed.hosts = lane.tables.snapshot.hosts.clone();
-    changed.reports = lane.tables.snapshot.reports.clone();
     lane.publish(&Arc::new(changed));
     tell(&mut zone, &[outcome_row(1, 2, 5)]);
     zone.advance(ms(500));
@@ -830,7 +830,10 @@
     harness.establish_flow(20);
     harness.establish_flow(21);
     harness.tables.policies = Arc::new(Policies {
-        relay_limit: Box::new(|_, _, _| 1.0),
+        relay_limit: Box::new(|_, _, _| ServiceLimit {
+            requests: 1.0,
+            ..ServiceLimit::default()
+        }),
         ..Policies::with_defaults()
     });
     harness.advance(ms(50));
--- a/tests/report_bytes.rs
+++ b/tests/report_bytes.rs
@@ -93,6 +93,7 @@
             stalled_flows: 1,
             silent_for: taken_at,
             heard_ago: Some(taken_at),
+            ..EndpointReport::default()
         };
         LaneReport {
             taken_at,
