--- a/src/report.rs
+++ b/src/report.rs
@@ -73,7 +73,7 @@
     pub silent_for: Duration,
     /// Time since it last answered any flow, if it has done so.
     pub heard_ago: Option<Duration>,
-    /// Requests that it has answered in time in the last 3 s, if any was overdue.
+    /// Requests that it has answered in time in the last 2 s, if any was overdue.
     pub answered: u32,
     /// Requests that were overdue in that time.
     pub overdue: u32,
--- a/src/systems/relay/outliers.rs
+++ b/src/systems/relay/outliers.rs
@@ -54,8 +54,8 @@
 /// Length of the longest ejection, which bounds the effect of false reports.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(12);
 
-/// Time after an ejection for which reports about the endpoint are ignored: the time for which
-/// results count at other hosts, which may be from before its end.
+/// Time after an ejection for which reports about the endpoint are ignored: results from before its
+/// end count for 2 s at other hosts, and their reports are up to a second old.
 const REPORT_DELAY: Duration = Duration::from_secs(3);
 
 /// Part of a service's endpoints in a zone (a fifth) that may be ejected at a time.
--- a/src/tables/outcomes.rs
+++ b/src/tables/outcomes.rs
@@ -13,8 +13,9 @@
 /// Length of a span.
 const SPAN: Duration = Duration::from_millis(500);
 
-/// Number of spans that count: 3 s, in which a host sends a few requests to each endpoint.
-const SPANS: usize = 6;
+/// Number of spans that count: 2 s, in which a host sends about two requests to each endpoint. With
+/// 3 s, answers from before a failure delayed its detection by half a second.
+const SPANS: usize = 4;
 
 /// Time after the end of an ejection within which the next one is longer.
 const STREAK_TIME: Duration = Duration::from_secs(30);
--- a/tests/outliers.rs
+++ b/tests/outliers.rs
@@ -749,7 +749,7 @@
     harness.advance(ms(400));
     assert_eq!(own_counts(&harness, 1), (1, 12), "without a retransmission");
     harness.advance(ms(3_100));
-    assert_eq!(own_counts(&harness, 1), (0, 0), "after 3 s");
+    assert_eq!(own_counts(&harness, 1), (0, 0), "after 2 s");
 }
 
 /// Load: callers give up after their request became overdue. It remains counted.
@@ -829,10 +829,11 @@
     let mut harness = measured_lane();
     harness.establish_flow(20);
     harness.establish_flow(21);
+    let defaults = Policies::with_defaults();
     harness.tables.policies = Arc::new(Policies {
-        relay_limit: Box::new(|_, _, _| ServiceLimit {
+        relay_limit: Box::new(move |tables, service, now| ServiceLimit {
             requests: 1.0,
-            ..ServiceLimit::default()
+            ..(defaults.relay_limit)(tables, service, now)
         }),
         ..Policies::with_defaults()
     });
