Count several rows of one host as one observer

Cause: each row of a report about an endpoint counted as an observation of its own, so one host with duplicate rows reached the two hosts that confirm an endpoint as down. Change: only the first row with evidence counts for each host.

--- a/src/systems/relay/findings.rs
+++ b/src/systems/relay/findings.rs
@@ -120,7 +120,9 @@
         if let Some(age) = observed.heard_ago {
             finding.alive_elsewhere = finding.alive_elsewhere.max(time(age));
         }
-        if observed.evidence() > 0 {
+        // A second row about an endpoint would count as another host.
+        let is_first = finding.reports.last().map(|known| known.host) != Some(report.host);
+        if observed.evidence() > 0 && is_first {
             finding.reports.push(Observation {
                 host: report.host,
                 evidence: observed.evidence(),
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -379,6 +379,27 @@
     assert!(told.len() == 1 && told[0].evidence() == 0, "{told:?}");
 }
 
+/// Failure: a host reports one endpoint in several rows of a message. It counts as one observer and
+/// cannot confirm the endpoint as down; with a second host the same evidence does.
+#[test]
+fn several_rows_of_one_host_are_one_observer() {
+    let mut zone = zone_of_four();
+    let evidence = [row(1, 9, 9, 600), row(1, 9, 9, 600)];
+    let hosts = [zone.hosts[0].clone(), zone.hosts[1].clone()];
+    for _ in 0..10 {
+        zone.tell(3, report_of(&hosts[0], &evidence, zone.now()));
+        zone.advance(ms(100));
+        assert!(!zone.is_down(3, 1));
+    }
+    for _ in 0..5 {
+        for host in &hosts {
+            zone.tell(3, report_of(host, &evidence[..1], zone.now()));
+        }
+        zone.advance(ms(100));
+    }
+    assert!(zone.is_down(3, 1));
+}
+
 /// Failure: the zone is partitioned while reports spread. The part with too little evidence waits,
 /// and finds the endpoint down once the partition ends.
 #[test]
