Count requests that end unanswered against their endpoint

Change: a request is overdue if its caller closes or resets the flow after the overdue time and has acknowledged no answer.

--- a/src/systems/relay/established.rs
+++ b/src/systems/relay/established.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use super::liveness::{self, Liveness};
-use super::{count_flow, forward, remove_flow, reset_down_flow, reset_flow, uncount_flow};
+use super::{
+    count_flow, forward, outliers, remove_flow, reset_down_flow, reset_flow, uncount_flow,
+};
 use crate::segment::{Segment, SegmentKind};
 use crate::tables::{CookieEndpoint, Outbox, Tables, TrackedFlow, TrackedState};
 
@@ -28,6 +30,9 @@
         return;
     };
     if segment.kind == SegmentKind::Reset {
+        if let Some(mut flow) = tables.tracked_flows.get(&segment.addrs).cloned() {
+            outliers::note_close(tables, &mut flow, segment.ack, now);
+        }
         remove_flow(tables, segment);
         forward(segment, &endpoint, None, out);
         return;
@@ -85,6 +90,7 @@
         uncount_flow(tables, &flow);
         flow.counts_load = false;
         flow.watched = None;
+        flow.assumed_request = None;
         flow.endpoint = endpoint.id;
         count_flow(tables, endpoint.id);
     }
--- a/src/systems/relay/liveness.rs
+++ b/src/systems/relay/liveness.rs
@@ -71,7 +71,7 @@
         flow.state = TrackedState::Closing;
         flow.unanswered_since = None;
         flow.counts_load = false;
-        flow.watched = None;
+        outliers::note_close(tables, flow, segment.ack, now);
     }
     let row = tables.endpoints.get(flow.endpoint);
     if row.is_some_and(|row| awaits_down_endpoint(row, flow, now))
@@ -134,6 +134,7 @@
         remove_load(tables, flow);
     }
     flow.acked_seq = segment.ack;
+    flow.assumed_request = None;
     flow.unanswered_segments = 0;
     flow.retransmissions = 0;
     mark_answering(tables, flow, alive_at, now);
--- a/src/systems/relay/outliers.rs
+++ b/src/systems/relay/outliers.rs
@@ -9,8 +9,9 @@
 //! A request is overdue when its caller has retransmitted it, and it is still unanswered after
 //! [`MIN_OVERDUE_TIME`] and after [`OVERDUE_FACTOR`] times the mean answer time of its service.
 //! This host does not see the answers, so a request without a retransmission counts as answered
-//! as soon as [`timeouts`](super::timeouts) takes it to be. Without a measured answer time no
-//! request is overdue.
+//! as soon as [`timeouts`](super::timeouts) takes it to be, and as overdue if its caller then ends
+//! the flow without having acknowledged an answer. Without a measured answer time no request is
+//! overdue.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use crate::clock::millis;
 use crate::id::Id;
 use crate::report::{EndpointReport, HostReport};
+use crate::segment::is_seq_after;
 use crate::tables::{Ejection, EndpointRow, OutcomeCounts, Tables, TrackedFlow, WatchedRequest};
 
 /// Interval between two evaluations: that at which lanes report.
@@ -115,6 +117,30 @@
     }
 }
 
+/// Records that a request counts as answered although nothing shows it.
+pub(super) fn assume_answer(tables: &mut Tables, flow: &mut TrackedFlow, now: Duration) {
+    flow.assumed_request = flow.watched.map(|watched| watched.sent_at);
+    note_answer(tables, flow, now);
+}
+
+/// Records that a caller closes or resets a flow. If its last request is unanswered by then, it was
+/// overdue: an endpoint that acknowledges the data of a request causes no retransmission.
+pub(super) fn note_close(tables: &mut Tables, flow: &mut TrackedFlow, ack: u32, now: Duration) {
+    let pending = flow.watched.take().map(|watched| watched.sent_at);
+    let sent_at = pending.or(flow.assumed_request.take());
+    let is_answered = is_seq_after(ack, flow.acked_seq);
+    let (Some(sent_at), Some(time)) = (sent_at, overdue_time(tables, flow.endpoint)) else {
+        return;
+    };
+    if !is_answered && now >= sent_at + time {
+        let request = WatchedRequest {
+            sent_at,
+            overdue_at: None,
+        };
+        record(tables, flow, request, true, now);
+    }
+}
+
 /// Records a retransmission of a request, which is overdue or will be checked when it is.
 pub(super) fn note_retransmission(tables: &mut Tables, flow: &mut TrackedFlow, now: Duration) {
     let overdue_time = overdue_time(tables, flow.endpoint);
--- a/src/systems/relay/timeouts.rs
+++ b/src/systems/relay/timeouts.rs
@@ -84,6 +84,7 @@
         flow.unanswered_since = None;
         flow.retransmissions = 0;
         flow.watched = None;
+        flow.assumed_request = None;
         tables.tracked_flows.insert(flow);
     }
 }
@@ -101,7 +102,7 @@
         remove_load(tables, flow);
     }
     if done_at <= now {
-        outliers::note_answer(tables, flow, now);
+        outliers::assume_answer(tables, flow, now);
         flow.unanswered_since = None;
     } else {
         tables.tracked_flows.schedule_check(flow.addrs, done_at);
--- a/src/tables/tracks.rs
+++ b/src/tables/tracks.rs
@@ -86,6 +86,9 @@
     pub load_rank: u32,
     /// Its pending request, until the result of it is recorded.
     pub watched: Option<WatchedRequest>,
+    /// Time at which its last request was sent, if that counts as answered without a sign of it.
+    #[serde(rename = "assumed")]
+    pub assumed_request: Option<Duration>,
 }
 
 /// A request whose result is not known yet.
@@ -126,6 +129,7 @@
             counts_load: false,
             load_rank: 0,
             watched: None,
+            assumed_request: None,
         }
     }
 }
--- a/tests/outliers.rs
+++ b/tests/outliers.rs
@@ -763,6 +763,43 @@
     assert_eq!(own_counts(&harness, 1), (1, 10));
 }
 
+/// Failure: the endpoint acknowledges the data of a request and never answers, so that its caller does
+/// not retransmit and gives up. The request is overdue if the caller has acknowledged no answer.
+#[test]
+fn acknowledged_request_counts_when_its_caller_gives_up() {
+    for kind in [SegmentKind::Fin, SegmentKind::Reset] {
+        let mut harness = measured_lane();
+        for port in 20..23 {
+            harness.establish_flow(port);
+            harness.send_request(port, 1);
+        }
+        harness.acknowledge_answer(20, 1);
+        harness.advance(ms(1_000));
+        let close = |port, ack| cookie_segment(port, "i-01", kind, 101, 0, ack);
+        harness.receive(close(20, 1_500));
+        assert_eq!(own_counts(&harness, 1).0, 0, "answered before");
+        harness.receive(close(21, 1_500));
+        assert_eq!(
+            own_counts(&harness, 1).0,
+            0,
+            "answered with the last segment"
+        );
+        harness.receive(close(22, 500));
+        assert_eq!(own_counts(&harness, 1).0, 1);
+    }
+}
+
+/// Load: a caller ends a flow a moment after it sent a request, before an answer can have come.
+#[test]
+fn request_does_not_count_if_its_caller_leaves_early() {
+    let mut harness = measured_lane();
+    harness.establish_flow(20);
+    harness.send_request(20, 1);
+    harness.advance(ms(100));
+    harness.receive(cookie_segment(20, "i-01", SegmentKind::Reset, 101, 0, 500));
+    assert_eq!(own_counts(&harness, 1).0, 0);
+}
+
 /// Load: another host had a flow before, so the first segment that this one sees may be a
 /// retransmission. That request does not count here, later ones do.
 #[test]
