Send load to all hosts of a small group directly

Cause: since zones send sums, the demand of other zones was two to three seconds old. Change: up to 100 other live hosts, each host sends its load to all others in regular heartbeats, as before; sums are for larger groups.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -43,7 +43,7 @@
     FetchRequest, FetchResponse, Heartbeat, HostList, Value, ValueChange, ValueUpdate,
     WriterVersion,
 };
-pub use self::settings::{LeaseTiming, LiveSettings, ReadPacing, Settings};
+pub use self::settings::{DEFAULT_SUMMED_FROM, LeaseTiming, LiveSettings, ReadPacing, Settings};
 pub use self::tables::{Counters, LocalHost, Tables};
 pub use self::values::{BuiltConfig, ConfigBuilder, Values};
 
--- a/src/control/reports.rs
+++ b/src/control/reports.rs
@@ -119,9 +119,11 @@
 
 /// Returns the report for a heartbeat to a member, if it should get one.
 ///
-/// Reports stay in the availability zone; other zones get its sum. If reports are so large that
-/// regular heartbeats would exceed the bytes that a host may send, only some heartbeats carry one,
-/// each member in its turn. Extra rounds (`is_urgent`) have a budget of their own.
+/// Observations of endpoints stay in the availability zone. Other zones get the load of services, in
+/// large groups as a sum of the zone only. If reports are so large that regular heartbeats would
+/// exceed the bytes that a host may send, only some heartbeats carry one, each member in its turn.
+/// Extra rounds (`is_urgent`) have a budget of their own, and in small groups reports with load
+/// wait for no turn.
 pub(super) fn for_member(
     tables: &mut Tables,
     to: Id,
@@ -132,11 +134,14 @@
     if !tables.reports.last_rows.is_some_and(had_rows) {
         return None;
     }
+    let has_load = are_direct(tables) && !tables.reports.own.services.is_empty();
     let member = tables.members.get_mut(&to)?;
     let reports = &mut tables.reports;
+    if member.info.availability_zone != tables.me.info.availability_zone {
+        return has_load.then(|| Arc::new(load_part(&reports.own)));
+    }
     let is_due = |at| now >= at + reports.interval && reports.regular_credit > 0.0;
-    let is_sent = is_urgent || member.last_report.is_none_or(is_due);
-    if member.info.availability_zone != tables.me.info.availability_zone || !is_sent {
+    if !is_urgent && !has_load && !member.last_report.is_none_or(is_due) {
         return None;
     }
     if !is_urgent {
@@ -149,6 +154,23 @@
     Some(Arc::clone(&reports.zone_part))
 }
 
+/// Returns true if the group is so small that hosts send their load to all others.
+pub(super) fn are_direct(tables: &Tables) -> bool {
+    tables.live_members().count() < tables.settings.summed_from
+}
+
+/// Returns the part of a report that other availability zones get.
+fn load_part(own: &LaneReport) -> LaneReport {
+    LaneReport {
+        taken_at: own.taken_at,
+        services: own.services.clone(),
+        used_endpoints: own.used_endpoints,
+        suspected_endpoints: own.suspected_endpoints,
+        is_impaired: own.is_impaired,
+        ..LaneReport::default()
+    }
+}
+
 /// Returns the time for which observations of endpoints count at the present number of hosts.
 pub(super) fn max_age(tables: &Tables) -> Duration {
     let repetition = heartbeat::cycle_time(tables).max(tables.reports.interval);
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -30,6 +30,8 @@
     pub config_builder: ConfigBuilder,
     /// Frequency of platform reads and choice of the readers.
     pub read_pacing: ReadPacing,
+    /// Number of other live hosts from which on the load of a zone goes to other zones as a sum.
+    pub summed_from: usize,
     /// Seed of the random number generator.
     pub rng_seed: u64,
 }
@@ -85,6 +87,11 @@
     }
 }
 
+/// Default of [`Settings::summed_from`]. A sum is one or two heartbeat cycles older than the rows in
+/// it, too old for shares of capacity that follow demand; in larger groups rows for each host would
+/// exceed the bytes that a host may send.
+pub const DEFAULT_SUMMED_FROM: usize = 100;
+
 /// Frequency of platform reads and choice of the readers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReadPacing {
--- a/src/control/zone_sums.rs
+++ b/src/control/zone_sums.rs
@@ -35,7 +35,8 @@
 /// Updates the sum of the own zone if this host sends it, and removes those of other zones that
 /// are too old or whose senders are not live.
 pub(super) fn run(tables: &mut Tables, now: Duration) {
-    let sum = sum_own_zone(tables, now).filter(|_| is_sender(tables));
+    let is_sent = !reports::are_direct(tables) && is_sender(tables);
+    let sum = sum_own_zone(tables, now).filter(|_| is_sent);
     let was_sender = tables.reports.zone_sum.is_some();
     if was_sender != sum.is_some() {
         log::info!(
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -30,7 +30,8 @@
 use crate::config::Config;
 use crate::control::message::HostInfo;
 use crate::control::{
-    self as control_plane, BuiltConfig, ConfigBuilder, LiveSettings, ReadPacing, Values,
+    self as control_plane, BuiltConfig, ConfigBuilder, DEFAULT_SUMMED_FROM, LiveSettings,
+    ReadPacing, Values,
 };
 use crate::error::{Error, Result};
 use crate::id::{Id, Incarnation, Name};
@@ -255,6 +256,7 @@
         drain_limit: DEFAULT_DRAIN_LIMIT,
         config_builder: config_builder(settings),
         read_pacing: ReadPacing::default(),
+        summed_from: DEFAULT_SUMMED_FROM,
         rng_seed: 0,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,7 +72,7 @@
 //!     Action, BuiltConfig, ConfigBuilder, Control, Event, ReadPacing, Settings, Value,
 //!     ValueChange, ValueUpdate, Values,
 //! };
-//! use jacinthhinge::control::LeaseTiming;
+//! use jacinthhinge::control::{DEFAULT_SUMMED_FROM, LeaseTiming};
 //! use jacinthhinge::control::message::HostInfo;
 //! use jacinthhinge::prelude::*;
 //!
@@ -98,6 +98,7 @@
 //!         drain_limit: Duration::from_secs(5),
 //!         config_builder: build.clone(),
 //!         read_pacing: ReadPacing::default(),
+//!         summed_from: DEFAULT_SUMMED_FROM,
 //!         rng_seed: 1,
 //!     };
 //!     Control::new(settings, Duration::ZERO)
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -6,12 +6,12 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU8, Ordering};
 
-use jacinthhinge::control::LeaseTiming;
 use jacinthhinge::control::message::{FetchRequest, Timestamp, Vote};
 use jacinthhinge::control::{
     BuiltConfig, ConfigBuilder, FetchResponse, Heartbeat, ReadPacing, Settings, Value, ValueChange,
     ValueUpdate, WriterVersion,
 };
+use jacinthhinge::control::{DEFAULT_SUMMED_FROM, LeaseTiming};
 use jacinthhinge::front::control::{self, ControlChannels, ControlSettings, PlatformSource};
 use jacinthhinge::front::host_list;
 use jacinthhinge::platform::store::Store;
@@ -101,6 +101,7 @@
         drain_limit: Duration::from_secs(5),
         config_builder: ConfigBuilder::new(|_| Ok(BuiltConfig::default())),
         read_pacing: ReadPacing::default(),
+        summed_from: DEFAULT_SUMMED_FROM,
         rng_seed: 7,
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -190,6 +190,7 @@
             has_list: false,
             ..ReadPacing::default()
         },
+        summed_from: jacinthhinge::control::DEFAULT_SUMMED_FROM,
         rng_seed: 1,
     }
 }
--- a/tests/relaying/mod.rs
+++ b/tests/relaying/mod.rs
@@ -6,7 +6,9 @@
 use std::collections::{BTreeSet, HashMap};
 
 use jacinthhinge::control::message::{HostInfo, Timestamp, Vote};
-use jacinthhinge::control::{Control, Heartbeat, LeaseTiming, ReadPacing, Settings, cap_slots};
+use jacinthhinge::control::{
+    Control, DEFAULT_SUMMED_FROM, Heartbeat, LeaseTiming, ReadPacing, Settings, cap_slots,
+};
 use jacinthhinge::platform;
 use jacinthhinge::prelude::*;
 use jacinthhinge::report::{HostReport, PeerReports};
@@ -93,6 +95,7 @@
         ))
         .and_then(cap_slots),
         read_pacing: ReadPacing::frequent(),
+        summed_from: DEFAULT_SUMMED_FROM,
         rng_seed: 1,
     };
     Control::new(settings, Duration::ZERO)
--- a/tests/reports.rs
+++ b/tests/reports.rs
@@ -23,7 +23,17 @@
 
 /// Returns a zone whose hosts are spread over availability zones and know each other.
 fn started_zone(count: usize, az_count: usize) -> Zone {
+    start(Zone::new(), count, az_count)
+}
+
+/// Returns a zone in which the load of availability zones is sent as sums.
+fn zone_with_sums(count: usize, az_count: usize) -> Zone {
     let mut zone = Zone::new();
+    zone.summed_from = 0;
+    start(zone, count, az_count)
+}
+
+fn start(mut zone: Zone, count: usize, az_count: usize) -> Zone {
     zone.az_count = az_count;
     zone.seeds = (0..count)
         .map(zone::host_info)
@@ -202,15 +212,18 @@
         let own = &zone.nodes[&0].control.tables().reports.own;
         assert_eq!(own.silent_zones.len(), expected);
         zone.run_for(SECOND);
-        assert!(report_at(&zone, 1, 0).is_none());
+        assert!(
+            report_at(&zone, 1, 0)
+                .expect("told")
+                .report
+                .silent_zones
+                .is_empty()
+        );
     }
 }
 
-/// Load: hosts of all availability zones need each other's demand. Other zones get it as a sum.
-#[test]
-fn other_availability_zones_get_the_sum_only() {
-    let mut zone = started_zone(4, 2);
-    let report = LaneReport {
+fn report_with_load(zone: &Zone) -> LaneReport {
+    LaneReport {
         taken_at: zone.now.saturating_sub(zone.nodes[&0].started_at),
         endpoints: vec![row(1, 2)],
         services: vec![ServiceReport {
@@ -220,7 +233,15 @@
             waiting: 1,
         }],
         ..LaneReport::default()
-    };
+    }
+}
+
+/// Load: hosts of all availability zones need each other's demand. In a large group other zones get
+/// it as a sum.
+#[test]
+fn other_availability_zones_get_the_sum_only() {
+    let mut zone = zone_with_sums(4, 2);
+    let report = report_with_load(&zone);
     zone.deliver(0, Event::LaneReports(vec![Arc::new(report)]));
     zone.run_for(SECOND);
     assert_eq!(report_at(&zone, 1, 0), None);
@@ -234,6 +255,21 @@
     assert_eq!((near.endpoints.len(), near.services.len()), (1, 1));
 }
 
+/// Load: one zone is short of capacity. In a small group its hosts' demand reaches the other zones
+/// within one heartbeat cycle; sums were so old that shares fell back to an even split.
+#[test]
+fn small_group_sends_load_to_all_hosts() {
+    let mut zone = started_zone(4, 2);
+    let report = report_with_load(&zone);
+    zone.deliver(0, Event::LaneReports(vec![Arc::new(report)]));
+    zone.run_for(ms(600));
+    let far = &report_at(&zone, 1, 0).expect("told").report;
+    assert_eq!((far.endpoints.len(), far.services.len()), (0, 1));
+    let near = &report_at(&zone, 2, 0).expect("told").report;
+    assert_eq!((near.endpoints.len(), near.services.len()), (1, 1));
+    assert!(zone.nodes[&1].reports.zones.is_empty());
+}
+
 /// Load: reports change all the time. There are at most 4 extra rounds in any second, each to at
 /// most 36 hosts, and every host gets its turn.
 #[test]
--- a/tests/zone/mod.rs
+++ b/tests/zone/mod.rs
@@ -7,12 +7,12 @@
 
 use std::collections::BTreeMap;
 
-use jacinthhinge::control::LeaseTiming;
 use jacinthhinge::control::message::{Heartbeat, HostInfo, HostList, ListedHost};
 use jacinthhinge::control::{
     Action, BuiltConfig, ConfigBuilder, Control, Event, FetchRequest, FetchResponse, ReadPacing,
     Settings, Value, ValueChange, ValueUpdate, Values,
 };
+use jacinthhinge::control::{DEFAULT_SUMMED_FROM, LeaseTiming};
 use jacinthhinge::prelude::*;
 use jacinthhinge::report::PeerReports;
 use jacinthhinge::wire::{PeerKey, encode_fetch_response, encode_heartbeat};
@@ -195,6 +195,7 @@
     pub lease_timing: LeaseTiming,
     pub seeds: Vec<SocketAddr>,
     pub read_pacing: ReadPacing,
+    pub summed_from: usize,
     /// Number of availability zones that the hosts are assigned to in turn.
     pub az_count: usize,
     start_count: u64,
@@ -226,6 +227,7 @@
             lease_timing: LeaseTiming::default(),
             seeds: Vec::new(),
             read_pacing: ReadPacing::default(),
+            summed_from: DEFAULT_SUMMED_FROM,
             az_count: 1,
             start_count: 0,
         }
@@ -269,6 +271,7 @@
             drain_limit: Duration::from_secs(5),
             config_builder: self.config_builder.clone(),
             read_pacing: self.read_pacing,
+            summed_from: self.summed_from,
             rng_seed: self.start_count,
         };
         let node = Node {
--- a/tests/zone_reports.rs
+++ b/tests/zone_reports.rs
@@ -37,6 +37,7 @@
 /// Returns hosts that know each other, the host `i` in the zone `place-(i % 3)`.
 fn started_zone(count: usize) -> Zone {
     let mut zone = Zone::new();
+    zone.summed_from = 0;
     zone.az_count = 3;
     zone.seeds = (0..count).map(|index| host_info(index).peer_addr).collect();
     (0..count).for_each(|index| zone.start(index));
