--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -663,7 +663,7 @@
     let opened = Arc::new(AtomicU64::new(0));
     let mut threads = Vec::new();
     sleep(Duration::from_secs(4));
-    for round in 0..22 {
+    for round in 0..40 {
         let stopped = round % 3;
         if has_trouble {
             world.hosts[stopped].signal("TERM");
@@ -681,7 +681,7 @@
                 let (client, record) = (client.clone(), world.record.clone());
                 let (endpoints, opened) = (Arc::clone(&endpoints), Arc::clone(&opened));
                 threads.push(spawn(move || {
-                    let port = 10_000 + number * 400 + index * 50;
+                    let port = 10_000 + number * 240 + index * 30;
                     if use_route(&client, target, port, &record, &endpoints) {
                         opened.fetch_add(1, Ordering::Relaxed);
                     }
@@ -693,7 +693,7 @@
             world.hosts[stopped].stop();
             world.restart_host(stopped)?;
         }
-        sleep(Duration::from_millis(2_500));
+        sleep(Duration::from_millis(700));
     }
     for thread in threads {
         let _ = thread.join();
@@ -704,7 +704,7 @@
         routes - 1
     ));
     world.end();
-    Ok(opened >= 500)
+    Ok(opened >= 1_000)
 }
 
 /// Opens a flow on a new route, again after each reset as long as hosts do not know it yet, and makes
@@ -717,7 +717,7 @@
     endpoints: &[Arc<Endpoint>],
 ) -> bool {
     let mut rng = Rng::new(u64::from(first_port));
-    for port in first_port..first_port + 50 {
+    for port in first_port..first_port + 30 {
         let Some(mut flow) = client.open(port, vip, &mut rng) else {
             sleep(Duration::from_millis(50));
             continue;
