--- a/review/stand-ins-3/client.rs
+++ b/review/stand-ins-3/client.rs
@@ -31,13 +31,11 @@
     pub age: Duration,
     /// Address of the sender.
     pub from: SocketAddrV4,
-    /// Names of the nodes to which the packets of the request went.
-    pub through: Vec<String>,
 }
 
 #[derive(Clone, Debug)]
 pub enum End {
-    Answered(Duration),
+    Answered,
     NotRun,
     SystemReset(SystemReset),
     EndpointReset,
@@ -124,6 +122,7 @@
             opened: now,
             used: now,
             peer_closed: false,
+            is_reset: false,
         };
         for copy in 0..3 {
             let at = |index: usize| now + Duration::from_millis(OPEN_TIMES[index]);
@@ -172,6 +171,7 @@
     opened: Instant,
     used: Instant,
     peer_closed: bool,
+    is_reset: bool,
 }
 
 impl Connection {
@@ -199,7 +199,7 @@
                 .recv_timeout(due.saturating_duration_since(Instant::now()))
             {
                 if packet.has(RST) {
-                    if let Some(end) = self.reset(&packet, from, idle, &through) {
+                    if let Some(end) = self.reset(&packet, from, idle) {
                         return end;
                     }
                     continue;
@@ -225,7 +225,7 @@
                     .record
                     .line(&format!("client {} {id:x}: {line}", self.flow.client));
                 return if line.contains(" 200 ") {
-                    End::Answered(start.elapsed())
+                    End::Answered
                 } else {
                     End::NotRun
                 };
@@ -251,7 +251,7 @@
         {
             if packet.has(RST) {
                 let idle = self.used.elapsed();
-                if let Some(end) = self.reset(&packet, from, idle, &[]) {
+                if let Some(end) = self.reset(&packet, from, idle) {
                     return Some(end);
                 }
             } else {
@@ -266,7 +266,11 @@
         None
     }
 
+    /// Closes the flow, unless it was reset.
     pub fn close(&mut self) {
+        if self.is_reset {
+            return;
+        }
         self.send(FIN | ACK, self.seq, self.ack, Vec::new());
     }
 
@@ -301,15 +305,10 @@
     }
 
     /// Returns the end of the flow by a reset, unless the reset doesn't count.
-    fn reset(
-        &mut self,
-        packet: &Packet,
-        from: SocketAddrV4,
-        idle: Duration,
-        through: &[String],
-    ) -> Option<End> {
+    fn reset(&mut self, packet: &Packet, from: SocketAddrV4, idle: Duration) -> Option<End> {
         let record = &self.machine.record;
         if packet.is_intact() {
+            self.is_reset = true;
             record.line(&format!(
                 "client {} reset by its endpoint",
                 self.flow.client
@@ -327,6 +326,7 @@
             ));
             return None;
         }
+        self.is_reset = true;
         record.line(&format!(
             "client {} reset by the system, {from}",
             self.flow.client
@@ -337,7 +337,6 @@
             idle,
             age: self.opened.elapsed(),
             from,
-            through: through.to_vec(),
         }))
     }
 
--- a/review/stand-ins-3/endpoint.rs
+++ b/review/stand-ins-3/endpoint.rs
@@ -48,14 +48,6 @@
     pub fn key(&self) -> String {
         format!("servers/{}", self.id)
     }
-
-    /// Returns the entry that it writes to the store.
-    pub fn entry(&self, state: &str, reports: u64) -> String {
-        format!(
-            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Concurrency":{},"State":"{state}","WarmupLeftMs":0,"SeqNo":{reports},"born":{}}}"#,
-            self.service, self.addr, self.zone, self.slots, self.born
-        )
-    }
 }
 
 struct Held {
@@ -84,10 +76,6 @@
     waiting: VecDeque<(Flow, u64)>,
     running: Vec<(Instant, Flow, u64)>,
     is_cut: bool,
-    is_draining: bool,
-    /// Packets of clients that were taken, by flow.
-    taken: HashMap<Flow, u32>,
-    ran: HashMap<u64, u32>,
 }
 
 pub struct Endpoint {
@@ -121,8 +109,13 @@
         self.lock().is_cut = is_cut;
     }
 
-    pub fn set_draining(&self) {
-        self.lock().is_draining = true;
+    /// Returns the entry that it writes to the store.
+    pub fn entry(&self, state: &str) -> String {
+        let spec = &self.spec;
+        format!(
+            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Concurrency":{},"State":"{state}","WarmupLeftMs":0,"SeqNo":1,"born":{}}}"#,
+            spec.service, spec.addr, spec.zone, spec.slots, spec.born
+        )
     }
 
     /// True if the flow is open here.
@@ -139,16 +132,6 @@
             .collect()
     }
 
-    /// How often each request ran here.
-    pub fn runs(&self) -> HashMap<u64, u32> {
-        self.lock().ran.clone()
-    }
-
-    /// Number of packets of a flow that arrived here.
-    pub fn packets_of(&self, flow: &Flow) -> u32 {
-        self.lock().taken.get(flow).copied().unwrap_or(0)
-    }
-
     fn run(&self) {
         let mut buffer = [0; 2_000];
         loop {
@@ -178,7 +161,6 @@
             client: packet.src,
             route: packet.dst,
         };
-        *state.taken.entry(flow).or_default() += 1;
         if packet.has(RST) {
             state.flows.remove(&flow);
             state.ended.insert(flow);
@@ -289,7 +271,6 @@
             && let Some((flow, id)) = state.waiting.pop_front()
         {
             if state.flows.contains_key(&flow) {
-                *state.ran.entry(id).or_default() += 1;
                 self.record
                     .line(&format!("{} ran {id:x} of {}", self.spec.id, flow.client));
                 state.running.push((now + self.spec.work, flow, id));
@@ -334,7 +315,6 @@
                 "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: {id:x}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             )
         };
-        let is_draining = state.is_draining;
         let Some(held) = state.flows.get_mut(&flow) else {
             return;
         };
@@ -362,13 +342,9 @@
             });
             packets.push(packet);
         }
-        let end = held.send_next;
         packets
             .iter()
             .for_each(|packet| self.put(state, flow, packet));
-        if is_draining {
-            self.send(state, flow, FIN | ACK, end, ack, echo, Vec::new());
-        }
     }
 
     #[allow(clippy::too_many_arguments)]
--- a/review/stand-ins-3/healed.rs
+++ b/review/stand-ins-3/healed.rs
@@ -37,27 +37,9 @@
 
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> Result<Vec<String>, Failure> {
     let zones = ["kortrijk", "gent", "roeselare"];
-    let hosts = [
-        ("edge-kortrijk-1", zones[0]),
-        ("edge-kortrijk-2", zones[0]),
-        ("edge-kortrijk-3", zones[0]),
-        ("edge-gent-1", zones[1]),
-        ("edge-gent-2", zones[1]),
-        ("edge-roeselare-1", zones[2]),
-        ("edge-roeselare-2", zones[2]),
-    ];
-    let mut world = World::new(record, &zones, &hosts)?;
+    let mut world = World::new(record, &zones, &machines(zones))?;
     world.set_desired(&[FEED, ORDER], &[("bestel", 2_000)]);
-    for (index, zone) in (0..).zip([0, 0, 0, 0, 0, 1, 1, 1, 1, 1, 2, 2, 2, 2]) {
-        world.add_endpoint(
-            index,
-            "bestel",
-            zones[zone],
-            2,
-            2_000,
-            Duration::from_millis(20),
-        )?;
-    }
+    world.add_site_endpoints(zones, Duration::from_millis(20))?;
     world.start_hosts()?;
     let resets: Arc<Mutex<Vec<SystemReset>>> = Arc::default();
     let is_over = Arc::new(AtomicBool::new(false));
@@ -161,7 +143,7 @@
         let _ = ready.send(false);
         return;
     };
-    let _ = ready.send(matches!(flow.request(DEADLINE), End::Answered(_)));
+    let _ = ready.send(matches!(flow.request(DEADLINE), End::Answered));
     let times = [
         Duration::from_millis(7_300 + 60 * index),
         NEXT_AT + Duration::from_millis(20 * index),
@@ -169,7 +151,7 @@
     for time in times {
         let ended = flow.idle(time.saturating_sub(record.now()));
         match ended.unwrap_or_else(|| flow.request(DEADLINE)) {
-            End::Answered(_) | End::NotRun => {}
+            End::Answered | End::NotRun => {}
             End::SystemReset(reset) => {
                 resets
                     .lock()
@@ -208,7 +190,7 @@
                     .unwrap_or_else(|err| err.into_inner())
                     .push(reset.clone());
             }
-            let is_open = matches!(end, End::Answered(_) | End::NotRun);
+            let is_open = matches!(end, End::Answered | End::NotRun);
             if route.kind == "unsafe"
                 || !is_open
                 || flow.idle(Duration::from_millis(600 + 11 * index)).is_some()
@@ -223,3 +205,16 @@
         }
     })
 }
+
+/// The machines of the site, the spare ones included, by name and zone.
+pub fn machines(zones: [&'static str; 3]) -> [(&'static str, &'static str); 7] {
+    [
+        ("edge-kortrijk-1", zones[0]),
+        ("edge-kortrijk-2", zones[0]),
+        ("edge-kortrijk-3", zones[0]),
+        ("edge-gent-1", zones[1]),
+        ("edge-gent-2", zones[1]),
+        ("edge-roeselare-1", zones[2]),
+        ("edge-roeselare-2", zones[2]),
+    ]
+}
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -10,6 +10,7 @@
 mod healed;
 mod hosts;
 mod packet;
+mod readded;
 mod record;
 mod store;
 mod world;
@@ -31,6 +32,7 @@
         .and_then(|record| {
             let record = Arc::new(record);
             let broken = match case.as_str() {
+                "readded" => readded::play(&record, has_trouble)?,
                 "healed" => healed::play(&record, has_trouble)?,
                 _ => return Err("no such case".into()),
             };
