--- a/review/stand-ins-3/hosts.rs
+++ b/review/stand-ins-3/hosts.rs
@@ -109,6 +109,16 @@
         Ok(())
     }
 
+    /// Adds a zone of the same region to `Zones` in the settings file.
+    pub fn add_zone(&self, zone: &str) -> std::io::Result<()> {
+        let text = std::fs::read_to_string(&self.file)?;
+        let added = text.replace(
+            "\"Zones\":{",
+            &format!("\"Zones\":{{\"{zone}\":\"vlaanderen\","),
+        );
+        std::fs::write(&self.file, added)
+    }
+
     /// Sends a signal by its name, by the id of the process.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -12,6 +12,7 @@
 mod packet;
 mod readded;
 mod record;
+mod reloaded;
 mod store;
 mod world;
 
@@ -33,6 +34,7 @@
             let record = Arc::new(record);
             let broken = match case.as_str() {
                 "readded" => readded::play(&record, has_trouble)?,
+                "reloaded" => reloaded::play(&record, has_trouble)?,
                 "healed" => healed::play(&record, has_trouble)?,
                 _ => return Err("no such case".into()),
             };
