--- a/review/stand-ins-3/reloaded.rs
+++ b/review/stand-ins-3/reloaded.rs
@@ -11,7 +11,7 @@
 use crate::record::Record;
 use crate::world::{Failure, RouteSpec, World};
 
-const CLIENTS: u64 = 30;
+const CLIENTS: u64 = 60;
 const DEADLINE: Duration = Duration::from_millis(1_500);
 
 const FEED: RouteSpec = RouteSpec {
@@ -43,7 +43,12 @@
         .collect();
     thread::sleep(Duration::from_secs(7));
     if has_trouble {
-        let endpoint = Arc::clone(&world.endpoints[1]);
+        let of_zone = world
+            .endpoints
+            .iter()
+            .filter(|endpoint| endpoint.spec.zone == zones[0]);
+        let most_used = of_zone.max_by_key(|endpoint| endpoint.open_flows().len());
+        let endpoint = Arc::clone(most_used.ok_or("no endpoint")?);
         record.say(&format!(
             "another writer replaces the entry of {}, with {} open flows",
             endpoint.spec.id,
@@ -95,7 +100,7 @@
     is_over: &AtomicBool,
     resets: &Mutex<Vec<SystemReset>>,
 ) {
-    thread::sleep(Duration::from_millis(53 * index));
+    thread::sleep(Duration::from_millis(41 * index));
     while !is_over.load(Ordering::Relaxed) {
         let Some(mut flow) = machine.open(FEED.addr) else {
             thread::sleep(Duration::from_millis(100));
@@ -113,7 +118,7 @@
                 }
                 _ => break,
             }
-            if flow.idle(Duration::from_millis(400)).is_some() {
+            if flow.idle(Duration::from_millis(500)).is_some() {
                 break;
             }
         }
