Show resets at endpoints that start again under their ids

A machine that has read the removal of an endpoint's entry, but not yet the entry of its new start, resets flows that were opened since and move there.

--- a/review/stand-ins-3/endpoint.rs
+++ b/review/stand-ins-3/endpoint.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use crate::hosts::hash;
 use crate::packet::{ACK, FIN, Flow, Packet, RST, SYN, is_after};
@@ -37,7 +37,6 @@
     pub answer_bytes: usize,
     /// Port at which packets for clients arrive.
     pub client_port: u16,
-    pub born: u64,
 }
 
 impl EndpointSpec {
@@ -76,6 +75,10 @@
     waiting: VecDeque<(Flow, u64)>,
     running: Vec<(Instant, Flow, u64)>,
     is_cut: bool,
+    is_draining: bool,
+    has_exited: bool,
+    /// Unix millisecond of its start.
+    born: u64,
 }
 
 pub struct Endpoint {
@@ -91,7 +94,10 @@
         socket.set_read_timeout(Some(Duration::from_millis(2)))?;
         let endpoint = Arc::new(Self {
             spec,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                born: unix_ms(),
+                ..State::default()
+            }),
             socket,
             record: Arc::clone(record),
         });
@@ -109,12 +115,31 @@
         self.lock().is_cut = is_cut;
     }
 
+    pub fn set_draining(&self) {
+        self.lock().is_draining = true;
+    }
+
+    /// Ends the process: it holds nothing and answers nothing.
+    pub fn exit(&self) {
+        *self.lock() = State {
+            has_exited: true,
+            ..State::default()
+        };
+    }
+
+    /// Starts the process again under its id.
+    pub fn start_again(&self) {
+        let mut state = self.lock();
+        state.has_exited = false;
+        state.born = unix_ms();
+    }
+
     /// Returns the entry that it writes to the store.
     pub fn entry(&self, state: &str) -> String {
-        let spec = &self.spec;
+        let (spec, born) = (&self.spec, self.lock().born);
         format!(
             r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Concurrency":{},"State":"{state}","WarmupLeftMs":0,"SeqNo":1,"born":{}}}"#,
-            spec.service, spec.addr, spec.zone, spec.slots, spec.born
+            spec.service, spec.addr, spec.zone, spec.slots, born
         )
     }
 
@@ -137,7 +162,7 @@
         loop {
             if let Ok((size, _)) = self.socket.recv_from(&mut buffer) {
                 let mut state = self.lock();
-                if !state.is_cut && size >= 8 {
+                if !state.is_cut && !state.has_exited && size >= 8 {
                     let (number, bytes) = buffer[..size].split_at(8);
                     let number = u64::from_be_bytes(number.try_into().unwrap_or_default());
                     match Packet::decode(bytes).filter(Packet::is_intact) {
@@ -315,6 +340,7 @@
                 "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: {id:x}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             )
         };
+        let is_draining = state.is_draining;
         let Some(held) = state.flows.get_mut(&flow) else {
             return;
         };
@@ -342,9 +368,13 @@
             });
             packets.push(packet);
         }
+        let end = held.send_next;
         packets
             .iter()
             .for_each(|packet| self.put(state, flow, packet));
+        if is_draining {
+            self.send(state, flow, FIN | ACK, end, ack, echo, Vec::new());
+        }
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -388,3 +418,8 @@
     let (_, rest) = text.split_once("X-Request-Id: ")?;
     u64::from_str_radix(rest.split("\r\n").next()?, 16).ok()
 }
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |time| time.as_millis() as u64)
+}
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -13,6 +13,7 @@
 mod readded;
 mod record;
 mod reloaded;
+mod returned;
 mod store;
 mod world;
 
@@ -35,6 +36,7 @@
             let broken = match case.as_str() {
                 "readded" => readded::play(&record, has_trouble)?,
                 "reloaded" => reloaded::play(&record, has_trouble)?,
+                "returned" => returned::play(&record, has_trouble)?,
                 "healed" => healed::play(&record, has_trouble)?,
                 _ => return Err("no such case".into()),
             };
--- a/review/stand-ins-3/reloaded.rs
+++ b/review/stand-ins-3/reloaded.rs
@@ -57,13 +57,13 @@
         world
             .store
             .put(&endpoint.spec.key(), Some("{\"Service\":".to_owned()));
-        thread::sleep(Duration::from_millis(300));
+        thread::sleep(Duration::from_millis(550));
         for host in &world.hosts[..2] {
             record.line(&format!("the settings of {} change", host.spec.name));
             host.add_zone("brugge")?;
             host.signal("HUP");
         }
-        thread::sleep(Duration::from_millis(800));
+        thread::sleep(Duration::from_millis(600));
         world
             .store
             .put(&endpoint.spec.key(), Some(endpoint.entry("ready")));
