--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,7 @@
 # it held and 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/jacinthhinge ] && [ -x target/review-3/stand-ins ] || exit 2
-exec timeout --kill-after=5 114 target/review-3/stand-ins readded review/12/record.txt
+timeout --kill-after=5 114 target/review-3/stand-ins readded review/12/record.txt
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
--- a/review/stand-ins-3/hosts.rs
+++ b/review/stand-ins-3/hosts.rs
@@ -122,10 +122,8 @@
     /// Sends a signal by its name, by the id of the process.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(child.id().to_string())
-                .status();
+            let command = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
