--- a/review/stand-ins-3/returned.rs
+++ b/review/stand-ins-3/returned.rs
@@ -1,18 +1,18 @@
-//! Endpoints are emptied, leave and start again under their ids, while machines are stopped and
+//! Endpoints are emptied, leave and start again under their ids, one at a time, while machines are stopped and
 //! started in turn.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::client::{End, Machine};
 use crate::endpoint::Endpoint;
 use crate::record::Record;
 use crate::world::{Failure, RouteSpec, World};
 
-const ROUNDS: u64 = 14;
+const ROUNDS: usize = 23;
 const CLIENTS: u64 = 45;
 
 /// `DrainMs`, and a little longer.
@@ -22,6 +22,9 @@
 /// Requests on a flow.
 const REQUESTS: usize = 6;
 
+/// Time between two requests on a flow.
+const PAUSE: Duration = Duration::from_millis(20);
+
 /// Machines of the zone that are stopped, in this order.
 const STOPPED: [usize; 4] = [1, 0, 1, 2];
 
@@ -53,35 +56,39 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(2));
+    let mut last_stopped = None;
     for round in 0..ROUNDS {
-        // Three of the five endpoints of the zone.
-        let leaving = [0, 1, 2].map(|step| (3 * round as usize + step) % 5);
+        // One of the five endpoints of the zone.
+        let leaving = round % 5;
+        let drained = Instant::now() + DRAIN;
         if has_trouble {
-            leaving.iter().for_each(|at| world.drain(*at));
+            world.drain(leaving);
+        }
+        if let Some(last) = last_stopped.take() {
+            thread::sleep(Duration::from_millis(700));
+            world.restart(last)?;
         }
-        thread::sleep(DRAIN);
+        thread::sleep(drained.saturating_duration_since(Instant::now()));
         if has_trouble {
-            leaving.iter().for_each(|at| world.leave(*at));
+            world.leave(leaving);
         }
-        thread::sleep(Duration::from_millis(1_000));
-        let stopped = STOPPED[round as usize % STOPPED.len()];
+        thread::sleep(Duration::from_millis(400));
         if has_trouble {
+            let stopped = STOPPED[round % STOPPED.len()];
             record.line(&format!("{} is stopped", world.hosts[stopped].spec.name));
             world.hosts[stopped].signal("TERM");
+            last_stopped = Some(stopped);
         }
         // Differs, as the routers' probes and the machines' messages have a period of 500 ms.
-        thread::sleep(Duration::from_millis(620 + 37 * round % 90));
-        for at in leaving {
-            if has_trouble {
-                world.start_again(at);
-            }
-            thread::sleep(Duration::from_millis(40));
-        }
-        thread::sleep(Duration::from_millis(700));
+        thread::sleep(Duration::from_millis(560 + 53 * round as u64 % 300));
         if has_trouble {
-            world.restart(stopped)?;
+            world.start_again(leaving);
         }
     }
+    thread::sleep(Duration::from_millis(700));
+    if let Some(last) = last_stopped {
+        world.restart(last)?;
+    }
     is_over.store(true, Ordering::Relaxed);
     for client in clients {
         client.join().map_err(|_| "a client has ended early")?;
@@ -132,7 +139,7 @@
                 }
                 _ => break,
             }
-            if flow.idle(Duration::from_millis(20)).is_some() {
+            if flow.idle(PAUSE).is_some() {
                 break;
             }
         }
